--- /dev/null
+++ b/errors.go
@@ -0,0 +1,138 @@
+package chervilladder
+
+import (
+	"fmt"
+	"time"
+)
+
+// Reason says why work was not run.
+type Reason string
+
+// The reasons. Each has an entry in the operators' page.
+const (
+	ReasonDeadline   Reason = "deadline"
+	ReasonOverload   Reason = "overload"
+	ReasonNoPrimary  Reason = "no-primary"
+	ReasonNoOwner    Reason = "no-owner"
+	ReasonNoProof    Reason = "no-proof"
+	ReasonDraining   Reason = "draining"
+	ReasonNotOwner   Reason = "not-owner"
+	ReasonUnknownDB  Reason = "unknown-database"
+	ReasonRolledBack Reason = "rolled-back"
+	ReasonCancelled  Reason = "cancelled"
+)
+
+// NotRunError reports work that did not run and will not run.
+type NotRunError struct {
+	Database DatabaseID
+	Reason   Reason
+	// RetryAfter is the earliest time at which a retry makes sense.
+	RetryAfter time.Duration
+	Err        error
+}
+
+// Error says what was not run and why.
+func (e *NotRunError) Error() string {
+	s := fmt.Sprintf("database %s: not run: %s", e.Database, e.Reason)
+	if e.Err != nil {
+		s += ": " + e.Err.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *NotRunError) Unwrap() error { return e.Err }
+
+// UnknownError reports work that may or may not have been done. The caller
+// has to look before it tries again.
+type UnknownError struct {
+	Database DatabaseID
+	Upstream UpstreamID
+	Err      error
+}
+
+// Error says where the outcome was lost.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("database %s: outcome unknown at upstream %s: %v", e.Database, e.Upstream, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// UpstreamLostError reports an upstream connection that failed or fell silent.
+type UpstreamLostError struct {
+	Upstream UpstreamID
+	// Sent is set when bytes of the work may have reached the upstream.
+	Sent bool
+	Err  error
+}
+
+// Error says which upstream was lost.
+func (e *UpstreamLostError) Error() string {
+	return fmt.Sprintf("upstream %s: connection lost: %v", e.Upstream, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UpstreamLostError) Unwrap() error { return e.Err }
+
+// TermRefusedError reports a ballot that a member refused because it has
+// accepted another one.
+type TermRefusedError struct {
+	Upstream UpstreamID
+	Term     Term
+}
+
+// Error says which term the member holds to.
+func (e *TermRefusedError) Error() string {
+	return fmt.Sprintf("upstream %s: ballot refused: member is in term %d", e.Upstream, e.Term)
+}
+
+// ClaimLostError reports a claim that another VM has taken over.
+type ClaimLostError struct {
+	Upstream UpstreamID
+	Claim    Claim
+	Holder   VMID
+}
+
+// Error says who holds the claim now.
+func (e *ClaimLostError) Error() string {
+	return fmt.Sprintf("upstream %s: claim %d is held by %s", e.Upstream, e.Claim, e.Holder)
+}
+
+// NotFoundError reports an object that the platform does not hold.
+type NotFoundError struct {
+	Kind ObjectKind
+	Name ObjectName
+}
+
+// Error names the object.
+func (e *NotFoundError) Error() string {
+	return fmt.Sprintf("platform: no object %s/%s", e.Kind, e.Name)
+}
+
+// ConflictError reports a conditional update that lost against another one.
+type ConflictError struct {
+	// Current is the object as it stands now.
+	Current Object
+}
+
+// Error names the object and its version.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("platform: object %s/%s is at version %d", e.Current.Kind, e.Current.Name, e.Current.Version)
+}
+
+// PlatformError reports a call to the platform that failed.
+type PlatformError struct {
+	Operation string
+	// Unknown is set when the change may have been made all the same.
+	Unknown bool
+	Err     error
+}
+
+// Error says which call failed.
+func (e *PlatformError) Error() string {
+	return fmt.Sprintf("platform: %s: %v", e.Operation, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *PlatformError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/ids.go
@@ -0,0 +1,32 @@
+package chervilladder
+
+// VMID names one VM of the system. It is stable for the life of the VM and is
+// never given to another one.
+type VMID string
+
+// DataCentreID names one data centre, such as "cr-central-a".
+type DataCentreID string
+
+// ServiceID names a service, such as "agenda-salas".
+type ServiceID string
+
+// DatabaseID names a replicated database. It is unique over all services.
+type DatabaseID string
+
+// UpstreamID names one member of a database's group. It is unique over all
+// databases.
+type UpstreamID string
+
+// ClassID names a class of work within a service, such as "confirmation".
+type ClassID string
+
+// SessionID names a caller's session. A session outlives its connections and
+// may roam between VMs.
+type SessionID string
+
+// AttemptID identifies one attempt at a change, so that a change whose answer
+// was lost can be recognised as one's own.
+type AttemptID string
+
+// Address is an IP number and a port, such as "127.0.0.1:5432".
+type Address string
--- /dev/null
+++ b/outcome.go
@@ -0,0 +1,25 @@
+package chervilladder
+
+// Outcome says what is known about work that has ended.
+type Outcome uint8
+
+// The three outcomes. Work is never reported as NotRun unless it is certain
+// that no byte of it reached an upstream, or that its transaction cannot
+// commit any more.
+const (
+	OutcomeUnknown Outcome = iota
+	OutcomeNotRun
+	OutcomeDone
+)
+
+// String returns the name that errors and reports use.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeDone:
+		return "done"
+	case OutcomeNotRun:
+		return "not-run"
+	default:
+		return "unknown"
+	}
+}
--- /dev/null
+++ b/work.go
@@ -0,0 +1,76 @@
+package chervilladder
+
+import "time"
+
+// Access says which members of a group may run a piece of work.
+type Access uint8
+
+// The kinds of access. Work of an unknown kind is a write.
+const (
+	// AccessWrite is work that only the primary may run.
+	AccessWrite Access = iota
+	// AccessRead is work that a replica may run once it has replayed what
+	// the session depends on.
+	AccessRead
+)
+
+// Setting is one session parameter that a caller has set.
+type Setting struct {
+	Name  string
+	Value string
+}
+
+// Statement is a prepared statement that work depends on. Name is its name at
+// the upstream, derived from the text and the parameter types.
+type Statement struct {
+	Name           string
+	SQL            string
+	ParameterTypes []uint32
+}
+
+// Work describes a transaction, or a single statement, that is to be run. The
+// statements themselves travel as batches, encoded for the upstream; nothing
+// that decides about work reads them.
+type Work struct {
+	Database DatabaseID
+	Service  ServiceID
+	Class    ClassID
+	Session  SessionID
+	// Caller identifies whom fair sharing within a priority is for.
+	Caller string
+	Access Access
+	// Seen is the latest mark that this session is known to have observed.
+	Seen Mark
+	// Arrived is when the VM that decides received the work.
+	Arrived time.Time
+	// Deadline bounds the wait for a slot and for the answer.
+	Deadline time.Time
+	Settings []Setting
+}
+
+// Batch is a run of encoded messages that an upstream answers with exactly
+// one ready message.
+type Batch struct {
+	// Payload holds the encoded messages.
+	Payload []byte
+	// Needs lists the prepared statements that the messages refer to.
+	Needs []Statement
+	// Closes is set when the batch ends a transaction block.
+	Closes bool
+	// Commits is set when running the batch may make a change durable.
+	Commits bool
+}
+
+// Reply is a part of the answer to a batch.
+type Reply struct {
+	// Payload holds encoded messages, always whole ones.
+	Payload []byte
+	// Last is set on the part that ends the answer to a batch.
+	Last bool
+	// Open is set with Last while a transaction block stays open.
+	Open bool
+	// Seen is set with Last to what the session has now observed.
+	Seen Mark
+	// Upstream is set with Last to the member that answered.
+	Upstream UpstreamID
+}
