--- /dev/null
+++ b/internal/blackboard/board.go
@@ -0,0 +1,95 @@
+package blackboard
+
+import (
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// Board is the blackboard of one VM.
+type Board struct {
+	// Self is the VM that the board belongs to. It never changes.
+	Self chervilladder.VM
+
+	// Published is the configuration in force in the form in which peers
+	// relay it. Written by control/configuration.
+	Published Section[Published]
+	// Catalogue is the configuration in force, resolved for look-up; nil
+	// until the first one is known. Written by control/configuration.
+	Catalogue Section[*chervilladder.Catalogue]
+	// Members is what is known of the system's VMs. Written by
+	// control/membership.
+	Members Section[Membership]
+	// Owners says which VM owns each database. Written by
+	// control/ownership.
+	Owners Section[Owners]
+	// Local is the VM's own state. Written by control/drain.
+	Local Section[Local]
+	// Databases holds the state of the databases that this VM owns or has
+	// owned. Their sections name their own writers.
+	Databases Table[chervilladder.DatabaseID, Database]
+}
+
+// New returns the blackboard of a VM.
+func New(self chervilladder.VM) *Board {
+	return &Board{Self: self}
+}
+
+// Published is a configuration as it was published.
+type Published struct {
+	Revision chervilladder.Revision
+	// Encoded is the bundle that peers pass on unchanged.
+	Encoded []byte
+	// Confirmed is when the platform or a peer last confirmed that there
+	// is nothing newer.
+	Confirmed time.Time
+}
+
+// Local is the state of this VM.
+type Local struct {
+	// Draining is set once the VM takes no new callers and owns nothing.
+	Draining bool
+}
+
+// MemberState is what is believed of a VM.
+type MemberState uint8
+
+// The states of a VM, from best to worst.
+const (
+	MemberAlive MemberState = iota
+	MemberSuspect
+	MemberDraining
+	MemberDead
+)
+
+// String returns the name that status pages use.
+func (m MemberState) String() string {
+	switch m {
+	case MemberAlive:
+		return "alive"
+	case MemberSuspect:
+		return "suspect"
+	case MemberDraining:
+		return "draining"
+	default:
+		return "dead"
+	}
+}
+
+// Member is one VM of the system as this VM sees it.
+type Member struct {
+	VM          chervilladder.VM
+	State       MemberState
+	Incarnation uint64
+	Heard       time.Time
+}
+
+// Membership is what is known of the system's VMs.
+type Membership struct {
+	Members map[chervilladder.VMID]Member
+}
+
+// Owners maps each database to the VM that is to own it.
+type Owners struct {
+	ByDatabase map[chervilladder.DatabaseID]chervilladder.VMID
+}
--- /dev/null
+++ b/internal/blackboard/database.go
@@ -0,0 +1,89 @@
+package blackboard
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/decide/schedule"
+)
+
+// Database is the state of one database at the VM that owns it.
+type Database struct {
+	// Group is what is known of the database's members. Written by
+	// control/group.
+	Group Section[Group]
+	// Evidence counts the requests for fresh statuses. The path of a
+	// request asks, control/group answers through Group.
+	Evidence Evidence
+	// Floors holds what sessions have observed. Written by the path of a
+	// request, reset by control/group when a claim is taken.
+	Floors Floors
+	// Queue holds the work that waits for a slot. Work is written by the
+	// path of a request, capacities by control/group.
+	Queue schedule.Queue
+}
+
+// Await waits until the group satisfies a condition, and returns the group
+// that did.
+func (d *Database) Await(ctx context.Context, holds func(Group) bool) (Group, error) {
+	for {
+		g, changed := d.Group.Watch()
+		if holds(g) {
+			return g, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return g, context.Cause(ctx)
+		}
+	}
+}
+
+// Group is what an owner knows of a database's group.
+type Group struct {
+	// Primary is the member that writes go to; empty while there is none.
+	Primary chervilladder.UpstreamID
+	// Term is the term in which Primary was found or promoted.
+	Term chervilladder.Term
+	// Claim is the claim held at Primary; zero while there is none.
+	Claim chervilladder.Claim
+	// Members holds the last status of each member.
+	Members map[chervilladder.UpstreamID]MemberView
+	// Size is the number of members of the group.
+	Size int
+}
+
+// MemberView is the last evidence of one member.
+type MemberView struct {
+	Status chervilladder.MemberStatus
+	// Tick is the evidence tick at which the status was asked for.
+	Tick Tick
+	// Asked is when the status was asked for.
+	Asked time.Time
+	// Failing is when the member first failed to answer since it last
+	// answered; zero while it answers.
+	Failing time.Time
+	// Err says how it fails.
+	Err error
+}
+
+// With returns a copy of the group in which one member's view is replaced.
+func (g Group) With(id chervilladder.UpstreamID, v MemberView) Group {
+	members := make(map[chervilladder.UpstreamID]MemberView, len(g.Members)+1)
+	maps.Copy(members, g.Members)
+	members[id] = v
+	g.Members = members
+	return g
+}
+
+// Open reports whether work may be sent: a primary is known and claimed.
+func (g Group) Open() bool {
+	return g.Primary != "" && g.Claim != 0
+}
+
+// Mark returns the latest position known of the primary.
+func (g Group) Mark() chervilladder.Mark {
+	return chervilladder.Mark{Term: g.Term, Position: g.Members[g.Primary].Status.Received}
+}
--- /dev/null
+++ b/internal/blackboard/section.go
@@ -0,0 +1,62 @@
+// Package blackboard is the state that the parts of a VM share. Controllers
+// write its sections, each section has one writer, and the path of a request
+// reads them without a lock.
+package blackboard
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// Section holds one immutable value behind an atomic pointer. A writer copies
+// the value, changes the copy and swaps it in; readers never wait:
+//
+//	members := board.Members.Load()
+//
+// The zero Section holds the zero value of T.
+type Section[T any] struct {
+	current atomic.Pointer[snapshot[T]]
+	writing sync.Mutex
+}
+
+type snapshot[T any] struct {
+	value   T
+	changed chan struct{}
+}
+
+// Load returns the current value. The caller must not change what it refers
+// to.
+func (s *Section[T]) Load() T {
+	return s.snapshot().value
+}
+
+// Watch returns the current value and a channel that is closed once the value
+// has been replaced. Wait on the channel, then call Watch again.
+func (s *Section[T]) Watch() (T, <-chan struct{}) {
+	now := s.snapshot()
+	return now.value, now.changed
+}
+
+// Update replaces the value by what change returns for it and wakes those who
+// watch. The change must copy what it alters, and must not block.
+func (s *Section[T]) Update(change func(T) T) {
+	s.writing.Lock()
+	old := s.snapshot()
+	s.current.Store(&snapshot[T]{value: change(old.value), changed: make(chan struct{})})
+	s.writing.Unlock()
+	close(old.changed)
+}
+
+// Store replaces the value and wakes those who watch.
+func (s *Section[T]) Store(value T) {
+	s.Update(func(T) T { return value })
+}
+
+func (s *Section[T]) snapshot() *snapshot[T] {
+	for {
+		if now := s.current.Load(); now != nil {
+			return now
+		}
+		s.current.CompareAndSwap(nil, &snapshot[T]{changed: make(chan struct{})})
+	}
+}
--- /dev/null
+++ b/internal/control/group/group.go
@@ -0,0 +1,131 @@
+// Package group watches the groups of the databases that this VM owns: it
+// keeps the evidence fresh, holds the claim at the primary, and replaces a
+// primary that has failed. It writes the group section of each database.
+package group
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/promotion"
+)
+
+// Dialer opens the control side of an upstream.
+type Dialer func(ctx context.Context, u chervilladder.Upstream) (chervilladder.Member, error)
+
+// Config says what a Controller works with.
+type Config struct {
+	Board    *blackboard.Board
+	Platform chervilladder.Platform
+	Dial     Dialer
+	Log      *logrus.Logger
+	// Heartbeat is the time between statuses that nobody asked for.
+	Heartbeat time.Duration
+	// CallTimeout bounds a call to a member.
+	CallTimeout time.Duration
+	// StandOff is how long the VM leaves a database alone after another VM
+	// took its claim.
+	StandOff  time.Duration
+	Promotion promotion.Config
+}
+
+// Controller runs a supervisor for each database that this VM owns.
+type Controller struct {
+	Config
+	running map[chervilladder.DatabaseID]*supervisor
+	wait    sync.WaitGroup
+}
+
+// New returns a controller. Times that are zero get their defaults.
+func New(c Config) (*Controller, error) {
+	if c.Board == nil || c.Dial == nil || c.Log == nil {
+		return nil, fmt.Errorf("group: board, dialer and log are required")
+	}
+	setDefault(&c.Heartbeat, 200*time.Millisecond)
+	setDefault(&c.CallTimeout, 400*time.Millisecond)
+	setDefault(&c.StandOff, 2*time.Second)
+	setDefault(&c.Promotion.SuspectAfter, 700*time.Millisecond)
+	setDefault(&c.Promotion.FreshFor, time.Second)
+	return &Controller{Config: c, running: make(map[chervilladder.DatabaseID]*supervisor)}, nil
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+// Run supervises owned databases until the context ends.
+func (c *Controller) Run(ctx context.Context) error {
+	defer c.wait.Wait()
+	defer c.stopAll()
+	for {
+		owners, ownersChanged := c.Board.Owners.Watch()
+		catalogue, catalogueChanged := c.Board.Catalogue.Watch()
+		c.reconcile(ctx, owners, catalogue)
+		select {
+		case <-ownersChanged:
+		case <-catalogueChanged:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// reconcile starts and stops supervisors so that they match ownership and
+// configuration.
+func (c *Controller) reconcile(ctx context.Context, owners blackboard.Owners, catalogue *chervilladder.Catalogue) {
+	for id, s := range c.running {
+		if !c.owned(id, owners, catalogue) {
+			s.stop()
+			delete(c.running, id)
+		}
+	}
+	if catalogue == nil {
+		return
+	}
+	for id, db := range catalogue.Databases {
+		if !c.owned(id, owners, catalogue) {
+			continue
+		}
+		if s, ok := c.running[id]; ok {
+			s.database.Store(db)
+			continue
+		}
+		c.running[id] = c.start(ctx, db)
+	}
+}
+
+func (c *Controller) owned(id chervilladder.DatabaseID, owners blackboard.Owners, catalogue *chervilladder.Catalogue) bool {
+	if catalogue == nil || owners.ByDatabase[id] != c.Board.Self.ID {
+		return false
+	}
+	_, ok := catalogue.Databases[id]
+	return ok
+}
+
+func (c *Controller) start(ctx context.Context, db *chervilladder.Database) *supervisor {
+	ctx, stop := context.WithCancel(ctx)
+	s := &supervisor{
+		Config: c.Config,
+		id:     db.ID,
+		state:  c.Board.Databases.Get(db.ID),
+		stop:   stop,
+		log:    c.Log.WithField("database", db.ID),
+	}
+	s.database.Store(db)
+	c.wait.Go(func() { s.run(ctx) })
+	return s
+}
+
+func (c *Controller) stopAll() {
+	for _, s := range c.running {
+		s.stop()
+	}
+}
--- /dev/null
+++ b/internal/control/group/supervisor.go
@@ -0,0 +1,220 @@
+package group
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/promotion"
+	"github.com/chervilladder/chervilladder/internal/decide/proof"
+	"github.com/chervilladder/chervilladder/internal/decide/schedule"
+)
+
+// assessEvery is how often the evidence is judged when nothing changes.
+const assessEvery = 50 * time.Millisecond
+
+// supervisor looks after one database.
+type supervisor struct {
+	Config
+	id       chervilladder.DatabaseID
+	database atomic.Pointer[chervilladder.Database]
+	state    *blackboard.Database
+	stop     context.CancelFunc
+	log      *logrus.Entry
+
+	// standOffUntil is when the claim may be taken again.
+	standOffUntil time.Time
+	// promoteAfter holds back the next promotion after a failed one.
+	promoteAfter time.Time
+}
+
+func (s *supervisor) run(ctx context.Context) {
+	s.forget()
+	defer s.forget()
+	var watchers sync.WaitGroup
+	defer watchers.Wait()
+	watched := make(map[chervilladder.UpstreamID]watcher)
+	tick := time.NewTicker(assessEvery)
+	defer tick.Stop()
+	for {
+		db := s.database.Load()
+		s.watchMembers(ctx, db, watched, &watchers)
+		g, changed := s.state.Group.Watch()
+		s.step(ctx, db, g)
+		s.configure(db)
+		select {
+		case <-changed:
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+type watcher struct {
+	address chervilladder.Address
+	stop    context.CancelFunc
+}
+
+// watchMembers starts and stops watchers so that they match the database.
+func (s *supervisor) watchMembers(ctx context.Context, db *chervilladder.Database, watched map[chervilladder.UpstreamID]watcher, wait *sync.WaitGroup) {
+	listed := make(map[chervilladder.UpstreamID]bool, len(db.Upstreams))
+	for _, u := range db.Upstreams {
+		listed[u.ID] = true
+		if w, ok := watched[u.ID]; ok {
+			if w.address == u.Address {
+				continue
+			}
+			w.stop()
+		}
+		memberCtx, stop := context.WithCancel(ctx)
+		watched[u.ID] = watcher{address: u.Address, stop: stop}
+		wait.Go(func() { s.watch(memberCtx, u) })
+	}
+	for id, w := range watched {
+		if !listed[id] {
+			w.stop()
+			delete(watched, id)
+		}
+	}
+	if s.state.Group.Load().Size != len(db.Upstreams) {
+		s.state.Group.Update(func(g blackboard.Group) blackboard.Group {
+			g.Size = len(db.Upstreams)
+			return g
+		})
+	}
+}
+
+// step takes the next step towards an open group.
+func (s *supervisor) step(ctx context.Context, db *chervilladder.Database, g blackboard.Group) {
+	now := time.Now()
+	if id, term, ok := newestPrimary(g); ok && (id != g.Primary || term != g.Term) {
+		s.adopt(id, term)
+		return
+	}
+	if p := g.Members[g.Primary]; g.Claim != 0 && p.Status.Claim > g.Claim {
+		s.lose(p.Status.Holder, now)
+		return
+	}
+	if cause := promotion.Assess(s.Promotion, g, now); cause != promotion.CauseNone {
+		if now.After(s.promoteAfter) {
+			s.promoteAfter = now.Add(s.CallTimeout)
+			s.promote(ctx, db, g, cause)
+		}
+		return
+	}
+	if g.Primary != "" && g.Claim == 0 && now.After(s.standOffUntil) && g.Members[g.Primary].Err == nil {
+		s.claim(ctx, db, g)
+	}
+}
+
+// newestPrimary returns the member that takes itself for a primary in the
+// highest term that any member has accepted.
+func newestPrimary(g blackboard.Group) (chervilladder.UpstreamID, chervilladder.Term, bool) {
+	var highest chervilladder.Term
+	for _, v := range g.Members {
+		highest = max(highest, v.Status.Term)
+	}
+	for id, v := range g.Members {
+		if v.Status.Role == chervilladder.RolePrimary && v.Status.Term == highest && v.Err == nil {
+			return id, highest, true
+		}
+	}
+	return "", 0, false
+}
+
+// adopt makes a member the primary that writes go to, once it is claimed.
+func (s *supervisor) adopt(id chervilladder.UpstreamID, term chervilladder.Term) {
+	s.state.Group.Update(func(g blackboard.Group) blackboard.Group {
+		g.Primary, g.Term, g.Claim = id, term, 0
+		return g
+	})
+	s.log.WithFields(logrus.Fields{"primary": id, "term": term}).Info("group: primary found")
+}
+
+// claim takes ownership at the primary. What sessions observed before is not
+// known, so all are held to the primary's position.
+func (s *supervisor) claim(ctx context.Context, db *chervilladder.Database, g blackboard.Group) {
+	status, err := s.call(ctx, db, g.Primary, func(ctx context.Context, m chervilladder.Member) (chervilladder.MemberStatus, error) {
+		return m.TakeClaim(ctx, s.Board.Self.ID)
+	})
+	if err != nil || status.Term != g.Term {
+		s.log.WithField("primary", g.Primary).WithError(err).Warn("group: claim not taken")
+		s.standOffUntil = time.Now().Add(s.Heartbeat)
+		return
+	}
+	s.state.Floors.Reset(chervilladder.Mark{Term: status.Term, Position: status.Received})
+	now := time.Now()
+	s.state.Group.Update(func(g blackboard.Group) blackboard.Group {
+		if g.Primary != status.Upstream || g.Term != status.Term {
+			return g
+		}
+		g.Claim = status.Claim
+		return g.With(status.Upstream, blackboard.MemberView{Status: status, Asked: now})
+	})
+	s.log.WithFields(logrus.Fields{"primary": status.Upstream, "claim": status.Claim}).Info("group: claim taken")
+}
+
+// lose gives up a claim that another VM has taken over.
+func (s *supervisor) lose(holder chervilladder.VMID, now time.Time) {
+	s.standOffUntil = now.Add(s.StandOff)
+	s.state.Group.Update(func(g blackboard.Group) blackboard.Group {
+		g.Claim = 0
+		return g
+	})
+	s.log.WithField("holder", holder).Warn("group: claim lost")
+}
+
+// forget empties the group, so that nothing is sent without a new claim.
+func (s *supervisor) forget() {
+	s.state.Group.Store(blackboard.Group{})
+	s.state.Queue.Configure(nil)
+}
+
+// configure tells the queue which slots work may use.
+func (s *supervisor) configure(db *chervilladder.Database) {
+	g := s.state.Group.Load()
+	var list []schedule.Capacity
+	for _, u := range db.Upstreams {
+		primary := u.ID == g.Primary
+		if !g.Open() || g.Members[u.ID].Err != nil || u.Leaving && !primary {
+			continue
+		}
+		list = append(list, schedule.Capacity{Upstream: u.ID, Slots: u.Slots, Primary: primary})
+	}
+	s.state.Queue.Configure(list)
+}
+
+// call runs one call to a member on a fresh connection.
+func (s *supervisor) call(
+	ctx context.Context,
+	db *chervilladder.Database,
+	id chervilladder.UpstreamID,
+	do func(context.Context, chervilladder.Member) (chervilladder.MemberStatus, error),
+) (chervilladder.MemberStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.CallTimeout)
+	defer cancel()
+	for _, u := range db.Upstreams {
+		if u.ID != id {
+			continue
+		}
+		m, err := s.Dial(ctx, u)
+		if err != nil {
+			return chervilladder.MemberStatus{}, err
+		}
+		defer m.Close()
+		return do(ctx, m)
+	}
+	return chervilladder.MemberStatus{}, &chervilladder.UpstreamLostError{Upstream: id, Err: errors.New("not in the configuration")}
+}
+
+// majority returns how many members make a majority of the database's group.
+func majority(db *chervilladder.Database) int {
+	return proof.Majority(len(db.Upstreams))
+}
--- /dev/null
+++ b/internal/control/group/watch.go
@@ -0,0 +1,112 @@
+package group
+
+import (
+	"context"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+)
+
+// watch keeps the view of one member fresh: it asks for a status whenever the
+// path of a request wants evidence, and at each heartbeat.
+func (s *supervisor) watch(ctx context.Context, u chervilladder.Upstream) {
+	asked, stop := s.state.Evidence.Listen()
+	defer stop()
+	heartbeat := time.NewTicker(s.Heartbeat)
+	defer heartbeat.Stop()
+	var m chervilladder.Member
+	defer func() { closeMember(m) }()
+	for {
+		m = s.refresh(ctx, u, m)
+		if m == nil {
+			asked = drained(asked)
+		}
+		select {
+		case <-asked:
+		case <-heartbeat.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// drained empties a channel of wake-ups, so that a member that fails is asked
+// again at the next heartbeat at the earliest.
+func drained(c <-chan struct{}) <-chan struct{} {
+	select {
+	case <-c:
+	default:
+	}
+	return c
+}
+
+// refresh asks a member for its status and writes its view. It opens a fresh
+// connection if there is none, or if the one there is fails: silence of an
+// old connection is no evidence against a member.
+func (s *supervisor) refresh(ctx context.Context, u chervilladder.Upstream, m chervilladder.Member) chervilladder.Member {
+	tick, now := s.state.Evidence.Now(), time.Now()
+	if m != nil {
+		status, err := s.status(ctx, m)
+		if err == nil {
+			s.answered(u.ID, status, tick, now)
+			return m
+		}
+		closeMember(m)
+		tick, now = s.state.Evidence.Now(), time.Now()
+	}
+	m, status, err := s.connect(ctx, u)
+	if ctx.Err() != nil {
+		return m
+	}
+	if err != nil {
+		s.failed(u.ID, now, err)
+		return nil
+	}
+	s.answered(u.ID, status, tick, now)
+	return m
+}
+
+func (s *supervisor) connect(ctx context.Context, u chervilladder.Upstream) (chervilladder.Member, chervilladder.MemberStatus, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, s.CallTimeout)
+	defer cancel()
+	m, err := s.Dial(dialCtx, u)
+	if err != nil {
+		return nil, chervilladder.MemberStatus{}, err
+	}
+	status, err := s.status(ctx, m)
+	if err != nil {
+		closeMember(m)
+		return nil, chervilladder.MemberStatus{}, err
+	}
+	return m, status, nil
+}
+
+func (s *supervisor) status(ctx context.Context, m chervilladder.Member) (chervilladder.MemberStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.CallTimeout)
+	defer cancel()
+	return m.Status(ctx)
+}
+
+func (s *supervisor) answered(id chervilladder.UpstreamID, status chervilladder.MemberStatus, t blackboard.Tick, asked time.Time) {
+	s.state.Group.Update(func(g blackboard.Group) blackboard.Group {
+		return g.With(id, blackboard.MemberView{Status: status, Tick: t, Asked: asked})
+	})
+}
+
+func (s *supervisor) failed(id chervilladder.UpstreamID, asked time.Time, err error) {
+	s.state.Group.Update(func(g blackboard.Group) blackboard.Group {
+		v := g.Members[id]
+		v.Err = err
+		if v.Failing.IsZero() {
+			v.Failing = asked
+		}
+		return g.With(id, v)
+	})
+}
+
+func closeMember(m chervilladder.Member) {
+	if m != nil {
+		m.Close()
+	}
+}
--- /dev/null
+++ b/internal/decide/proof/proof.go
@@ -0,0 +1,74 @@
+// Package proof decides what the statuses of a group's members prove.
+package proof
+
+import (
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+)
+
+// Verdict is what statuses prove about an event.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Pending means that more statuses are needed.
+	Pending Verdict = iota
+	// Holds means that, at some moment after the event, the term was still
+	// the newest and the claim was still held.
+	Holds
+	// Broken means that the term or the claim has been lost.
+	Broken
+)
+
+// Current judges whether the term and claim under which an event happened
+// were still in force after it. The event took tick t.
+//
+// A promotion needs a majority of the group to accept its term before it
+// opens the new primary, so a majority that still holds to the old term rules
+// out that it had been opened.
+func Current(g blackboard.Group, term chervilladder.Term, claim chervilladder.Claim, t blackboard.Tick) Verdict {
+	if g.Term != term || g.Claim != claim {
+		return Broken
+	}
+	agreeing := 0
+	primaryAgrees := false
+	for id, v := range g.Members {
+		if v.Status.Term > term || v.Status.Claim > claim && id == g.Primary {
+			return Broken
+		}
+		if v.Tick < t || v.Status.Term != term {
+			continue
+		}
+		agreeing++
+		if id == g.Primary && v.Status.Role == chervilladder.RolePrimary {
+			primaryAgrees = true
+		}
+	}
+	if primaryAgrees && agreeing >= Majority(g.Size) {
+		return Holds
+	}
+	return Pending
+}
+
+// Confirmed reports whether a replica has received a position of the group's
+// term, so that no promotion can lose it.
+func Confirmed(g blackboard.Group, p chervilladder.Position) bool {
+	if g.Size == 1 {
+		return true
+	}
+	holders := 1
+	for id, v := range g.Members {
+		if id == g.Primary || v.Status.LogTerm != g.Term {
+			continue
+		}
+		if v.Status.Received >= p {
+			holders++
+		}
+	}
+	return holders >= Majority(g.Size)
+}
+
+// Majority returns how many members of a group make a majority.
+func Majority(size int) int {
+	return size/2 + 1
+}
--- /dev/null
+++ b/internal/upstream/dial.go
@@ -0,0 +1,232 @@
+// Package upstream speaks PostgreSQL to the members of database groups.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// readBufferBytes is the size of a connection's read buffer.
+const readBufferBytes = 16 << 10
+
+// protocolVersion30 is version 3.0 of the protocol.
+const protocolVersion30 = 3 << 16
+
+// ServerError is an error that an upstream answered with.
+type ServerError struct {
+	Upstream chervilladder.UpstreamID
+	Code     string
+	Message  string
+	Detail   string
+}
+
+// Error gives the upstream's own words and code.
+func (e *ServerError) Error() string {
+	return fmt.Sprintf("upstream %s: %s (SQLSTATE %s)", e.Upstream, e.Message, e.Code)
+}
+
+// Conn is one connection to an upstream. It is used by one goroutine at a
+// time.
+type Conn struct {
+	upstream chervilladder.Upstream
+	conn     net.Conn
+	reader   *bufio.Reader
+	process  uint32
+	secret   []byte
+
+	claim    chervilladder.Claim
+	prepared map[string]bool
+	settings []chervilladder.Setting
+	// parsing lists the statements of our own that the running batch
+	// prepares and that are not answered yet.
+	parsing []string
+	// held is a command completion that may turn out to end the answer.
+	held    []byte
+	scratch []byte
+	opened  time.Time
+}
+
+// Dial opens a connection to an upstream and signs in.
+func Dial(ctx context.Context, u chervilladder.Upstream) (*Conn, error) {
+	nc, err := dialPlain(ctx, u.Address)
+	if err != nil {
+		return nil, &chervilladder.UpstreamLostError{Upstream: u.ID, Err: err}
+	}
+	c := &Conn{
+		upstream: u,
+		conn:     nc,
+		reader:   bufio.NewReaderSize(nc, readBufferBytes),
+		prepared: make(map[string]bool),
+		opened:   time.Now(),
+	}
+	stop := context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := c.signIn(); err != nil {
+		nc.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func dialPlain(ctx context.Context, a chervilladder.Address) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", string(a))
+}
+
+// Close ends the connection.
+func (c *Conn) Close() error {
+	return c.conn.Close()
+}
+
+// Upstream returns the member that the connection leads to.
+func (c *Conn) Upstream() chervilladder.UpstreamID {
+	return c.upstream.ID
+}
+
+func (c *Conn) signIn() error {
+	start := pgproto3.StartupMessage{
+		ProtocolVersion: protocolVersion30,
+		Parameters: map[string]string{
+			"user":             "chervilladder",
+			"database":         string(c.upstream.Database),
+			"application_name": "chervilladder",
+		},
+	}
+	out, err := start.Encode(nil)
+	if err != nil {
+		return fmt.Errorf("encode start-up message: %w", err)
+	}
+	if _, err := c.conn.Write(out); err != nil {
+		return c.lost(false, err)
+	}
+	for {
+		m, err := c.readMessage(nil)
+		if err != nil {
+			return c.lost(false, err)
+		}
+		done, err := c.signInStep(m)
+		if done || err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Conn) signInStep(m []byte) (done bool, err error) {
+	body := m[headerBytes:]
+	switch m[0] {
+	case 'R':
+		if len(body) < 4 || body[3] != 0 {
+			return false, fmt.Errorf("upstream %s: asks for a secret, which is not supported", c.upstream.ID)
+		}
+	case 'E':
+		return false, c.serverError(body)
+	case 'K':
+		var key pgproto3.BackendKeyData
+		if err := key.Decode(body); err != nil {
+			return false, fmt.Errorf("upstream %s: key data: %w", c.upstream.ID, err)
+		}
+		c.process = key.ProcessID
+		c.secret = append([]byte(nil), key.SecretKey...)
+	case 'Z':
+		return true, nil
+	}
+	return false, nil
+}
+
+func (c *Conn) serverError(body []byte) error {
+	var e pgproto3.ErrorResponse
+	if err := e.Decode(body); err != nil {
+		return fmt.Errorf("upstream %s: malformed error: %w", c.upstream.ID, err)
+	}
+	return &ServerError{Upstream: c.upstream.ID, Code: e.Code, Message: e.Message, Detail: e.Detail}
+}
+
+func (c *Conn) lost(sent bool, err error) error {
+	return &chervilladder.UpstreamLostError{Upstream: c.upstream.ID, Sent: sent, Err: err}
+}
+
+// Row is the one row that a group function answers with, by column.
+type Row map[string]string
+
+// number returns a column as a number; an absent one is zero.
+func (r Row) number(column string) int64 {
+	n, _ := strconv.ParseInt(r[column], 10, 64)
+	return n
+}
+
+// queryRow runs a statement of our own by the simple protocol and returns its
+// last row.
+func (c *Conn) queryRow(ctx context.Context, sql string) (Row, error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if d, ok := ctx.Deadline(); ok {
+		_ = c.conn.SetDeadline(d)
+	} else {
+		_ = c.conn.SetDeadline(time.Time{})
+	}
+	out, err := (&pgproto3.Query{String: sql}).Encode(c.scratch[:0])
+	if err != nil {
+		return nil, fmt.Errorf("encode query: %w", err)
+	}
+	if _, err := c.conn.Write(out); err != nil {
+		return nil, c.lost(false, err)
+	}
+	return c.readRow()
+}
+
+func (c *Conn) readRow() (Row, error) {
+	var columns []string
+	var row Row
+	var failure error
+	for {
+		m, err := c.readMessage(nil)
+		if err != nil {
+			return nil, c.lost(true, err)
+		}
+		body := m[headerBytes:]
+		switch m[0] {
+		case 'T':
+			var d pgproto3.RowDescription
+			if err := d.Decode(body); err != nil {
+				return nil, c.lost(true, err)
+			}
+			columns = columnNames(d)
+		case 'D':
+			var d pgproto3.DataRow
+			if err := d.Decode(body); err != nil {
+				return nil, c.lost(true, err)
+			}
+			row = namedRow(columns, d.Values)
+		case 'E':
+			failure = c.serverError(body)
+		case 'Z':
+			return row, failure
+		}
+	}
+}
+
+func columnNames(d pgproto3.RowDescription) []string {
+	names := make([]string, len(d.Fields))
+	for i, f := range d.Fields {
+		names[i] = string(f.Name)
+	}
+	return names
+}
+
+func namedRow(columns []string, values [][]byte) Row {
+	row := make(Row, len(columns))
+	for i, v := range values {
+		if i < len(columns) {
+			row[columns[i]] = string(v)
+		}
+	}
+	return row
+}
--- /dev/null
+++ b/internal/upstream/exchange.go
@@ -0,0 +1,289 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/schedule"
+)
+
+// maxReadAttempts bounds how often a read is sent while its answer has not
+// begun.
+const maxReadAttempts = 3
+
+// idleTransactionTimeout bounds the wait for the next batch of an open
+// transaction.
+const idleTransactionTimeout = 10 * time.Second
+
+// errIdle ends a transaction whose caller sends nothing.
+var errIdle = errors.New("transaction was idle for too long")
+
+// exchange runs one transaction, or one lone batch, on one connection.
+type exchange struct {
+	ctx      context.Context
+	executor *Executor
+	state    *blackboard.Database
+	work     chervilladder.Work
+	class    *chervilladder.Class
+
+	ticket *schedule.Ticket
+	// asked is the evidence tick taken when a read arrived.
+	asked blackboard.Tick
+	batch chervilladder.Batch
+
+	// member is the upstream at which a slot is held; empty without one.
+	member chervilladder.UpstreamID
+	// served is the upstream that the last batch went to.
+	served chervilladder.UpstreamID
+	// term and claim are those under which the work runs.
+	term  chervilladder.Term
+	claim chervilladder.Claim
+
+	mu   sync.Mutex // guards conn against Cancel
+	conn *Conn
+
+	waiting  bool // the ticket is in the queue
+	open     bool // a transaction block is open
+	sent     bool // bytes of the current batch may have left
+	begun    bool // a part of the current answer was passed on
+	failed   bool // the current answer holds an error
+	attempts int
+}
+
+// Send passes on a batch. The first one waits for its slot in Recv.
+func (x *exchange) Send(b chervilladder.Batch) error {
+	x.batch = b
+	x.sent, x.begun, x.failed = false, false, false
+	if x.conn == nil {
+		return nil
+	}
+	x.sent = true
+	x.conn.setDeadline(x.deadline())
+	if err := x.conn.send(b); err != nil {
+		return x.fail(err)
+	}
+	return nil
+}
+
+// Recv returns the next part of the answer.
+func (x *exchange) Recv() (chervilladder.Reply, error) {
+	for {
+		r, err := x.attempt()
+		if err == nil {
+			return r, nil
+		}
+		if !x.mayRetry(err) {
+			return chervilladder.Reply{}, x.fail(err)
+		}
+		x.abandon()
+		if err := x.queue(); err != nil {
+			return chervilladder.Reply{}, err
+		}
+	}
+}
+
+func (x *exchange) attempt() (chervilladder.Reply, error) {
+	if x.conn == nil {
+		if err := x.start(); err != nil {
+			return chervilladder.Reply{}, err
+		}
+	}
+	k, err := x.conn.next(x.failed)
+	if err != nil {
+		return chervilladder.Reply{}, err
+	}
+	x.failed = k.failed
+	if len(k.fenced) == 0 {
+		x.begun = true
+		return chervilladder.Reply{Payload: k.payload}, nil
+	}
+	return x.finish(k)
+}
+
+// start waits for a slot, takes a connection and sends the batch.
+func (x *exchange) start() error {
+	claim, err := x.awaitUsableSlot()
+	if err != nil {
+		return err
+	}
+	x.served = x.member
+	readOnly := claim != 0 && x.work.Access == chervilladder.AccessRead
+	pool := x.executor.pool(x.work.Database, x.member, readOnly)
+	if pool == nil {
+		return x.notRun(chervilladder.ReasonNoPrimary, nil)
+	}
+	ctx, cancel := context.WithDeadline(x.ctx, x.deadline())
+	defer cancel()
+	conn, err := pool.Get(ctx, claim)
+	if err != nil {
+		return x.notRun(chervilladder.ReasonNoPrimary, err)
+	}
+	if err := conn.apply(ctx, x.settings(readOnly)); err != nil {
+		conn.Close()
+		return x.notRun(chervilladder.ReasonNoPrimary, err)
+	}
+	x.setConn(conn)
+	conn.setDeadline(x.deadline())
+	x.sent = true
+	return conn.send(x.batch)
+}
+
+// awaitUsableSlot waits for a slot that still suits the group, and returns
+// the claim to which its connection must be bound; zero on a replica.
+func (x *exchange) awaitUsableSlot() (chervilladder.Claim, error) {
+	for {
+		if err := x.awaitSlot(); err != nil {
+			return 0, err
+		}
+		g := x.state.Group.Load()
+		onPrimary := x.member == g.Primary
+		read := x.work.Access == chervilladder.AccessRead
+		switch {
+		case read && g.Term == x.term && g.Claim == x.claim:
+		case !read && onPrimary:
+			x.term, x.claim = g.Term, g.Claim
+		default:
+			x.abandon()
+			if err := x.queue(); err != nil {
+				return 0, err
+			}
+			continue
+		}
+		if onPrimary {
+			return g.Claim, nil
+		}
+		return 0, nil
+	}
+}
+
+func (x *exchange) settings(readOnly bool) []chervilladder.Setting {
+	if !readOnly {
+		return x.work.Settings
+	}
+	s := append([]chervilladder.Setting(nil), x.work.Settings...)
+	return append(s, chervilladder.Setting{Name: "default_transaction_read_only", Value: "on"})
+}
+
+func (x *exchange) awaitSlot() error {
+	ctx, cancel := context.WithDeadline(x.ctx, x.work.Deadline)
+	defer cancel()
+	fallback := time.NewTimer(time.Until(x.ticket.ReplicaOnlyUntil))
+	defer fallback.Stop()
+	for {
+		select {
+		case x.member = <-x.ticket.Granted():
+			x.waiting = false
+			return nil
+		case <-fallback.C:
+			x.state.Queue.Dispatch()
+		case <-ctx.Done():
+			x.stopWaiting()
+			return x.notRun(x.waitReason(), context.Cause(ctx))
+		}
+	}
+}
+
+func (x *exchange) stopWaiting() {
+	x.waiting = false
+	x.state.Queue.Withdraw(x.ticket)
+}
+
+func (x *exchange) waitReason() chervilladder.Reason {
+	if !x.state.Group.Load().Open() {
+		return chervilladder.ReasonNoPrimary
+	}
+	return chervilladder.ReasonDeadline
+}
+
+// finish handles the messages that tell of success: they are passed on only
+// once it is proved that the term and the claim were still in force.
+func (x *exchange) finish(k chunk) (chervilladder.Reply, error) {
+	x.open = k.last && k.status != 'I'
+	if k.last && !x.open {
+		x.release()
+	}
+	seen := x.work.Seen
+	if !k.failed && !x.open {
+		mark, err := x.prove()
+		if err != nil {
+			return chervilladder.Reply{}, err
+		}
+		seen = seen.Later(mark)
+	}
+	return chervilladder.Reply{
+		Payload:  append(k.payload, k.fenced...),
+		Last:     k.last,
+		Open:     x.open,
+		Seen:     seen,
+		Upstream: x.served,
+	}, nil
+}
+
+// Cancel asks the upstream to stop the running statement, or gives up the
+// wait for a slot.
+func (x *exchange) Cancel() {
+	x.mu.Lock()
+	conn := x.conn
+	x.mu.Unlock()
+	if conn == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), dialTimeout)
+	defer cancel()
+	_ = conn.cancelRunning(ctx)
+}
+
+// Close ends the exchange.
+func (x *exchange) Close() error {
+	if x.conn != nil {
+		x.abandon()
+	} else if x.waiting {
+		x.stopWaiting()
+	}
+	return nil
+}
+
+// release gives the connection and the slot back after a whole answer.
+func (x *exchange) release() {
+	conn := x.conn
+	x.setConn(nil)
+	readOnly := x.work.Access == chervilladder.AccessRead && conn.claim != 0
+	if pool := x.executor.pool(x.work.Database, x.member, readOnly); pool != nil {
+		pool.Put(conn)
+	} else {
+		conn.Close()
+	}
+	x.state.Queue.Release(x.member)
+	x.member = ""
+}
+
+// abandon gives the slot back and closes the connection, which may be in any
+// state.
+func (x *exchange) abandon() {
+	if conn := x.conn; conn != nil {
+		x.setConn(nil)
+		conn.Close()
+	}
+	if x.member != "" {
+		x.state.Queue.Release(x.member)
+		x.member = ""
+	}
+}
+
+func (x *exchange) setConn(c *Conn) {
+	x.mu.Lock()
+	x.conn = c
+	x.mu.Unlock()
+}
+
+// deadline bounds the current batch.
+func (x *exchange) deadline() time.Time {
+	if !x.open {
+		return x.work.Deadline
+	}
+	return time.Now().Add(x.class.Deadline)
+}
--- /dev/null
+++ b/internal/upstream/executor.go
@@ -0,0 +1,128 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/route"
+	"github.com/chervilladder/chervilladder/internal/decide/schedule"
+)
+
+// Config says what an Executor works with.
+type Config struct {
+	Board *blackboard.Board
+}
+
+// Executor runs work on the databases that this VM owns.
+type Executor struct {
+	board *blackboard.Board
+	pools blackboard.Table[poolKey, poolSlot]
+}
+
+// poolKey tells apart the pools of one upstream. Reads on a primary have
+// connections of their own, on which the upstream refuses writes.
+type poolKey struct {
+	upstream chervilladder.UpstreamID
+	readOnly bool
+}
+
+// poolSlot holds the pool of one upstream at its current address.
+type poolSlot struct {
+	mu   sync.Mutex
+	pool *Pool
+}
+
+// New returns an executor.
+func New(c Config) *Executor {
+	return &Executor{board: c.Board}
+}
+
+var _ chervilladder.Executor = (*Executor)(nil)
+
+// Open queues work for a database that this VM owns.
+func (e *Executor) Open(ctx context.Context, w chervilladder.Work) (chervilladder.Exchange, error) {
+	refuse := func(r chervilladder.Reason) error {
+		return &chervilladder.NotRunError{Database: w.Database, Reason: r}
+	}
+	catalogue := e.board.Catalogue.Load()
+	if catalogue == nil {
+		return nil, refuse(chervilladder.ReasonUnknownDB)
+	}
+	db, ok := catalogue.Databases[w.Database]
+	if !ok {
+		return nil, refuse(chervilladder.ReasonUnknownDB)
+	}
+	if e.board.Owners.Load().ByDatabase[w.Database] != e.board.Self.ID {
+		return nil, refuse(chervilladder.ReasonNotOwner)
+	}
+	class, ok := catalogue.Services[db.Service].Classes[w.Class]
+	if !ok {
+		return nil, refuse(chervilladder.ReasonUnknownDB)
+	}
+	x := &exchange{
+		ctx:      ctx,
+		executor: e,
+		state:    e.board.Databases.Get(db.ID),
+		work:     w,
+		class:    class,
+	}
+	if w.Access == chervilladder.AccessRead {
+		x.asked = x.state.Evidence.Ask()
+	}
+	return x, x.queue()
+}
+
+// queue puts the work in line. A read is bound to the claim under which its
+// floor was looked up.
+func (x *exchange) queue() error {
+	g := x.state.Group.Load()
+	x.term, x.claim = g.Term, g.Claim
+	x.waiting = true
+	floor := x.state.Floors.Get(x.work.Session)
+	floor.Written = floor.Written.Later(x.work.Seen)
+	x.ticket = &schedule.Ticket{
+		Priority: x.class.Priority,
+		Deadline: x.work.Deadline,
+		Access:   x.work.Access,
+		Readable: func(id chervilladder.UpstreamID) bool {
+			return route.MayRead(x.state.Group.Load(), floor, id)
+		},
+		ReplicaOnlyUntil: time.Now().Add(x.class.Target / 2),
+	}
+	if err := x.state.Queue.Submit(x.ticket); err != nil {
+		x.waiting = false
+		return err
+	}
+	return nil
+}
+
+// pool returns the pool of an upstream at its address in the configuration in
+// force.
+func (e *Executor) pool(db chervilladder.DatabaseID, id chervilladder.UpstreamID, readOnly bool) *Pool {
+	catalogue := e.board.Catalogue.Load()
+	if catalogue == nil || catalogue.Databases[db] == nil {
+		return nil
+	}
+	for _, u := range catalogue.Databases[db].Upstreams {
+		if u.ID == id {
+			return e.pools.Get(poolKey{id, readOnly}).at(u)
+		}
+	}
+	return nil
+}
+
+func (s *poolSlot) at(u chervilladder.Upstream) *Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pool != nil && s.pool.upstream.Address == u.Address {
+		return s.pool
+	}
+	if s.pool != nil {
+		s.pool.Drop()
+	}
+	s.pool = NewPool(u)
+	return s.pool
+}
--- /dev/null
+++ b/internal/upstream/member.go
@@ -0,0 +1,130 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// The SQLSTATEs with which a member refuses a claim or a ballot.
+const (
+	codeClaimLost   = "CG001"
+	codeTermRefused = "CG002"
+)
+
+// Member is the control side of one upstream, over a connection of its own.
+// It is used by one goroutine at a time.
+type Member struct {
+	conn *Conn
+}
+
+// DialMember opens the control side of an upstream.
+func DialMember(ctx context.Context, u chervilladder.Upstream) (*Member, error) {
+	c, err := Dial(ctx, u)
+	if err != nil {
+		return nil, err
+	}
+	return &Member{conn: c}, nil
+}
+
+var _ chervilladder.Member = (*Member)(nil)
+
+// Status asks for the member's status.
+func (m *Member) Status(ctx context.Context) (chervilladder.MemberStatus, error) {
+	return m.conn.groupCall(ctx, "group_status()")
+}
+
+// TakeClaim takes ownership at the primary.
+func (m *Member) TakeClaim(ctx context.Context, vm chervilladder.VMID) (chervilladder.MemberStatus, error) {
+	return m.conn.groupCall(ctx, fmt.Sprintf("group_claim(%s)", quote(string(vm))))
+}
+
+// AcceptTerm makes the member refuse every lower term.
+func (m *Member) AcceptTerm(ctx context.Context, b chervilladder.Ballot) (chervilladder.MemberStatus, error) {
+	return m.conn.groupCall(ctx, fmt.Sprintf("group_accept(%d, %s)", b.Term, quote(string(b.Attempt))))
+}
+
+// Promote makes the member the primary of a term that it accepted.
+func (m *Member) Promote(ctx context.Context, b chervilladder.Ballot) (chervilladder.MemberStatus, error) {
+	return m.conn.groupCall(ctx, fmt.Sprintf("group_promote(%d, %s)", b.Term, quote(string(b.Attempt))))
+}
+
+// Follow makes the member replicate from the primary of a term.
+func (m *Member) Follow(ctx context.Context, b chervilladder.Ballot, primary chervilladder.UpstreamID) error {
+	call := fmt.Sprintf("group_follow(%d, %s, %s)", b.Term, quote(string(b.Attempt)), quote(string(primary)))
+	_, err := m.conn.groupCall(ctx, call)
+	return err
+}
+
+// Close ends the connection.
+func (m *Member) Close() error {
+	return m.conn.Close()
+}
+
+// bind ties the connection to a claim: the primary ends it once the claim is
+// taken by another VM.
+func (c *Conn) bind(ctx context.Context, claim chervilladder.Claim) error {
+	_, err := c.groupCall(ctx, fmt.Sprintf("group_bind(%d)", claim))
+	if err == nil {
+		c.claim = claim
+	}
+	return err
+}
+
+func (c *Conn) groupCall(ctx context.Context, call string) (chervilladder.MemberStatus, error) {
+	row, err := c.queryRow(ctx, "SELECT * FROM "+call)
+	if err != nil {
+		return chervilladder.MemberStatus{}, c.groupError(err)
+	}
+	return c.status(row), nil
+}
+
+func (c *Conn) status(r Row) chervilladder.MemberStatus {
+	return chervilladder.MemberStatus{
+		Upstream: c.upstream.ID,
+		Role:     parseRole(r["role"]),
+		Term:     chervilladder.Term(r.number("term")),
+		LogTerm:  chervilladder.Term(r.number("log_term")),
+		Received: chervilladder.Position(r.number("received")),
+		Replayed: chervilladder.Position(r.number("replayed")),
+		Contact:  time.Duration(r.number("contact_ms")) * time.Millisecond,
+		Claim:    chervilladder.Claim(r.number("claim")),
+		Holder:   chervilladder.VMID(r["holder"]),
+	}
+}
+
+func (c *Conn) groupError(err error) error {
+	var s *ServerError
+	if !errors.As(err, &s) {
+		return err
+	}
+	switch s.Code {
+	case codeClaimLost:
+		return &chervilladder.ClaimLostError{Upstream: c.upstream.ID, Claim: c.claim, Holder: chervilladder.VMID(s.Detail)}
+	case codeTermRefused:
+		term, _ := strconv.ParseUint(s.Detail, 10, 64)
+		return &chervilladder.TermRefusedError{Upstream: c.upstream.ID, Term: chervilladder.Term(term)}
+	default:
+		return err
+	}
+}
+
+func parseRole(name string) chervilladder.Role {
+	switch name {
+	case "primary":
+		return chervilladder.RolePrimary
+	case "replica":
+		return chervilladder.RoleReplica
+	default:
+		return chervilladder.RoleUnknown
+	}
+}
+
+func quote(s string) string {
+	return "'" + strings.ReplaceAll(s, "'", "''") + "'"
+}
--- /dev/null
+++ b/internal/upstream/outcome.go
@@ -0,0 +1,137 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/proof"
+)
+
+// proofMaxAge is how old a proof may be when the answer is passed on; a VM
+// that was paused in between asks again.
+const proofMaxAge = 250 * time.Millisecond
+
+// confirmPoll is how often replicas are asked for their positions while a
+// write waits for one of them.
+const confirmPoll = 2 * time.Millisecond
+
+// errNoProof tells that the group did not prove its term in time.
+var errNoProof = errors.New("no proof that the primary was not replaced")
+
+// prove waits for the evidence that the answer needs before it may be passed
+// on, and records what the session has observed.
+func (x *exchange) prove() (chervilladder.Mark, error) {
+	read := x.work.Access == chervilladder.AccessRead
+	tick := x.asked
+	if !read || tick == 0 {
+		tick = x.state.Evidence.Ask()
+	}
+	ctx, cancel := context.WithDeadline(x.ctx, x.deadline())
+	defer cancel()
+	for {
+		g, err := x.awaitProof(ctx, tick)
+		if err != nil {
+			return chervilladder.Mark{}, err
+		}
+		if !read && x.class.Confirm == chervilladder.ConfirmReplica {
+			if err := x.awaitReplica(ctx, g.Mark()); err != nil {
+				return chervilladder.Mark{}, err
+			}
+		}
+		if read || time.Since(g.Members[g.Primary].Asked) < proofMaxAge {
+			return x.observe(g), nil
+		}
+		tick = x.state.Evidence.Ask()
+	}
+}
+
+func (x *exchange) awaitProof(ctx context.Context, tick blackboard.Tick) (blackboard.Group, error) {
+	verdict := proof.Pending
+	g, err := x.state.Await(ctx, func(g blackboard.Group) bool {
+		verdict = proof.Current(g, x.term, x.claim, tick)
+		return verdict != proof.Pending
+	})
+	if err != nil || verdict != proof.Holds {
+		return g, errNoProof
+	}
+	return g, nil
+}
+
+// awaitReplica waits until a replica has received what the primary had
+// committed at a mark.
+func (x *exchange) awaitReplica(ctx context.Context, m chervilladder.Mark) error {
+	poll := time.NewTicker(confirmPoll)
+	defer poll.Stop()
+	for {
+		g, changed := x.state.Group.Watch()
+		if g.Term != m.Term {
+			return errNoProof
+		}
+		if proof.Confirmed(g, m.Position) {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-poll.C:
+			x.state.Evidence.Ask()
+		case <-ctx.Done():
+			return errNoProof
+		}
+	}
+}
+
+// observe records what the session has now seen.
+func (x *exchange) observe(g blackboard.Group) chervilladder.Mark {
+	if x.work.Access == chervilladder.AccessRead {
+		if x.served != g.Primary {
+			x.state.Floors.Read(x.work.Session, x.served, x.state.Evidence.Stamp())
+			return chervilladder.Mark{}
+		}
+	}
+	m := g.Mark()
+	x.state.Floors.Wrote(x.work.Session, m)
+	return m
+}
+
+// mayRetry reports whether a batch may be sent again after an error.
+func (x *exchange) mayRetry(err error) bool {
+	x.attempts++
+	if x.open || x.begun || x.attempts >= maxReadAttempts || time.Now().After(x.work.Deadline) {
+		return false
+	}
+	if x.ctx.Err() != nil {
+		return false
+	}
+	if !x.sent {
+		var notRun *chervilladder.NotRunError
+		return errors.As(err, &notRun) && notRun.Reason == chervilladder.ReasonNoPrimary
+	}
+	return x.work.Access == chervilladder.AccessRead || x.class.Idempotent
+}
+
+// fail ends the exchange and says honestly what is known of the batch.
+func (x *exchange) fail(err error) error {
+	wasOpen := x.open
+	x.abandon()
+	var notRun *chervilladder.NotRunError
+	if errors.As(err, &notRun) {
+		return err
+	}
+	switch {
+	case x.work.Access == chervilladder.AccessRead:
+		return x.notRun(chervilladder.ReasonNoProof, err)
+	case !x.sent:
+		return x.notRun(chervilladder.ReasonNoPrimary, err)
+	case wasOpen && !x.batch.Commits:
+		return x.notRun(chervilladder.ReasonRolledBack, err)
+	default:
+		return &chervilladder.UnknownError{Database: x.work.Database, Upstream: x.served, Err: err}
+	}
+}
+
+func (x *exchange) notRun(r chervilladder.Reason, err error) error {
+	return &chervilladder.NotRunError{Database: x.work.Database, Reason: r, Err: err}
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,117 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// dialTimeout bounds the opening of one connection.
+const dialTimeout = 2 * time.Second
+
+// Pool keeps the connections of one upstream for reuse.
+type Pool struct {
+	upstream chervilladder.Upstream
+
+	mu   sync.Mutex
+	idle []*Conn
+}
+
+// NewPool returns an empty pool for an upstream.
+func NewPool(u chervilladder.Upstream) *Pool {
+	return &Pool{upstream: u}
+}
+
+// Get returns a connection that is bound to a claim, or unbound if the claim
+// is zero. Connections bound to another claim are closed.
+func (p *Pool) Get(ctx context.Context, claim chervilladder.Claim) (*Conn, error) {
+	for {
+		c := p.take()
+		if c == nil {
+			return p.open(ctx, claim)
+		}
+		if c.claim == claim && c.quiet() {
+			return c, nil
+		}
+		c.Close()
+	}
+}
+
+// Put gives a connection back that is in no transaction and has nothing left
+// to read.
+func (p *Pool) Put(c *Conn) {
+	if c.worn() {
+		c.Close()
+		return
+	}
+	c.setDeadline(time.Time{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = append(p.idle, c)
+}
+
+// Drop closes all idle connections, for instance once some were found silent.
+func (p *Pool) Drop() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
+func (p *Pool) take() *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return c
+}
+
+func (p *Pool) open(ctx context.Context, claim chervilladder.Claim) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	c, err := Dial(ctx, p.upstream)
+	if err != nil {
+		return nil, err
+	}
+	if claim == 0 {
+		return c, nil
+	}
+	if err := c.bind(ctx, claim); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// quiet reports whether the upstream has neither closed the connection nor
+// sent anything while it was idle.
+func (c *Conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var one [1]byte
+	var n int
+	var peekErr error
+	err = raw.Control(func(fd uintptr) {
+		n, _, peekErr = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n <= 0 && peekErr == syscall.EAGAIN
+}
--- a/member.go
+++ b/member.go
@@ -31,7 +31,11 @@
 type MemberStatus struct {
 	Upstream UpstreamID
 	Role     Role
-	Term     Term
+	// Term is the highest term that the member has accepted.
+	Term Term
+	// LogTerm is the term of the primary that the member's log was last
+	// known to agree with. It lags Term while the member only accepted.
+	LogTerm Term
 	// Received is the position up to which the log has reached the member.
 	Received Position
 	// Replayed is the position up to which reads on the member see the log.
