Read and check service files, and resolve a set of them

Operators describe a service in JSON with comments. Parse finds every fault of a file at once, each with file, line, column and fix; Check finds what clashes between files; Catalogue resolves a set under a revision.

--- /dev/null
+++ b/pkg/servicefile/catalogue.go
@@ -0,0 +1,86 @@
+package servicefile
+
+import (
+	"fmt"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// Check checks what concerns several files: that no service, database,
+// upstream or upstream address is in two of them. Its error is a *CheckError
+// with every fault.
+func Check(files []File) error {
+	c := checker{first: make(map[thing]string)}
+	for i := range files {
+		c.file(&files[i])
+	}
+	return checkError(c.faults)
+}
+
+// checker remembers which file has named a thing first.
+type checker struct {
+	first  map[thing]string
+	faults []*FaultError
+}
+
+func (c *checker) file(f *File) {
+	c.claim(f, kindService, string(f.Service))
+	for _, db := range f.Databases {
+		c.claim(f, kindDatabase, string(db.ID))
+		for _, u := range db.Upstreams {
+			c.claim(f, kindUpstream, string(u.ID))
+			c.claim(f, kindAddress, string(u.Address))
+		}
+	}
+}
+
+func (c *checker) claim(f *File, kind, name string) {
+	key := thing{kind, name}
+	first, ok := c.first[key]
+	if !ok {
+		c.first[key] = f.Name
+		return
+	}
+	at := f.places.find(kind, name)
+	c.faults = append(c.faults, &FaultError{
+		File: f.Name, Line: at.line, Column: at.column,
+		What: fmt.Sprintf("%s %q is in %s too", kind, name, first),
+		Fix:  "give each its own, or remove one",
+	})
+}
+
+// Catalogue checks a set of files against each other and resolves them for
+// look-up under a revision.
+func Catalogue(revision chervilladder.Revision, files []File) (*chervilladder.Catalogue, error) {
+	if err := Check(files); err != nil {
+		return nil, err
+	}
+	c := &chervilladder.Catalogue{
+		Revision:  revision,
+		Services:  make(map[chervilladder.ServiceID]*chervilladder.Service, len(files)),
+		Databases: make(map[chervilladder.DatabaseID]*chervilladder.Database),
+	}
+	for i := range files {
+		addFile(c, &files[i])
+	}
+	return c, nil
+}
+
+func addFile(c *chervilladder.Catalogue, f *File) {
+	s := &chervilladder.Service{
+		ID:           f.Service,
+		DefaultClass: f.DefaultClass,
+		Classes:      make(map[chervilladder.ClassID]*chervilladder.Class, len(f.Classes)),
+		RoleClasses:  make(map[string]chervilladder.ClassID, len(f.Roles)),
+	}
+	for _, class := range f.Classes {
+		s.Classes[class.ID] = &class
+	}
+	for _, role := range f.Roles {
+		s.RoleClasses[role.Name] = role.Class
+	}
+	c.Services[s.ID] = s
+	for _, db := range f.Databases {
+		c.Databases[db.ID] = &db
+	}
+}
--- /dev/null
+++ b/pkg/servicefile/decode.go
@@ -0,0 +1,237 @@
+package servicefile
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/tailscale/hujson"
+)
+
+// decoder walks the syntax tree of one file and collects its faults.
+type decoder struct {
+	name   string
+	text   []byte
+	faults []*FaultError
+	places places
+}
+
+func (d *decoder) fault(offset int, what, fix string) {
+	at := d.place(offset)
+	d.faults = append(d.faults, &FaultError{
+		File: d.name, Line: at.line, Column: at.column, What: what, Fix: fix,
+	})
+}
+
+func (d *decoder) place(offset int) place {
+	before := d.text[:min(offset, len(d.text))]
+	return place{
+		line:   1 + bytes.Count(before, []byte("\n")),
+		column: len(before) - bytes.LastIndexByte(before, '\n'),
+	}
+}
+
+// remember keeps the place of a named thing. It reports a fault when the file
+// names the thing twice.
+func (d *decoder) remember(kind, name string, offset int) {
+	key := thing{kind, name}
+	if first, ok := d.places[key]; ok {
+		d.fault(offset, fmt.Sprintf("%s %q is given twice, first on line %d", kind, name, first.line),
+			"give each its own, or remove one")
+		return
+	}
+	d.places[key] = d.place(offset)
+}
+
+// object is a JSON object whose keys have been checked.
+type object struct {
+	d      *decoder
+	what   string
+	offset int
+	fields map[string]hujson.Value
+}
+
+// object checks that v is an object with known keys, none of them doubled.
+func (d *decoder) object(v hujson.Value, what string, keys ...string) (object, bool) {
+	members, ok := d.members(v, what)
+	o := object{d: d, what: what, offset: v.StartOffset, fields: make(map[string]hujson.Value)}
+	for _, m := range members {
+		key := m.Name.Value.(hujson.Literal).String()
+		if !slices.Contains(keys, key) {
+			d.fault(m.Name.StartOffset, fmt.Sprintf("%s has no key %q", what, key),
+				"remove it, or use one of "+strings.Join(keys, ", "))
+			continue
+		}
+		o.fields[key] = m.Value
+	}
+	return o, ok
+}
+
+// members returns the members of an object, without the doubled ones.
+func (d *decoder) members(v hujson.Value, what string) ([]hujson.ObjectMember, bool) {
+	tree, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.wrongType(v, what, "an object in braces")
+		return nil, false
+	}
+	seen := make(map[string]bool)
+	var members []hujson.ObjectMember
+	for _, m := range tree.Members {
+		key := m.Name.Value.(hujson.Literal).String()
+		if seen[key] {
+			d.fault(m.Name.StartOffset, fmt.Sprintf("%s has the key %q twice", what, key), "remove one of them")
+			continue
+		}
+		seen[key] = true
+		members = append(members, m)
+	}
+	return members, true
+}
+
+// elements checks that a required field is a list that is not empty.
+func (o object) elements(key string) []hujson.Value {
+	v, ok := o.required(key)
+	if !ok {
+		return nil
+	}
+	tree, ok := v.Value.(*hujson.Array)
+	if !ok {
+		o.d.wrongType(v, o.label(key), "a list in brackets")
+		return nil
+	}
+	if len(tree.Elements) == 0 {
+		o.d.fault(v.StartOffset, o.label(key)+" is empty", "give at least one entry")
+	}
+	return tree.Elements
+}
+
+func (o object) required(key string) (hujson.Value, bool) {
+	v, ok := o.fields[key]
+	if !ok {
+		o.d.fault(o.offset, fmt.Sprintf("%s lacks the key %q", o.what, key), "add it")
+	}
+	return v, ok
+}
+
+func (o object) label(key string) string { return fmt.Sprintf("%q of %s", key, o.what) }
+
+// at returns where a field's value starts, or the object if it lacks it.
+func (o object) at(key string) int {
+	if v, ok := o.fields[key]; ok {
+		return v.StartOffset
+	}
+	return o.offset
+}
+
+// text returns a required string.
+func (o object) text(key string) (string, bool) {
+	v, ok := o.required(key)
+	if !ok {
+		return "", false
+	}
+	return o.d.textOf(v, o.label(key))
+}
+
+func (d *decoder) textOf(v hujson.Value, what string) (string, bool) {
+	lit, ok := v.Value.(hujson.Literal)
+	if !ok || lit.Kind() != '"' {
+		d.wrongType(v, what, "a text in quotes")
+		return "", false
+	}
+	s := lit.String()
+	if s == "" || !utf8.ValidString(s) {
+		d.fault(v.StartOffset, what+" is empty or not UTF-8", "give a text")
+		return "", false
+	}
+	return s, true
+}
+
+// identifier returns a required name in kebab case.
+func (o object) identifier(key string) (string, bool) {
+	s, ok := o.text(key)
+	if ok && !validIdentifier(s) {
+		o.d.fault(o.at(key), fmt.Sprintf("%s, %q, is no name", o.label(key), s),
+			"use up to 63 lower-case letters, digits, '-' and '_', a letter or digit first")
+		return "", false
+	}
+	return s, ok
+}
+
+func validIdentifier(s string) bool {
+	if s == "" || len(s) > 63 {
+		return false
+	}
+	for i, c := range []byte(s) {
+		alnum := c >= 'a' && c <= 'z' || c >= '0' && c <= '9'
+		if !alnum && (i == 0 || c != '-' && c != '_') {
+			return false
+		}
+	}
+	return true
+}
+
+// duration returns a length of time. A required one must be above zero.
+func (o object) duration(key string, required bool) time.Duration {
+	if _, ok := o.fields[key]; !ok && !required {
+		return 0
+	}
+	s, ok := o.text(key)
+	if !ok {
+		return 0
+	}
+	t, err := time.ParseDuration(s)
+	if err != nil || t < 0 || required && t == 0 {
+		o.d.fault(o.at(key), fmt.Sprintf("%s, %q, is no length of time", o.label(key), s),
+			`write a number and a unit, such as "150ms" or "2s"`)
+		return 0
+	}
+	return t
+}
+
+// number returns the literal of a number.
+func (o object) number(key string) (string, bool) {
+	v := o.fields[key]
+	lit, ok := v.Value.(hujson.Literal)
+	if !ok || lit.Kind() != '0' {
+		o.d.wrongType(v, o.label(key), "a number")
+		return "", false
+	}
+	return string(lit), true
+}
+
+// whole returns a whole number between two bounds.
+func (o object) whole(key string, low, high int) int {
+	s, ok := o.number(key)
+	if !ok {
+		return 0
+	}
+	n, err := strconv.Atoi(s)
+	if err != nil || n < low || n > high {
+		o.d.fault(o.at(key), fmt.Sprintf("%s is %s", o.label(key), s),
+			fmt.Sprintf("give a whole number from %d to %d", low, high))
+		return 0
+	}
+	return n
+}
+
+// boolean returns a field that is false when it is left out.
+func (o object) boolean(key string) bool {
+	v, ok := o.fields[key]
+	if !ok {
+		return false
+	}
+	lit, ok := v.Value.(hujson.Literal)
+	if !ok || lit.Kind() != 't' && lit.Kind() != 'f' {
+		o.d.wrongType(v, o.label(key), "true or false")
+		return false
+	}
+	return lit.Kind() == 't'
+}
+
+func (d *decoder) wrongType(v hujson.Value, what, want string) {
+	d.fault(v.StartOffset, what+" has the wrong type", "write "+want)
+}
