--- /dev/null
+++ b/internal/publish/index.go
@@ -0,0 +1,128 @@
+package publish
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// IndexName is the name of the one object of chervilladder.KindIndex.
+const IndexName chervilladder.ObjectName = "current"
+
+// KindHistory holds the indexes that were in force before. They are no objects
+// of chervilladder.KindIndex, so that a watch of the index doesn't carry them.
+const KindHistory chervilladder.ObjectKind = "history"
+
+// HistoryLength is how many replaced indexes are kept. The platform deletes
+// nothing, so a new one takes the place of the oldest.
+const HistoryLength = 1000
+
+// Index names what is in force.
+type Index struct {
+	Revision  chervilladder.Revision  `json:"revision"`
+	Attempt   chervilladder.AttemptID `json:"attempt"`
+	Operator  string                  `json:"operator"`
+	Published time.Time               `json:"published"`
+	Note      string                  `json:"note"`
+	// Services lists the services in the order of their ids.
+	Services []Entry `json:"services"`
+}
+
+// Entry names the content of one service file.
+type Entry struct {
+	Service chervilladder.ServiceID  `json:"service"`
+	Object  chervilladder.ObjectName `json:"object"`
+	Hash    string                   `json:"hash"`
+}
+
+// entryOf names a content by its hash.
+func entryOf(service chervilladder.ServiceID, text string) Entry {
+	hash := hashOf(text)
+	return Entry{
+		Service: service,
+		Object:  chervilladder.ObjectName(string(service) + "-" + hash),
+		Hash:    hash,
+	}
+}
+
+// hashBytes is how much of a content's SHA-256 names it.
+const hashBytes = 16
+
+func hashOf(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:hashBytes])
+}
+
+// entry returns the entry of a service.
+func (x Index) entry(service chervilladder.ServiceID) (Entry, bool) {
+	for _, e := range x.Services {
+		if e.Service == service {
+			return e, true
+		}
+	}
+	return Entry{}, false
+}
+
+// Changed returns the services that differ between two indexes, in the order
+// of their ids.
+func (x Index) Changed(other Index) []chervilladder.ServiceID {
+	hashes := make(map[chervilladder.ServiceID]string, len(other.Services))
+	for _, e := range other.Services {
+		hashes[e.Service] = e.Hash
+	}
+	var changed []chervilladder.ServiceID
+	for _, e := range x.Services {
+		if hashes[e.Service] != e.Hash {
+			changed = append(changed, e.Service)
+		}
+		delete(hashes, e.Service)
+	}
+	for service := range hashes {
+		changed = append(changed, service)
+	}
+	slices.Sort(changed)
+	return changed
+}
+
+// stored is an index together with the version of its object.
+type stored struct {
+	Index
+	version chervilladder.Version
+}
+
+// Current returns the index in force. A platform on which nothing has been
+// published yet has the index of revision zero.
+func Current(ctx context.Context, p chervilladder.Platform) (Index, error) {
+	s, err := current(ctx, p)
+	return s.Index, err
+}
+
+func current(ctx context.Context, p chervilladder.Platform) (stored, error) {
+	o, err := p.Get(ctx, chervilladder.KindIndex, IndexName)
+	var missing *chervilladder.NotFoundError
+	if errors.As(err, &missing) {
+		return stored{}, nil
+	}
+	if err != nil {
+		return stored{}, fmt.Errorf("read the index in force: %w", err)
+	}
+	return decodeIndex(o)
+}
+
+func decodeIndex(o chervilladder.Object) (stored, error) {
+	if o.Version == 0 {
+		return stored{}, nil
+	}
+	s := stored{version: o.Version}
+	if err := json.Unmarshal(o.Value, &s.Index); err != nil {
+		return stored{}, fmt.Errorf("read object %s/%s: %w; it is not an index, publish again by a version that fits", o.Kind, o.Name, err)
+	}
+	return s, nil
+}
