--- a/executor.go
+++ b/executor.go
@@ -30,5 +30,5 @@
 	Cancel()
 	// Close ends the exchange. A transaction that is still open is
 	// rolled back.
-	Close() error
+	Close()
 }
--- /dev/null
+++ b/internal/caller/batch.go
@@ -0,0 +1,264 @@
+package caller
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/caller/sqltext"
+)
+
+// noStatement is a name that is never prepared: closing it upstream does
+// nothing and is answered like any other close.
+const noStatement = "chervilladder-none"
+
+// batch is what a caller sends up to a Sync, or one simple query, rewritten
+// for a pooled connection.
+type batch struct {
+	payload []byte
+	needs   []chervilladder.Statement
+	// statements are those that run, in order.
+	statements []sqltext.Statement
+	class      string
+	// inTransaction is set when a transaction block was open before.
+	inTransaction bool
+
+	// parsed are the statements that the batch prepares, in order, and
+	// parsedOK how many of them were answered.
+	parsed   []parsed
+	parsedOK int
+	closed   []string
+	// unnamedHere is set while the upstream's unnamed statement is the one
+	// that the caller last parsed in this batch.
+	unnamedHere bool
+
+	failed     bool
+	rolledBack bool
+
+	// failure is an error that the proxy answers instead of running the
+	// batch; local is an answer of its own.
+	failure error
+	local   []byte
+}
+
+// parsed is a statement that a batch prepares, and closes again if dropped.
+type parsed struct {
+	name     string
+	prepared *prepared
+	dropped  bool
+}
+
+// readBatch reads messages up to the end of a batch.
+func (s *session) readBatch() (*batch, error) {
+	if err := s.awaitCaller(); err != nil {
+		return nil, err
+	}
+	b := &batch{inTransaction: s.exchange != nil}
+	left := s.server.MaxBatchBytes
+	for {
+		kind, body, err := s.reader.message(left)
+		if err != nil {
+			return nil, err
+		}
+		left -= len(body)
+		done, err := s.add(b, kind, body)
+		if err != nil {
+			return nil, err
+		}
+		if done {
+			return b, nil
+		}
+	}
+}
+
+// add takes one message into a batch and reports whether it ends it. Its
+// errors end the session; what only spoils the batch goes into b.failure.
+func (s *session) add(b *batch, kind byte, body []byte) (bool, error) {
+	switch kind {
+	case 'X':
+		return false, errTerminated
+	case 'S':
+		b.append(kind, body)
+		return true, nil
+	case 'Q':
+		return true, s.addQuery(b, body)
+	case 'P', 'B', 'D', 'E', 'C':
+		if b.failure != nil {
+			return false, nil
+		}
+		return false, s.addExtended(b, kind, body)
+	case 'H':
+		b.fail(&protocolError{code: codeNotSupported, message: "Flush is not supported, end the batch with Sync"})
+		return false, nil
+	case 'F':
+		b.fail(&protocolError{code: codeNotSupported, message: "the function call protocol is not supported"})
+		return true, nil
+	case 'd', 'c', 'f':
+		return false, nil
+	default:
+		return false, &protocolError{code: codeProtocol, message: fmt.Sprintf("unknown message type %q", kind)}
+	}
+}
+
+func (b *batch) fail(err error) {
+	if b.failure == nil {
+		b.failure = err
+	}
+}
+
+// append takes a message over unchanged.
+func (b *batch) append(kind byte, body []byte) {
+	b.payload = append(b.payload, kind)
+	b.payload = binary.BigEndian.AppendUint32(b.payload, uint32(len(body)+4))
+	b.payload = append(b.payload, body...)
+}
+
+func (b *batch) encodeMessage(m pgproto3.FrontendMessage) {
+	out, err := m.Encode(b.payload)
+	if err != nil {
+		b.fail(&protocolError{code: codeProtocol, message: err.Error()})
+		return
+	}
+	b.payload = out
+}
+
+func malformed(err error) error {
+	return &protocolError{code: codeProtocol, message: "malformed message: " + err.Error()}
+}
+
+func (s *session) addQuery(b *batch, body []byte) error {
+	var q pgproto3.Query
+	if err := q.Decode(body); err != nil {
+		return malformed(err)
+	}
+	parts := sqltext.Scan(q.String)
+	if len(parts) == 1 && parts[0].Kind == sqltext.KindForget && !b.inTransaction {
+		return s.forget(b, parts[0])
+	}
+	b.run(s, parts)
+	b.append('Q', body)
+	return nil
+}
+
+// forget answers DEALLOCATE ALL and DISCARD ALL: what they drop is held here.
+func (s *session) forget(b *batch, x sqltext.Statement) error {
+	tag := "DEALLOCATE ALL"
+	s.statements.clear()
+	if x.Name == "discard" {
+		tag = "DISCARD ALL"
+		s.settings.list = s.settings.initial
+	}
+	out, err := (&pgproto3.CommandComplete{CommandTag: []byte(tag)}).Encode(nil)
+	if err != nil {
+		return fmt.Errorf("encode completion: %w", err)
+	}
+	b.local, err = (&pgproto3.ReadyForQuery{TxStatus: 'I'}).Encode(out)
+	return err
+}
+
+// run records that statements run in the batch, and refuses those that need a
+// connection of the caller's own.
+func (b *batch) run(s *session, parts []sqltext.Statement) {
+	for _, x := range parts {
+		if x.Class != "" {
+			b.class = x.Class
+		}
+		switch x.Kind {
+		case sqltext.KindRefused:
+			b.fail(&protocolError{code: codeNotSupported, message: x.Why + " is not supported through the proxy"})
+		case sqltext.KindForget:
+			b.fail(&protocolError{code: codeNotSupported, message: "DEALLOCATE and DISCARD have to be sent alone, as a simple query"})
+		case sqltext.KindSet:
+			if err := s.settings.check(x); err != nil {
+				b.fail(err)
+			}
+		}
+	}
+	b.statements = append(b.statements, parts...)
+}
+
+// access says which members may run the batch.
+func (b *batch) access() chervilladder.Access {
+	for _, x := range b.statements {
+		switch x.Kind {
+		case sqltext.KindRead, sqltext.KindBeginRead:
+		case sqltext.KindCommit, sqltext.KindRollback:
+		default:
+			return chervilladder.AccessWrite
+		}
+	}
+	return chervilladder.AccessRead
+}
+
+// encode returns the batch as the executor takes it.
+func (b *batch) encode() chervilladder.Batch {
+	return chervilladder.Batch{
+		Payload: b.payload,
+		Needs:   b.needs,
+		Closes:  b.ends(),
+		Commits: b.commits(),
+	}
+}
+
+func (b *batch) ends() bool {
+	for _, x := range b.statements {
+		if x.Kind == sqltext.KindCommit || x.Kind == sqltext.KindRollback {
+			return true
+		}
+	}
+	return false
+}
+
+// commits reports whether running the batch may make a change durable.
+func (b *batch) commits() bool {
+	open := b.inTransaction
+	for _, x := range b.statements {
+		switch x.Kind {
+		case sqltext.KindBegin, sqltext.KindBeginRead:
+			open = true
+		case sqltext.KindCommit:
+			return true
+		case sqltext.KindRollback:
+			open = false
+		default:
+			if !open {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// watch follows the answer: which statements were prepared, and whether the
+// batch failed.
+func (b *batch) watch(payload []byte) {
+	for len(payload) >= 5 {
+		size := int(binary.BigEndian.Uint32(payload[1:])) + 1
+		switch payload[0] {
+		case '1':
+			b.parsedOK++
+		case 'E':
+			b.failed = true
+		case 'C':
+			b.rolledBack = string(payload[5:min(size, 13)]) == "ROLLBACK"
+		}
+		if size > len(payload) {
+			return
+		}
+		payload = payload[size:]
+	}
+}
+
+// commit records what the answered batch has prepared and closed.
+func (b *batch) commit(s *statements) {
+	for _, name := range b.closed {
+		s.remove(name)
+	}
+	for _, p := range b.parsed[:min(b.parsedOK, len(b.parsed))] {
+		if !p.dropped {
+			s.add(p.name, p.prepared)
+		}
+	}
+}
--- /dev/null
+++ b/internal/caller/errors.go
@@ -0,0 +1,84 @@
+package caller
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// The SQLSTATEs that callers see from the proxy itself.
+const (
+	codeProtocol        = "08P01"
+	codeUnknownOutcome  = "08007"
+	codeNotSupported    = "0A000"
+	codeUnknownStmt     = "26000"
+	codeDuplicateStmt   = "42P05"
+	codeUnknownDatabase = "3D000"
+	codeUnknownSetting  = "42704"
+	codeBadSetting      = "22023"
+	codeOverload        = "53400"
+	codeLimit           = "54000"
+	codeUnavailable     = "57P03"
+	codeShutdown        = "57P01"
+	codeCancelled       = "57014"
+	codeRolledBack      = "40003"
+	codeIdle            = "25P03"
+)
+
+// protocolError is an error that the proxy itself answers with.
+type protocolError struct {
+	code    string
+	message string
+	hint    string
+}
+
+// Error gives the message.
+func (e *protocolError) Error() string { return e.message }
+
+// response turns an error into the message for the caller. Its detail says
+// what is known of the outcome.
+func response(err error) *pgproto3.ErrorResponse {
+	r := &pgproto3.ErrorResponse{Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: codeUnknownOutcome, Message: err.Error()}
+	var protocol *protocolError
+	var notRun *chervilladder.NotRunError
+	var unknown *chervilladder.UnknownError
+	switch {
+	case errors.As(err, &protocol):
+		r.Code, r.Hint = protocol.code, protocol.hint
+		r.Detail = "outcome: not-run"
+	case errors.As(err, &notRun):
+		r.Code = notRunCode(notRun.Reason)
+		r.Detail = "outcome: not-run, reason: " + string(notRun.Reason) + retryAfter(notRun.RetryAfter)
+		r.Hint = "The work did not run. It may be sent again."
+	case errors.As(err, &unknown):
+		r.Detail = "outcome: unknown"
+		r.Hint = "The work may have been done. Look before sending it again."
+	}
+	return r
+}
+
+func retryAfter(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", retry-after-ms: %d", d.Milliseconds())
+}
+
+func notRunCode(r chervilladder.Reason) string {
+	switch r {
+	case chervilladder.ReasonDeadline, chervilladder.ReasonOverload:
+		return codeOverload
+	case chervilladder.ReasonUnknownDB:
+		return codeUnknownDatabase
+	case chervilladder.ReasonCancelled:
+		return codeCancelled
+	case chervilladder.ReasonRolledBack:
+		return codeRolledBack
+	default:
+		return codeUnavailable
+	}
+}
--- /dev/null
+++ b/internal/caller/listener.go
@@ -0,0 +1,119 @@
+// Package caller speaks PostgreSQL to callers.
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+)
+
+// Config says what a Server works with.
+type Config struct {
+	Board    *blackboard.Board
+	Executor chervilladder.Executor
+	Listener net.Listener
+	Log      *logrus.Logger
+	// StartTimeout bounds the time to sign in.
+	StartTimeout time.Duration
+	// IdleTransactionTimeout bounds the wait for the next statement of an
+	// open transaction.
+	IdleTransactionTimeout time.Duration
+	// MaxBatchBytes bounds what a caller may send before a Sync.
+	MaxBatchBytes int
+	// DrainTimeout bounds how long a drain waits for open transactions.
+	DrainTimeout time.Duration
+}
+
+// Server answers callers.
+type Server struct {
+	Config
+	keys     cancelKeys
+	sessions sync.WaitGroup
+}
+
+// New returns a server. Bounds that are zero get their defaults.
+func New(c Config) (*Server, error) {
+	if c.Board == nil || c.Executor == nil || c.Listener == nil || c.Log == nil {
+		return nil, errors.New("caller: board, executor, listener and log are required")
+	}
+	if c.StartTimeout == 0 {
+		c.StartTimeout = 10 * time.Second
+	}
+	if c.IdleTransactionTimeout == 0 {
+		c.IdleTransactionTimeout = 10 * time.Second
+	}
+	if c.MaxBatchBytes == 0 {
+		c.MaxBatchBytes = 16 << 20
+	}
+	if c.DrainTimeout == 0 {
+		c.DrainTimeout = 15 * time.Second
+	}
+	return &Server{Config: c}, nil
+}
+
+// Run accepts callers until the context ends, then drains: idle sessions end
+// at once, those with work in flight when it is answered.
+func (s *Server) Run(ctx context.Context) error {
+	serving, cut := context.WithCancel(context.WithoutCancel(ctx))
+	defer cut()
+	stop := context.AfterFunc(ctx, func() {
+		s.Listener.Close()
+		s.keys.interruptAll()
+	})
+	defer stop()
+	err := s.accept(serving)
+	if ctx.Err() == nil {
+		return fmt.Errorf("caller: accept: %w", err)
+	}
+	s.drain(cut)
+	return nil
+}
+
+func (s *Server) accept(ctx context.Context) error {
+	for {
+		conn, err := s.Listener.Accept()
+		if err != nil {
+			return err
+		}
+		s.sessions.Go(func() { s.serve(ctx, conn) })
+	}
+}
+
+// drain waits for the sessions, and cuts those that outlast the timeout.
+func (s *Server) drain(cut context.CancelFunc) {
+	done := make(chan struct{})
+	go func() {
+		s.sessions.Wait()
+		close(done)
+	}()
+	timeout := time.NewTimer(s.DrainTimeout)
+	defer timeout.Stop()
+	select {
+	case <-done:
+	case <-timeout.C:
+		s.Log.Warn("caller: drain timed out, sessions are cut")
+		cut()
+		<-done
+	}
+}
+
+func (s *Server) serve(ctx context.Context, conn net.Conn) {
+	defer conn.Close()
+	x := newSession(s, conn)
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	if err := x.start(); err != nil {
+		x.refuse(err)
+		return
+	}
+	defer s.keys.remove(x.key)
+	x.run(ctx)
+}
--- /dev/null
+++ b/internal/caller/reader.go
@@ -0,0 +1,90 @@
+package caller
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+)
+
+// readBufferBytes is the size of the buffer that a session borrows while its
+// caller is sending.
+const readBufferBytes = 8 << 10
+
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
+
+// reader reads messages from a caller. Between batches it holds no buffer, so
+// that an idle caller costs little.
+type reader struct {
+	conn     net.Conn
+	buffered *bufio.Reader
+	first    [1]byte
+}
+
+// wait blocks until the caller has sent something.
+func (r *reader) wait() error {
+	if r.buffered != nil && r.buffered.Buffered() > 0 {
+		return nil
+	}
+	r.release()
+	if _, err := io.ReadFull(r.conn, r.first[:]); err != nil {
+		return err
+	}
+	r.buffered = readers.Get().(*bufio.Reader)
+	r.buffered.Reset(io.MultiReader(&oneByte{b: r.first[0]}, r.conn))
+	return nil
+}
+
+// release gives an empty buffer back.
+func (r *reader) release() {
+	if r.buffered == nil {
+		return
+	}
+	r.buffered.Reset(nil)
+	readers.Put(r.buffered)
+	r.buffered = nil
+}
+
+// message reads one message and returns its type and body. The body is only
+// valid until the next call.
+func (r *reader) message(limit int) (byte, []byte, error) {
+	if err := r.wait(); err != nil {
+		return 0, nil, err
+	}
+	var header [5]byte
+	if _, err := io.ReadFull(r.buffered, header[:]); err != nil {
+		return 0, nil, err
+	}
+	size := int(binary.BigEndian.Uint32(header[1:])) - 4
+	if size < 0 {
+		return 0, nil, &protocolError{code: codeProtocol, message: "malformed message length"}
+	}
+	if size > limit {
+		return 0, nil, &protocolError{
+			code:    codeLimit,
+			message: fmt.Sprintf("message of %d bytes is over the limit of %d bytes", size, limit),
+		}
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r.buffered, body); err != nil {
+		return 0, nil, err
+	}
+	return header[0], body, nil
+}
+
+// oneByte is a reader of the byte that ended a wait.
+type oneByte struct {
+	b    byte
+	done bool
+}
+
+func (o *oneByte) Read(p []byte) (int, error) {
+	if o.done || len(p) == 0 {
+		return 0, io.EOF
+	}
+	o.done = true
+	p[0] = o.b
+	return 1, nil
+}
--- /dev/null
+++ b/internal/caller/sqltext/scan.go
@@ -0,0 +1,228 @@
+// Package sqltext reads as much of a statement's text as routing needs: its
+// kind, and the tags in its comments. It does not parse SQL.
+package sqltext
+
+import "strings"
+
+// Kind is what a statement means for routing.
+type Kind uint8
+
+// The kinds. A statement of an unknown kind is a write.
+const (
+	KindWrite Kind = iota
+	KindRead
+	KindBegin
+	KindBeginRead
+	KindCommit
+	KindRollback
+	// KindSet sets a session parameter.
+	KindSet
+	// KindLocal acts on the transaction only, such as SAVEPOINT or
+	// SET LOCAL.
+	KindLocal
+	// KindForget drops prepared statements or all session state.
+	KindForget
+	// KindRefused needs a connection of the caller's own, which a pool
+	// can't give.
+	KindRefused
+)
+
+// Statement is what was read of one statement.
+type Statement struct {
+	Kind Kind
+	// Class is the class that a comment tag names, if any.
+	Class string
+	// Name and Value are those of a KindSet; an empty Value with Reset
+	// returns the parameter, or all of them, to the default.
+	Name  string
+	Value string
+	Reset bool
+	// Why says what is refused.
+	Why string
+}
+
+// Scan reads the statements of a text, in order. An empty text has none.
+func Scan(text string) []Statement {
+	var list []Statement
+	t := tokenizer{text: text}
+	for !t.done() {
+		words := t.statement()
+		if len(words) == 0 {
+			continue
+		}
+		s := classify(words)
+		s.Class = t.class
+		list = append(list, s)
+	}
+	return list
+}
+
+func classify(w []token) Statement {
+	switch w[0].word {
+	case "select", "with", "values", "table":
+		return classifyQuery(w)
+	case "show", "explain":
+		return classifyShow(w)
+	case "begin", "start":
+		return classifyBegin(w)
+	case "commit", "end":
+		return Statement{Kind: KindCommit}
+	case "rollback", "abort":
+		if has(w, "to") {
+			return Statement{Kind: KindLocal}
+		}
+		return Statement{Kind: KindRollback}
+	case "savepoint", "release", "lock":
+		return Statement{Kind: KindLocal}
+	case "set", "reset":
+		return classifySet(w)
+	case "discard", "deallocate":
+		return classifyForget(w)
+	case "listen", "unlisten", "prepare", "execute", "copy", "load", "declare", "fetch", "move", "close":
+		return refuse(strings.ToUpper(w[0].word))
+	case "create":
+		if has(w[:min(len(w), 4)], "temp") || has(w[:min(len(w), 4)], "temporary") {
+			return refuse("a temporary table")
+		}
+	}
+	return Statement{Kind: KindWrite}
+}
+
+// sessionFunctions change what only one connection holds.
+var sessionFunctions = map[string]bool{
+	"pg_advisory_lock":            true,
+	"pg_advisory_lock_shared":     true,
+	"pg_try_advisory_lock":        true,
+	"pg_try_advisory_lock_shared": true,
+	"pg_advisory_unlock":          true,
+	"pg_advisory_unlock_shared":   true,
+	"pg_advisory_unlock_all":      true,
+}
+
+// readFunctions are the functions that are known to change nothing, and to
+// mean the same on a replica.
+var readFunctions = map[string]bool{
+	"abs": true, "array_agg": true, "avg": true, "cast": true, "ceil": true,
+	"char_length": true, "coalesce": true, "concat": true, "count": true,
+	"current_setting": true, "date_part": true, "date_trunc": true,
+	"exists": true, "extract": true, "floor": true, "format": true,
+	"generate_series": true, "greatest": true, "in": true, "json_agg": true,
+	"json_build_object": true, "jsonb_agg": true, "jsonb_build_object": true,
+	"least": true, "left": true, "length": true, "lower": true, "max": true,
+	"md5": true, "min": true, "now": true, "nullif": true, "octet_length": true,
+	"over": true, "pg_is_in_recovery": true, "pg_sleep": true, "position": true,
+	"rank": true, "replace": true, "right": true, "round": true,
+	"row_number": true, "string_agg": true, "substr": true, "substring": true,
+	"sum": true, "to_char": true, "to_date": true, "to_json": true,
+	"to_jsonb": true, "to_timestamp": true, "trim": true, "unnest": true,
+	"upper": true, "values": true, "version": true, "and": true, "or": true,
+	"not": true, "any": true, "all": true, "some": true, "from": true,
+	"where": true, "on": true, "by": true, "using": true, "as": true,
+	"filter": true, "when": true, "then": true, "else": true, "select": true,
+	"with": true, "union": true, "except": true, "intersect": true, "join": true,
+}
+
+// classifyQuery reads a query: it is a read unless it locks rows, changes
+// data, or calls a function that is not known to be harmless.
+func classifyQuery(w []token) Statement {
+	s := Statement{Kind: KindRead}
+	for i, t := range w {
+		switch t.word {
+		case "insert", "update", "delete", "merge", "into", "share":
+			s.Kind = KindWrite
+		}
+		if !t.call {
+			continue
+		}
+		if sessionFunctions[t.word] {
+			return refuse("the session lock " + t.word)
+		}
+		tableColumns := i > 0 && (w[i-1].word == "as" || w[i-1].word == "with")
+		if !readFunctions[t.word] && !tableColumns {
+			s.Kind = KindWrite
+		}
+	}
+	return s
+}
+
+// classifyShow reads SHOW, which is a read, and EXPLAIN, which may run what
+// it explains.
+func classifyShow(w []token) Statement {
+	if w[0].word == "show" {
+		return Statement{Kind: KindRead}
+	}
+	return Statement{Kind: KindWrite}
+}
+
+func classifyBegin(w []token) Statement {
+	for i := range w[:len(w)-1] {
+		if w[i].word == "read" && w[i+1].word == "only" {
+			return Statement{Kind: KindBeginRead}
+		}
+	}
+	return Statement{Kind: KindBegin}
+}
+
+func classifySet(w []token) Statement {
+	if len(w) < 2 {
+		return Statement{Kind: KindWrite}
+	}
+	if w[0].word == "reset" {
+		name := w[1].word
+		if name == "all" {
+			name = ""
+		}
+		return Statement{Kind: KindSet, Name: name, Reset: true}
+	}
+	w = w[1:]
+	switch w[0].word {
+	case "local", "constraints":
+		return Statement{Kind: KindLocal}
+	case "transaction":
+		return Statement{Kind: KindLocal}
+	case "session":
+		if len(w) > 1 && (w[1].word == "characteristics" || w[1].word == "authorization") {
+			return refuse("SET SESSION " + strings.ToUpper(w[1].word))
+		}
+		w = w[1:]
+	case "role":
+		return refuse("SET ROLE")
+	}
+	if len(w) >= 2 && w[0].word == "time" && w[1].word == "zone" {
+		return Statement{Kind: KindSet, Name: "timezone", Value: valueOf(w[2:])}
+	}
+	values := w[1:]
+	if len(values) > 0 && values[0].word == "to" {
+		values = values[1:]
+	}
+	value := valueOf(values)
+	return Statement{Kind: KindSet, Name: w[0].word, Value: value, Reset: value == "default"}
+}
+
+func classifyForget(w []token) Statement {
+	if len(w) >= 2 && w[len(w)-1].word == "all" {
+		return Statement{Kind: KindForget, Name: w[0].word}
+	}
+	return refuse(strings.ToUpper(w[0].word))
+}
+
+func refuse(what string) Statement {
+	return Statement{Kind: KindRefused, Why: what}
+}
+
+func has(w []token, word string) bool {
+	for _, t := range w {
+		if t.word == word {
+			return true
+		}
+	}
+	return false
+}
+
+func valueOf(w []token) string {
+	var parts []string
+	for _, t := range w {
+		parts = append(parts, t.text())
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/internal/caller/sqltext/scan_test.go
@@ -0,0 +1,79 @@
+package sqltext_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilladder/chervilladder/internal/caller/sqltext"
+)
+
+func ExampleScan() {
+	for _, s := range sqltext.Scan("/* class=lookup */ SELECT room FROM holds WHERE id = $1; COMMIT") {
+		fmt.Println(s.Kind == sqltext.KindRead, s.Class)
+	}
+	// Output:
+	// true lookup
+	// false
+}
+
+func TestScanKinds(t *testing.T) {
+	for text, want := range map[string]sqltext.Kind{
+		"select * from t where id = 'update'":                      sqltext.KindRead,
+		"SELECT count(*) FROM t":                                   sqltext.KindRead,
+		"select * from t for update":                               sqltext.KindWrite,
+		"select * from t for no key update":                        sqltext.KindWrite,
+		"select * from t for key share":                            sqltext.KindWrite,
+		"select book('x')":                                         sqltext.KindWrite,
+		"select \"count\"('x')":                                    sqltext.KindWrite,
+		"select public.count('x')":                                 sqltext.KindWrite,
+		"select nextval('s')":                                      sqltext.KindWrite,
+		"select * into u from t":                                   sqltext.KindWrite,
+		"with a as (insert into t values (1) returning id) select": sqltext.KindWrite,
+		"with a as (select 1) select * from a":                     sqltext.KindRead,
+		"-- select\ninsert into t values ('a')":                    sqltext.KindWrite,
+		"begin":                                                    sqltext.KindBegin,
+		"begin isolation level x, read only":                       sqltext.KindBeginRead,
+		"start transaction read only":                              sqltext.KindBeginRead,
+		"end":                                                      sqltext.KindCommit,
+		"rollback to savepoint a":                                  sqltext.KindLocal,
+		"rollback":                                                 sqltext.KindRollback,
+		"set local statement_timeout = 5":                          sqltext.KindLocal,
+		"set statement_timeout to '5s'":                            sqltext.KindSet,
+		"set session statement_timeout = 5":                        sqltext.KindSet,
+		"listen x":                                                 sqltext.KindRefused,
+		"create temp table x (id text)":                            sqltext.KindRefused,
+		"select pg_advisory_lock(1)":                               sqltext.KindRefused,
+		"select pg_catalog.pg_advisory_lock(1)":                    sqltext.KindRefused,
+		"explain analyze delete from t":                            sqltext.KindWrite,
+		"deallocate all":                                           sqltext.KindForget,
+		"select $$ for update $$":                                  sqltext.KindRead,
+		"select E'\\' for update'":                                 sqltext.KindRead,
+	} {
+		t.Run(text, func(t *testing.T) {
+			is := is.New(t)
+			got := sqltext.Scan(text)
+			is.Equal(len(got), 1)
+			is.Equal(got[0].Kind, want)
+		})
+	}
+}
+
+func TestScanSet(t *testing.T) {
+	is := is.New(t)
+	got := sqltext.Scan("SET TIME ZONE 'Asia/Kathmandu'; set search_path = a, b; reset all")
+	is.Equal(got[0].Name, "timezone")
+	is.Equal(got[0].Value, "Asia/Kathmandu")
+	is.Equal(got[1].Value, "a, b")
+	is.Equal(got[2], sqltext.Statement{Kind: sqltext.KindSet, Reset: true})
+}
+
+func FuzzScan(f *testing.F) {
+	f.Add("select 'a' /* class=x */ from t; -- b")
+	f.Add("$a$ x $a$ E'\\'' \"q\"")
+	f.Add("/* /* */")
+	f.Fuzz(func(_ *testing.T, text string) {
+		sqltext.Scan(text)
+	})
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,176 @@
+// Package peer speaks gRPC between the VMs of the system.
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/peer/peerpb"
+)
+
+// maxFrameBytes bounds one message between peers.
+const maxFrameBytes = 64 << 20
+
+// The keep-alive of a connection between peers, by which a silent one is
+// found.
+const (
+	keepAliveEvery   = 10 * time.Second
+	keepAliveTimeout = time.Second
+)
+
+// Client reaches the other VMs. It keeps one connection to each peer that it
+// has work for.
+type Client struct {
+	board *blackboard.Board
+
+	mu    sync.Mutex
+	conns map[chervilladder.Address]*grpc.ClientConn
+}
+
+// NewClient returns a client that finds its peers on the blackboard.
+func NewClient(b *blackboard.Board) *Client {
+	return &Client{board: b, conns: make(map[chervilladder.Address]*grpc.ClientConn)}
+}
+
+// Close ends all connections.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all error
+	for a, conn := range c.conns {
+		all = errors.Join(all, conn.Close())
+		delete(c.conns, a)
+	}
+	return all
+}
+
+// Open opens an exchange at a peer.
+func (c *Client) Open(ctx context.Context, vm chervilladder.VMID, w chervilladder.Work) (chervilladder.Exchange, error) {
+	m, ok := c.board.Members.Load().Members[vm]
+	if !ok {
+		return nil, &chervilladder.NotRunError{Database: w.Database, Reason: chervilladder.ReasonNoOwner}
+	}
+	client, err := c.client(m.VM.Peer)
+	if err != nil {
+		return nil, &chervilladder.NotRunError{Database: w.Database, Reason: chervilladder.ReasonNoOwner, Err: err}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	stream, err := client.Run(ctx)
+	if err == nil {
+		err = stream.Send(&peerpb.RunRequest{Kind: &peerpb.RunRequest_Work{Work: encodeWork(w)}})
+	}
+	if err != nil {
+		cancel()
+		return nil, &chervilladder.NotRunError{Database: w.Database, Reason: chervilladder.ReasonNoOwner, Err: err}
+	}
+	return &exchange{database: w.Database, read: w.Access == chervilladder.AccessRead, stream: stream, stop: cancel}, nil
+}
+
+// Pull asks a peer for a configuration newer than a revision. It returns a
+// nil bundle if the peer has none.
+func (c *Client) Pull(ctx context.Context, peer chervilladder.Address, newerThan chervilladder.Revision) ([]byte, error) {
+	client, err := c.client(peer)
+	if err != nil {
+		return nil, err
+	}
+	r, err := client.Pull(ctx, &peerpb.PullRequest{NewerThan: uint64(newerThan)})
+	if err != nil {
+		return nil, fmt.Errorf("peer %s: pull: %w", peer, err)
+	}
+	return r.GetBundle(), nil
+}
+
+func (c *Client) client(a chervilladder.Address) (peerpb.PeerClient, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.conns[a]; ok {
+		return peerpb.NewPeerClient(conn), nil
+	}
+	conn, err := grpc.NewClient(
+		"passthrough:///"+string(a),
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepAliveEvery, Timeout: keepAliveTimeout}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxFrameBytes), grpc.MaxCallSendMsgSize(maxFrameBytes)),
+	)
+	if err != nil {
+		return nil, fmt.Errorf("peer %s: %w", a, err)
+	}
+	c.conns[a] = conn
+	return peerpb.NewPeerClient(conn), nil
+}
+
+// exchange runs work at a peer.
+type exchange struct {
+	database chervilladder.DatabaseID
+	read     bool
+	stream   grpc.BidiStreamingClient[peerpb.RunRequest, peerpb.RunResponse]
+	stop     context.CancelFunc
+	sending  sync.Mutex // guards Send against Cancel
+	sent     bool       // a batch of the exchange has left
+	open     bool       // a transaction block is open
+	commits  bool       // the last batch may commit
+}
+
+// Send passes on a batch.
+func (x *exchange) Send(b chervilladder.Batch) error {
+	x.sent, x.commits = true, b.Commits
+	err := x.send(&peerpb.RunRequest{Kind: &peerpb.RunRequest_Batch{Batch: encodeBatch(b)}})
+	if err != nil {
+		return x.lost(err)
+	}
+	return nil
+}
+
+// Recv returns the next part of the answer.
+func (x *exchange) Recv() (chervilladder.Reply, error) {
+	m, err := x.stream.Recv()
+	if err != nil {
+		return chervilladder.Reply{}, x.lost(err)
+	}
+	if f := m.GetFailure(); f != nil {
+		return chervilladder.Reply{}, decodeFailure(x.database, f)
+	}
+	r := decodeReply(m.GetReply())
+	if r.Last {
+		x.open = r.Open
+	}
+	return r, nil
+}
+
+// Cancel asks the owner to stop the running statement.
+func (x *exchange) Cancel() {
+	_ = x.send(&peerpb.RunRequest{Kind: &peerpb.RunRequest_Cancel{Cancel: true}})
+}
+
+// Close ends the exchange.
+func (x *exchange) Close() {
+	x.stop()
+}
+
+func (x *exchange) send(m *peerpb.RunRequest) error {
+	x.sending.Lock()
+	defer x.sending.Unlock()
+	return x.stream.Send(m)
+}
+
+// lost says what is known of work whose owner could not be reached or went
+// away.
+func (x *exchange) lost(err error) error {
+	switch {
+	case !x.sent || x.read:
+		return &chervilladder.NotRunError{Database: x.database, Reason: chervilladder.ReasonNoOwner, Err: err}
+	case x.open && !x.commits:
+		return &chervilladder.NotRunError{Database: x.database, Reason: chervilladder.ReasonRolledBack, Err: err}
+	default:
+		return &chervilladder.UnknownError{Database: x.database, Err: err}
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,144 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/peer/peerpb"
+)
+
+// ServerConfig says what a Server serves.
+type ServerConfig struct {
+	Board    *blackboard.Board
+	Executor chervilladder.Executor
+	Listener net.Listener
+}
+
+// Server answers the other VMs.
+type Server struct {
+	config ServerConfig
+	grpc   *grpc.Server
+}
+
+// service holds the methods that peers call.
+type service struct {
+	peerpb.UnimplementedPeerServer
+	ServerConfig
+}
+
+// NewServer returns a server; it serves once Run is called.
+func NewServer(c ServerConfig) *Server {
+	s := &Server{config: c}
+	s.grpc = grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxFrameBytes),
+		grpc.MaxSendMsgSize(maxFrameBytes),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepAliveEvery / 2, PermitWithoutStream: true}),
+	)
+	peerpb.RegisterPeerServer(s.grpc, &service{ServerConfig: c})
+	return s
+}
+
+// Run serves until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, s.grpc.Stop)
+	defer stop()
+	if err := s.grpc.Serve(s.config.Listener); err != nil && ctx.Err() == nil {
+		return fmt.Errorf("peer: serve: %w", err)
+	}
+	return nil
+}
+
+// Pull returns the configuration in force if it is newer than asked for.
+func (s *service) Pull(_ context.Context, r *peerpb.PullRequest) (*peerpb.PullResponse, error) {
+	p := s.Board.Published.Load()
+	out := &peerpb.PullResponse{Revision: uint64(p.Revision)}
+	if uint64(p.Revision) > r.GetNewerThan() {
+		out.Bundle = p.Encoded
+	}
+	return out, nil
+}
+
+// Run serves one exchange.
+func (s *service) Run(stream grpc.BidiStreamingServer[peerpb.RunRequest, peerpb.RunResponse]) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	if first.GetWork() == nil {
+		return status.Error(codes.InvalidArgument, "the first request must hold the work")
+	}
+	x, err := s.Executor.Open(stream.Context(), decodeWork(first.GetWork()))
+	if err != nil {
+		return stream.Send(encodeFailure(err))
+	}
+	defer x.Close()
+	batches := make(chan chervilladder.Batch)
+	go receive(stream, x, batches)
+	for b := range batches {
+		if err := answer(stream, x, b); err != nil {
+			return ended(err)
+		}
+	}
+	return nil
+}
+
+// receive passes on what the peer sends until the stream ends. A cancel
+// request overtakes batches.
+func receive(stream grpc.BidiStreamingServer[peerpb.RunRequest, peerpb.RunResponse], x chervilladder.Exchange, batches chan<- chervilladder.Batch) {
+	defer close(batches)
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		if m.GetCancel() {
+			go x.Cancel()
+			continue
+		}
+		select {
+		case batches <- decodeBatch(m.GetBatch()):
+		case <-stream.Context().Done():
+			return
+		}
+	}
+}
+
+// answer runs one batch and sends the whole answer.
+func answer(stream grpc.BidiStreamingServer[peerpb.RunRequest, peerpb.RunResponse], x chervilladder.Exchange, b chervilladder.Batch) error {
+	if err := x.Send(b); err != nil {
+		return errors.Join(io.EOF, stream.Send(encodeFailure(err)))
+	}
+	for {
+		r, err := x.Recv()
+		if err != nil {
+			return errors.Join(io.EOF, stream.Send(encodeFailure(err)))
+		}
+		if err := stream.Send(encodeReply(r)); err != nil {
+			return err
+		}
+		if r.Last && !r.Open {
+			return io.EOF
+		}
+		if r.Last {
+			return nil
+		}
+	}
+}
+
+// ended turns the end of an exchange into the end of its stream.
+func ended(err error) error {
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/route/exchange.go
@@ -0,0 +1,101 @@
+package route
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// exchange runs work at the owner of its database, and moves it to another
+// one while it is certain that it has not run.
+type exchange struct {
+	executor *Executor
+	ctx      context.Context
+	work     chervilladder.Work
+	batch    chervilladder.Batch
+
+	mu    sync.Mutex // guards inner against Cancel
+	inner chervilladder.Exchange
+
+	first bool // the batch is the first one of the exchange
+	begun bool // a part of the current answer was passed on
+}
+
+// Send passes on a batch.
+func (x *exchange) Send(b chervilladder.Batch) error {
+	x.batch, x.begun = b, false
+	if x.inner != nil {
+		x.first = false
+		return x.inner.Send(b)
+	}
+	x.first = true
+	return x.move(x.start())
+}
+
+// Recv returns the next part of the answer.
+func (x *exchange) Recv() (chervilladder.Reply, error) {
+	for {
+		r, err := x.inner.Recv()
+		if err == nil {
+			x.begun = true
+			return r, nil
+		}
+		if err := x.move(err); err != nil {
+			return chervilladder.Reply{}, err
+		}
+	}
+}
+
+// move starts over at the owner of the moment while the error says that the
+// work did not run. It returns the error that remains.
+func (x *exchange) move(err error) error {
+	for err != nil {
+		if !x.first || x.begun || !movable(err) || !time.Now().Before(x.work.Deadline) {
+			return err
+		}
+		x.end()
+		if waitErr := x.executor.awaitOwner(x.ctx, x.work.Deadline); waitErr != nil {
+			return err
+		}
+		err = x.start()
+	}
+	return nil
+}
+
+func (x *exchange) start() error {
+	inner, err := x.executor.open(x.ctx, x.work)
+	if err != nil {
+		return err
+	}
+	x.mu.Lock()
+	x.inner = inner
+	x.mu.Unlock()
+	return inner.Send(x.batch)
+}
+
+// Cancel asks for the running statement to be stopped.
+func (x *exchange) Cancel() {
+	x.mu.Lock()
+	inner := x.inner
+	x.mu.Unlock()
+	if inner != nil {
+		inner.Cancel()
+	}
+}
+
+// Close ends the exchange.
+func (x *exchange) Close() {
+	x.end()
+}
+
+func (x *exchange) end() {
+	x.mu.Lock()
+	inner := x.inner
+	x.inner = nil
+	x.mu.Unlock()
+	if inner != nil {
+		inner.Close()
+	}
+}
--- /dev/null
+++ b/internal/route/executor.go
@@ -0,0 +1,82 @@
+// Package route passes work to the VM that owns its database.
+package route
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+)
+
+// Remote opens exchanges at other VMs.
+type Remote interface {
+	Open(ctx context.Context, vm chervilladder.VMID, w chervilladder.Work) (chervilladder.Exchange, error)
+}
+
+// Config says what an Executor works with.
+type Config struct {
+	Board  *blackboard.Board
+	Local  chervilladder.Executor
+	Remote Remote
+}
+
+// Executor runs work here if this VM owns the database, and at the owner
+// otherwise. Work that was refused as not run because of a change of owner is
+// passed to the new owner until its deadline.
+type Executor struct {
+	Config
+}
+
+// New returns an executor.
+func New(c Config) *Executor {
+	return &Executor{Config: c}
+}
+
+var _ chervilladder.Executor = (*Executor)(nil)
+
+// Open prepares an exchange. The owner is chosen when the first batch is
+// sent.
+func (e *Executor) Open(ctx context.Context, w chervilladder.Work) (chervilladder.Exchange, error) {
+	return &exchange{executor: e, ctx: ctx, work: w}, nil
+}
+
+func (e *Executor) open(ctx context.Context, w chervilladder.Work) (chervilladder.Exchange, error) {
+	switch owner := e.Board.Owners.Load().ByDatabase[w.Database]; owner {
+	case "":
+		return nil, &chervilladder.NotRunError{Database: w.Database, Reason: chervilladder.ReasonNoOwner}
+	case e.Board.Self.ID:
+		return e.Local.Open(ctx, w)
+	default:
+		return e.Remote.Open(ctx, owner, w)
+	}
+}
+
+// ownerPoll bounds the wait for a new owner when nothing announces one.
+const ownerPoll = 100 * time.Millisecond
+
+// awaitOwner waits until ownership may have changed.
+func (e *Executor) awaitOwner(ctx context.Context, deadline time.Time) error {
+	_, changed := e.Board.Owners.Watch()
+	wait := time.NewTimer(min(ownerPoll, time.Until(deadline)))
+	defer wait.Stop()
+	select {
+	case <-changed:
+		return nil
+	case <-wait.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// movable reports whether an error says that the work did not run and that
+// another owner may run it.
+func movable(err error) bool {
+	var e *chervilladder.NotRunError
+	if !errors.As(err, &e) {
+		return false
+	}
+	return e.Reason == chervilladder.ReasonNoOwner || e.Reason == chervilladder.ReasonNotOwner
+}
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -82,8 +82,8 @@
 }
 
 // Close ends the connection.
-func (c *Conn) Close() error {
-	return c.conn.Close()
+func (c *Conn) Close() {
+	c.conn.Close()
 }
 
 // Upstream returns the member that the connection leads to.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -15,13 +14,6 @@
 // begun.
 const maxReadAttempts = 3
 
-// idleTransactionTimeout bounds the wait for the next batch of an open
-// transaction.
-const idleTransactionTimeout = 10 * time.Second
-
-// errIdle ends a transaction whose caller sends nothing.
-var errIdle = errors.New("transaction was idle for too long")
-
 // exchange runs one transaction, or one lone batch, on one connection.
 type exchange struct {
 	ctx      context.Context
@@ -238,13 +230,12 @@
 }
 
 // Close ends the exchange.
-func (x *exchange) Close() error {
+func (x *exchange) Close() {
 	if x.conn != nil {
 		x.abandon()
 	} else if x.waiting {
 		x.stopWaiting()
 	}
-	return nil
 }
 
 // release gives the connection and the slot back after a whole answer.
--- a/internal/upstream/member.go
+++ b/internal/upstream/member.go
@@ -62,8 +62,8 @@
 }
 
 // Close ends the connection.
-func (m *Member) Close() error {
-	return m.conn.Close()
+func (m *Member) Close() {
+	m.conn.Close()
 }
 
 // bind ties the connection to a claim: the primary ends it once the claim is
--- a/member.go
+++ b/member.go
@@ -72,5 +72,5 @@
 	// Follow makes the member replicate from the primary of a term.
 	Follow(ctx context.Context, b Ballot, primary UpstreamID) error
 	// Close ends the member's connection.
-	Close() error
+	Close()
 }
