--- a/internal/control/group/watch.go
+++ b/internal/control/group/watch.go
@@ -19,11 +19,14 @@
 	defer func() { closeMember(m) }()
 	for {
 		m = s.refresh(ctx, u, m)
+		wake := asked
 		if m == nil {
-			asked = drained(asked)
+			// A member that fails is asked at heartbeats only: requests
+			// must not turn into a storm of new connections.
+			wake = nil
 		}
 		select {
-		case <-asked:
+		case <-wake:
 		case <-heartbeat.C:
 		case <-ctx.Done():
 			return
@@ -31,16 +34,6 @@
 	}
 }
 
-// drained empties a channel of wake-ups, so that a member that fails is asked
-// again at the next heartbeat at the earliest.
-func drained(c <-chan struct{}) <-chan struct{} {
-	select {
-	case <-c:
-	default:
-	}
-	return c
-}
-
 // refresh asks a member for its status and writes its view. It opens a fresh
 // connection if there is none, or if the one there is fails: silence of an
 // old connection is no evidence against a member.
--- /dev/null
+++ b/internal/scenario/scenario_test.go
@@ -0,0 +1,285 @@
+// Package scenario_test proves promises with the system's processes: the
+// daemon, the stand-ins and the operators' client, as they are shipped.
+package scenario_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// binaries is where TestMain builds the programs.
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "chervilladder-scenario")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binaries = dir
+	build := exec.Command("go", "build", "-race", "-o", dir+"/", "../../cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata",
+		RequireExplicitExec: true,
+		RequireUniqueNames:  true,
+		Setup:               func(e *testscript.Env) error { e.Values[stateKey{}] = newState(); return nil },
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"world":  cmdWorld,
+			"sql":    cmdSQL,
+			"signal": cmdSignal,
+			"start":  cmdStart,
+			"fault":  cmdFault,
+			"load":   cmdLoad,
+			"wait":   cmdWait,
+			"verify": cmdVerify,
+			"ctl":    cmdCtl,
+		},
+	})
+}
+
+type stateKey struct{}
+
+// state is what the commands of one scenario share.
+type state struct {
+	world   *world
+	history *history
+	load    *load
+	conns   map[string]*pgx.Conn
+}
+
+func newState() *state {
+	return &state{history: newHistory(), conns: map[string]*pgx.Conn{}}
+}
+
+func stateOf(ts *testscript.TestScript) *state {
+	return ts.Value(stateKey{}).(*state)
+}
+
+// option returns the value of NAME=VALUE among arguments.
+func option(args []string, name, otherwise string) string {
+	for _, a := range args {
+		if v, ok := strings.CutPrefix(a, name+"="); ok {
+			return v
+		}
+	}
+	return otherwise
+}
+
+func number(ts *testscript.TestScript, args []string, name string, otherwise int) int {
+	n, err := strconv.Atoi(option(args, name, strconv.Itoa(otherwise)))
+	ts.Check(err)
+	return n
+}
+
+// world [vms=N] [upstreams=N] [slots=N] [lag=D] [statement=D] [service=FILE]
+// starts the processes and waits until each VM serves.
+func cmdWorld(ts *testscript.TestScript, _ bool, args []string) {
+	s := stateOf(ts)
+	service, err := os.ReadFile("testdata/service.json")
+	if file := option(args, "service", ""); file != "" {
+		service, err = []byte(ts.ReadFile(file)), nil
+	}
+	ts.Check(err)
+	w, err := newWorld(ts.MkAbs("."), binaries, worldConfig{
+		vms:       number(ts, args, "vms", 2),
+		upstreams: number(ts, args, "upstreams", 3),
+		slots:     number(ts, args, "slots", 3),
+		lag:       option(args, "lag", "20ms"),
+		statement: option(args, "statement", "1ms"),
+		service:   string(service),
+	})
+	ts.Check(err)
+	s.world = w
+	ts.Defer(func() {
+		if s.load != nil {
+			s.load.end()
+		}
+		w.stop()
+		if os.Getenv("SCENARIO_LOGS") != "" {
+			ts.Logf("%s", w.logs())
+		}
+	})
+	for _, vm := range w.vms {
+		ts.Check(w.awaitServing(vm))
+	}
+}
+
+func (w *world) awaitServing(vm string) error {
+	var last error
+	for until := time.Now().Add(patience); time.Now().Before(until); {
+		if last = w.tryWrite(vm); last == nil {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return fmt.Errorf("%s does not serve: %w\n%s", vm, last, w.logs())
+}
+
+func (w *world) tryWrite(vm string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	c, err := w.connect(ctx, vm, "setup")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close(ctx) }()
+	_, err = c.Exec(ctx, "DELETE FROM setup WHERE id = 'none'")
+	return err
+}
+
+// [!] sql VM[/CONNECTION] STATEMENT [ARGUMENT…] runs a statement with pgx and
+// prints its rows, or its SQLSTATE and message. A connection that is named
+// stays open.
+func cmdSQL(ts *testscript.TestScript, neg bool, args []string) {
+	s := stateOf(ts)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	out, err := s.run(ctx, args[0], args[1], args[2:])
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		out += fmt.Sprintf("%s %s %s: %s (%s)\n", e.Severity, e.Code, e.Message, e.Detail, e.Hint)
+	}
+	_, _ = ts.Stdout().Write([]byte(out))
+	switch {
+	case neg && err == nil:
+		ts.Fatalf("statement succeeded: %s", out)
+	case !neg && err != nil:
+		ts.Fatalf("statement failed: %v %s", err, out)
+	}
+}
+
+func (s *state) run(ctx context.Context, where, statement string, args []string) (string, error) {
+	vm, name, named := strings.Cut(where, "/")
+	user := "clerk"
+	c := s.conns[where]
+	if c == nil || c.IsClosed() {
+		var err error
+		if c, err = s.world.connect(ctx, vm, user); err != nil {
+			return "", err
+		}
+	}
+	if named && name != "" {
+		s.conns[where] = c
+	} else {
+		defer func() { _ = c.Close(ctx) }()
+	}
+	values := make([]any, len(args))
+	for i, a := range args {
+		values[i] = a
+	}
+	rows, err := c.Query(ctx, statement, values...)
+	if err != nil {
+		return "", err
+	}
+	return printRows(rows)
+}
+
+func printRows(rows pgx.Rows) (string, error) {
+	var b strings.Builder
+	for rows.Next() {
+		values, err := rows.Values()
+		if err != nil {
+			return b.String(), err
+		}
+		fmt.Fprintln(&b, values...)
+	}
+	return b.String(), rows.Err()
+}
+
+// signal NAME KILL|STOP|CONT|TERM sends a signal to a process. The name
+// "owner" or "primary" stands for the process that has the role.
+func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]syscall.Signal{
+		"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM,
+	}
+	ts.Check(stateOf(ts).world.signal(args[0], signals[args[1]]))
+}
+
+// start NAME runs a process again.
+func cmdStart(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(stateOf(ts).world.start(args[0]))
+}
+
+// fault NAME PATH [BODY] makes a control call to a stand-in.
+func cmdFault(ts *testscript.TestScript, _ bool, args []string) {
+	w := stateOf(ts).world
+	ts.Check(w.call(http.MethodPost, "http://"+w.controls[args[0]]+args[1], strings.Join(args[2:], " ")))
+}
+
+// load WORKERS starts roaming sessions that write and read back; load stop
+// ends them.
+func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
+	s := stateOf(ts)
+	if args[0] == "stop" {
+		s.load.end()
+		s.load = nil
+		return
+	}
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	s.load = startLoad(s.world, s.history, n)
+}
+
+// wait N waits until N more writes are acknowledged.
+func cmdWait(ts *testscript.TestScript, _ bool, args []string) {
+	s := stateOf(ts)
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	want := s.history.count(outcomeDone) + n
+	for until := time.Now().Add(patience); s.history.count(outcomeDone) < want; {
+		if time.Now().After(until) {
+			ts.Fatalf("%d of %d writes acknowledged\n%s", s.history.count(outcomeDone), want, s.world.logs())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// verify compares what callers were told with what the database holds.
+func cmdVerify(ts *testscript.TestScript, _ bool, _ []string) {
+	s := stateOf(ts)
+	if err := s.history.verify(context.Background(), s.world); err != nil {
+		ts.Fatalf("%v\n%s", err, s.world.logs())
+	}
+	ts.Logf("done %d, not run %d, unknown %d", s.history.count(outcomeDone), s.history.count(outcomeNotRun), s.history.count(outcomeUnknown))
+	for _, u := range s.history.unknown {
+		ts.Logf("unknown: %s", u)
+	}
+}
+
+// [!] ctl ARGUMENT… runs the operators' client against the world's platform.
+func cmdCtl(ts *testscript.TestScript, neg bool, args []string) {
+	w := stateOf(ts).world
+	for i, a := range args {
+		args[i] = strings.NewReplacer("PLATFORM", w.platform, "VM-1", w.operators["vm-1"], "VM-2", w.operators["vm-2"]).Replace(a)
+	}
+	err := ts.Exec(binaries+"/chervilladderctl", args...)
+	if (err != nil) != neg {
+		ts.Fatalf("chervilladderctl: %v", err)
+	}
+}
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -52,10 +52,23 @@
 	held    []byte
 	scratch []byte
 	opened  time.Time
+	// cancelled is set once a request to cancel was sent for the connection.
+	cancelled bool
 }
 
-// Dial opens a connection to an upstream and signs in.
+// The users that the system signs in with. The control user's connections are
+// reserved, so that a full upstream still answers for its status.
+const (
+	workUser    = "chervilladder"
+	controlUser = "chervilladder-control"
+)
+
+// Dial opens a connection to an upstream for work and signs in.
 func Dial(ctx context.Context, u chervilladder.Upstream) (*Conn, error) {
+	return dial(ctx, u, workUser)
+}
+
+func dial(ctx context.Context, u chervilladder.Upstream, user string) (*Conn, error) {
 	nc, err := dialPlain(ctx, u.Address)
 	if err != nil {
 		return nil, &chervilladder.UpstreamLostError{Upstream: u.ID, Err: err}
@@ -69,7 +82,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	if err := c.signIn(); err != nil {
+	if err := c.signIn(user); err != nil {
 		nc.Close()
 		return nil, err
 	}
@@ -91,11 +104,11 @@
 	return c.upstream.ID
 }
 
-func (c *Conn) signIn() error {
+func (c *Conn) signIn(user string) error {
 	start := pgproto3.StartupMessage{
 		ProtocolVersion: protocolVersion30,
 		Parameters: map[string]string{
-			"user":             "chervilladder",
+			"user":             user,
 			"database":         string(c.upstream.Database),
 			"application_name": "chervilladder",
 		},
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -38,23 +38,26 @@
 	mu   sync.Mutex // guards conn against Cancel
 	conn *Conn
 
-	waiting  bool // the ticket is in the queue
-	open     bool // a transaction block is open
-	sent     bool // bytes of the current batch may have left
-	begun    bool // a part of the current answer was passed on
-	failed   bool // the current answer holds an error
-	attempts int
+	waiting bool // the ticket is in the queue
+	open    bool // a transaction block is open
+	sent    bool // bytes of the current batch may have left
+	begun   bool // a part of the current answer was passed on
+	failed  bool // the current answer holds an error
+	// answering is set while the answer to a batch is incomplete, cancelled
+	// once the upstream was asked to stop its statement.
+	answering, cancelled bool
+	attempts             int
 }
 
 // Send passes on a batch. The first one waits for its slot in Recv.
 func (x *exchange) Send(b chervilladder.Batch) error {
 	x.batch = b
-	x.sent, x.begun, x.failed = false, false, false
+	x.sent, x.begun, x.failed, x.cancelled = false, false, false, false
 	if x.conn == nil {
 		return nil
 	}
-	x.sent = true
-	x.conn.setDeadline(x.deadline())
+	x.sent, x.answering = true, true
+	x.conn.setDeadline(x.deadline().Add(-x.grace()))
 	if err := x.conn.send(b); err != nil {
 		return x.fail(err)
 	}
@@ -84,7 +87,7 @@
 			return chervilladder.Reply{}, err
 		}
 	}
-	k, err := x.conn.next(x.failed)
+	k, err := x.next()
 	if err != nil {
 		return chervilladder.Reply{}, err
 	}
@@ -96,6 +99,30 @@
 	return x.finish(k)
 }
 
+// next reads the next part of the answer. A statement that has not ended
+// shortly before the deadline is cancelled, so that its outcome is known
+// rather than lost.
+func (x *exchange) next() (chunk, error) {
+	k, err := x.conn.next(x.failed)
+	if err == nil || !stalled(err) || x.cancelled {
+		return k, err
+	}
+	x.cancelled = true
+	x.conn.setDeadline(time.Now().Add(x.grace()))
+	go x.Cancel()
+	return x.conn.next(x.failed)
+}
+
+// The time before a deadline at which a running statement is cancelled.
+const (
+	maxCancelGrace     = 500 * time.Millisecond
+	cancelGraceDivisor = 5
+)
+
+func (x *exchange) grace() time.Duration {
+	return min(maxCancelGrace, x.class.Deadline/cancelGraceDivisor)
+}
+
 // start waits for a slot, takes a connection and sends the batch.
 func (x *exchange) start() error {
 	claim, err := x.awaitUsableSlot()
@@ -119,8 +146,8 @@
 		return x.notRun(chervilladder.ReasonNoPrimary, err)
 	}
 	x.setConn(conn)
-	conn.setDeadline(x.deadline())
-	x.sent = true
+	conn.setDeadline(x.deadline().Add(-x.grace()))
+	x.sent, x.answering = true, true
 	return conn.send(x.batch)
 }
 
@@ -195,6 +222,7 @@
 // once it is proved that the term and the claim were still in force.
 func (x *exchange) finish(k chunk) (chervilladder.Reply, error) {
 	x.open = k.last && k.status != 'I'
+	x.answering = x.answering && !k.last
 	if k.last && !x.open {
 		x.release()
 	}
@@ -218,9 +246,10 @@
 // Cancel asks the upstream to stop the running statement, or gives up the
 // wait for a slot.
 func (x *exchange) Cancel() {
-	x.mu.Lock()
-	conn := x.conn
-	x.mu.Unlock()
+	x.cancelConn(x.markCancelled())
+}
+
+func (x *exchange) cancelConn(conn *Conn) {
 	if conn == nil {
 		return
 	}
@@ -229,9 +258,24 @@
 	_ = conn.cancelRunning(ctx)
 }
 
+// markCancelled returns the connection of the running statement, if any. It
+// is never pooled again: the request to cancel may arrive late and would hit
+// the work that runs on it then.
+func (x *exchange) markCancelled() *Conn {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.conn != nil {
+		x.conn.cancelled = true
+	}
+	return x.conn
+}
+
 // Close ends the exchange.
 func (x *exchange) Close() {
 	if x.conn != nil {
+		if x.answering {
+			go x.cancelConn(x.markCancelled())
+		}
 		x.abandon()
 	} else if x.waiting {
 		x.stopWaiting()
--- a/internal/upstream/frame.go
+++ b/internal/upstream/frame.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
+	"os"
 )
 
 // headerBytes is the length of a message's type and length fields.
@@ -12,13 +14,30 @@
 // maxMessageBytes bounds one message of an upstream's answer.
 const maxMessageBytes = 64 << 20
 
+// betweenMessagesError is a failure to read before the first byte of a
+// message was taken. After a timeout the reading may go on.
+type betweenMessagesError struct{ err error }
+
+// Error gives the cause.
+func (e *betweenMessagesError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *betweenMessagesError) Unwrap() error { return e.err }
+
+// stalled reports whether an answer did not go on in time, while the
+// connection can still be read.
+func stalled(err error) bool {
+	var between *betweenMessagesError
+	return errors.As(err, &between) && errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // readMessage appends the next whole message to buf and returns buf from the
 // start of that message.
 func (c *Conn) readMessage(buf []byte) ([]byte, error) {
 	start := len(buf)
 	header, err := c.reader.Peek(headerBytes)
 	if err != nil {
-		return nil, err
+		return nil, &betweenMessagesError{err}
 	}
 	size := int(binary.BigEndian.Uint32(header[1:])) + 1
 	if size < headerBytes || size > maxMessageBytes {
--- a/internal/upstream/member.go
+++ b/internal/upstream/member.go
@@ -25,7 +25,7 @@
 
 // DialMember opens the control side of an upstream.
 func DialMember(ctx context.Context, u chervilladder.Upstream) (*Member, error) {
-	c, err := Dial(ctx, u)
+	c, err := dial(ctx, u, controlUser)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -43,7 +43,7 @@
 // Put gives a connection back that is in no transaction and has nothing left
 // to read.
 func (p *Pool) Put(c *Conn) {
-	if c.worn() {
+	if c.cancelled || c.worn() {
 		c.Close()
 		return
 	}
