--- a/pkg/servicefile/decode.go
+++ b/pkg/servicefile/decode.go
@@ -1,7 +1,6 @@
 package servicefile
 
 import (
-	"bytes"
 	"fmt"
 	"slices"
 	"strconv"
@@ -15,9 +14,20 @@
 // decoder walks the syntax tree of one file and collects its faults.
 type decoder struct {
 	name   string
-	text   []byte
 	faults []*FaultError
 	places places
+	// lines holds the offset at which each line starts.
+	lines []int
+}
+
+func newDecoder(name string, text []byte) *decoder {
+	d := &decoder{name: name, places: make(places), lines: []int{0}}
+	for i, c := range text {
+		if c == '\n' {
+			d.lines = append(d.lines, i+1)
+		}
+	}
+	return d
 }
 
 func (d *decoder) fault(offset int, what, fix string) {
@@ -28,11 +38,11 @@
 }
 
 func (d *decoder) place(offset int) place {
-	before := d.text[:min(offset, len(d.text))]
-	return place{
-		line:   1 + bytes.Count(before, []byte("\n")),
-		column: len(before) - bytes.LastIndexByte(before, '\n'),
+	line, found := slices.BinarySearch(d.lines, offset)
+	if !found {
+		line--
 	}
+	return place{line: line + 1, column: offset - d.lines[line] + 1}
 }
 
 // remember keeps the place of a named thing. It reports a fault when the file
--- a/pkg/servicefile/parse.go
+++ b/pkg/servicefile/parse.go
@@ -21,7 +21,7 @@
 // Parse reads one service file and checks all that can be checked without the
 // other files. Its error is a *CheckError with every fault.
 func Parse(name string, text []byte) (*File, error) {
-	d := &decoder{name: name, text: text, places: make(places)}
+	d := newDecoder(name, text)
 	if len(text) > MaxBytes {
 		d.fault(0, fmt.Sprintf("the file has %d bytes", len(text)),
 			fmt.Sprintf("split the service; a file holds up to %d bytes", MaxBytes))
