Add the operators' client with check, publish, diff, history and rollback

Each command is a file of internal/ctl: it gathers a result that is written as text or JSON. status and drain ask the operators' address of VMs. The exit codes tell a wrong file, a conflict and an unknown outcome apart. Checking paths now finds the faults between files also when a file has faults of its own.

--- /dev/null
+++ b/internal/ctl/drain.go
@@ -0,0 +1,60 @@
+package ctl
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+type drain struct {
+	console *console
+	vmOptions
+	Args struct {
+		VM string `positional-arg-name:"VM"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func drainCommand(c *console) command {
+	return command{
+		name:  "drain",
+		short: "Make a VM leave without cutting requests",
+		long: "Tells a VM to hand over the databases that it owns, to finish what is in flight and then to close. " +
+			"The VM is looked up by its name among the given addresses. Draining twice does no harm." +
+			"\n\nExample:\nchervilladderctl drain vm-3 --vm 10.0.1.3:8081",
+		handler: &drain{console: c},
+	}
+}
+
+type drainResult struct {
+	VM      chervilladder.VMID `json:"vm"`
+	Address string             `json:"address"`
+}
+
+func (r drainResult) text() string {
+	return fmt.Sprintf("%s at %s is draining\n", r.VM, r.Address)
+}
+
+// Execute looks the VM up and drains it.
+func (k *drain) Execute([]string) error {
+	vm := chervilladder.VMID(k.Args.VM)
+	answers, errs := askAll[vmStatus](k.console.ctx, k.vmOptions, "/v1/status")
+	for i, a := range answers {
+		if errs[i] != nil || a.VM != vm {
+			continue
+		}
+		address := k.VMs[i]
+		if err := k.call(k.console.ctx, http.MethodPost, address, "/v1/drain", nil); err != nil {
+			return fmt.Errorf("drain %s: %w; try again, draining twice does no harm", vm, err)
+		}
+		return k.console.show(drainResult{VM: vm, Address: address})
+	}
+	if err := errors.Join(errs...); err != nil {
+		return fmt.Errorf("drain %s: not found: %w", vm, err)
+	}
+	return &UsageError{
+		What: fmt.Sprintf("no VM %s at the given addresses", vm),
+		Fix:  "give its operators' address by --vm ADDR",
+	}
+}
--- /dev/null
+++ b/internal/ctl/exit.go
@@ -0,0 +1,70 @@
+package ctl
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/chervilladder/chervilladder/internal/publish"
+	"github.com/chervilladder/chervilladder/pkg/servicefile"
+)
+
+// ExitCode is what chervilladderctl ends with. Scripts may rely on it.
+type ExitCode int
+
+// The exit codes.
+const (
+	ExitDone     ExitCode = 0
+	ExitFailed   ExitCode = 1
+	ExitUsage    ExitCode = 2
+	ExitConflict ExitCode = 3
+	ExitUnknown  ExitCode = 4
+)
+
+// UsageError reports a command line that can't be carried out.
+type UsageError struct {
+	What string
+	// Fix says what to do.
+	Fix string
+}
+
+// Error says what is wrong and what to do.
+func (e *UsageError) Error() string { return fmt.Sprintf("%s; %s", e.What, e.Fix) }
+
+func exitCode(err error) ExitCode {
+	var (
+		conflict *publish.ConflictError
+		unknown  *publish.UnknownError
+	)
+	switch {
+	case err == nil:
+		return ExitDone
+	case errors.As(err, &conflict):
+		return ExitConflict
+	case errors.As(err, &unknown):
+		return ExitUnknown
+	case isUsage(err):
+		return ExitUsage
+	default:
+		return ExitFailed
+	}
+}
+
+// isUsage reports whether the operator has to change the command line or a
+// service file.
+func isUsage(err error) bool {
+	var (
+		parser   *flags.Error
+		usage    *UsageError
+		check    *servicefile.CheckError
+		path     *servicefile.PathError
+		revision *publish.NoRevisionError
+		corrupt  *publish.CorruptError
+	)
+	if errors.As(err, &corrupt) {
+		return false
+	}
+	return errors.As(err, &parser) || errors.As(err, &usage) || errors.As(err, &check) ||
+		errors.As(err, &path) || errors.As(err, &revision)
+}
--- /dev/null
+++ b/internal/ctl/history.go
@@ -0,0 +1,88 @@
+package ctl
+
+import (
+	"strings"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/publish"
+)
+
+type history struct {
+	console *console
+	platformOptions
+	Limit int `long:"limit" value-name:"N" default:"20" description:"How many revisions are listed"`
+}
+
+func historyCommand(c *console) command {
+	return command{
+		name:  "history",
+		short: "List the published revisions, newest first",
+		long: "Lists what is in force and what was before: revision, time, operator, attempt, services that changed, note." +
+			"\n\nExample:\nchervilladderctl history --platform 10.0.0.9:8080 --limit 5",
+		handler: &history{console: c},
+	}
+}
+
+// historyResult lists revisions, newest first.
+type historyResult struct {
+	Revisions []pastRevision `json:"revisions"`
+}
+
+type pastRevision struct {
+	Revision  chervilladder.Revision  `json:"revision"`
+	Published time.Time               `json:"published"`
+	Operator  string                  `json:"operator"`
+	Attempt   chervilladder.AttemptID `json:"attempt"`
+	// Changed is left out for the oldest revision that the history holds.
+	Changed []chervilladder.ServiceID `json:"changed,omitempty"`
+	Note    string                    `json:"note,omitempty"`
+}
+
+// Execute lists the revisions.
+func (k *history) Execute([]string) error {
+	if k.Limit < 1 {
+		return &UsageError{What: "--limit is below one", Fix: "give how many revisions to list"}
+	}
+	client, err := k.client()
+	if err != nil {
+		return err
+	}
+	// One more than asked for tells what the last one changed.
+	indexes, err := publish.History(k.console.ctx, client, k.Limit+1)
+	if err != nil {
+		return err
+	}
+	r := historyResult{Revisions: []pastRevision{}}
+	for i, x := range indexes[:min(k.Limit, len(indexes))] {
+		past := pastRevision{Revision: x.Revision, Published: x.Published, Operator: x.Operator, Attempt: x.Attempt, Note: x.Note}
+		switch {
+		case i+1 < len(indexes):
+			past.Changed = x.Changed(indexes[i+1])
+		case x.Revision == 1:
+			past.Changed = x.Changed(publish.Index{})
+		}
+		r.Revisions = append(r.Revisions, past)
+	}
+	return k.console.show(r)
+}
+
+func (r historyResult) text() string {
+	var t table
+	t.row("REVISION", "PUBLISHED", "OPERATOR", "ATTEMPT", "CHANGED", "NOTE")
+	for _, p := range r.Revisions {
+		t.row(p.Revision, p.Published.Format(time.RFC3339), p.Operator, p.Attempt, joinServices(p.Changed), p.Note)
+	}
+	return t.String()
+}
+
+func joinServices(services []chervilladder.ServiceID) string {
+	if len(services) == 0 {
+		return "-"
+	}
+	names := make([]string, 0, len(services))
+	for _, s := range services {
+		names = append(names, string(s))
+	}
+	return strings.Join(names, ",")
+}
--- /dev/null
+++ b/internal/ctl/options.go
@@ -0,0 +1,66 @@
+package ctl
+
+import (
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/platform"
+	"github.com/chervilladder/chervilladder/internal/publish"
+	"github.com/chervilladder/chervilladder/pkg/servicefile"
+)
+
+// platformOptions say where the platform is.
+type platformOptions struct {
+	Platform string        `long:"platform" env:"CHERVILLADDER_PLATFORM" value-name:"ADDR" description:"The platform's address and port"`
+	Timeout  time.Duration `long:"timeout" value-name:"TIME" default:"2s" description:"The time for one call to the platform"`
+}
+
+func (o platformOptions) client() (*platform.Client, error) {
+	if o.Platform == "" {
+		return nil, &UsageError{What: "no platform given", Fix: "give --platform ADDR or set CHERVILLADDER_PLATFORM"}
+	}
+	if o.Timeout <= 0 {
+		return nil, &UsageError{What: "--timeout is not above zero", Fix: "give a length of time such as 2s"}
+	}
+	return platform.New(platform.Config{Address: o.Platform, Timeout: o.Timeout})
+}
+
+// publishOptions say who publishes and what for.
+type publishOptions struct {
+	platformOptions
+	Operator       string  `long:"operator" env:"CHERVILLADDER_OPERATOR" value-name:"NAME" description:"Who publishes (default: the user's name)"`
+	Note           string  `long:"note" value-name:"TEXT" description:"Why, for the history"`
+	ExpectRevision *uint64 `long:"expect-revision" value-name:"N" description:"Publish only if this revision is in force"`
+}
+
+func (o publishOptions) publisher(c *console) (*publish.Publisher, error) {
+	client, err := o.client()
+	if err != nil {
+		return nil, err
+	}
+	operator := o.Operator
+	if operator == "" {
+		operator = c.user
+	}
+	if operator == "" {
+		return nil, &UsageError{What: "no operator given", Fix: "give --operator NAME or set CHERVILLADDER_OPERATOR"}
+	}
+	return publish.New(publish.Config{Platform: client, Operator: operator})
+}
+
+func (o publishOptions) expect() *chervilladder.Revision {
+	if o.ExpectRevision == nil {
+		return nil
+	}
+	r := chervilladder.Revision(*o.ExpectRevision)
+	return &r
+}
+
+// pathArgs are the service files that a command reads.
+type pathArgs struct {
+	Paths []string `positional-arg-name:"PATH" required:"1"`
+}
+
+func (a pathArgs) read() ([]servicefile.File, error) {
+	return servicefile.ReadPaths(a.Paths...)
+}
--- /dev/null
+++ b/internal/ctl/rollback.go
@@ -0,0 +1,42 @@
+package ctl
+
+import (
+	"fmt"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+type rollback struct {
+	console *console
+	publishOptions
+	Args struct {
+		Revision uint64 `positional-arg-name:"REVISION"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func rollbackCommand(c *console) command {
+	return command{
+		name:  "rollback",
+		short: "Publish the content of an old revision anew",
+		long: "Brings the content of an old revision into force as a new revision, for all services." +
+			"\n\nExample:\nchervilladderctl rollback --platform 10.0.0.9:8080 41",
+		handler: &rollback{console: c},
+	}
+}
+
+// Execute publishes the old content.
+func (k *rollback) Execute([]string) error {
+	p, err := k.publisher(k.console)
+	if err != nil {
+		return err
+	}
+	note := k.Note
+	if note == "" {
+		note = fmt.Sprintf("back to revision %d", k.Args.Revision)
+	}
+	index, err := p.Rollback(k.console.ctx, chervilladder.Revision(k.Args.Revision), note, k.expect())
+	if err != nil {
+		return err
+	}
+	return k.console.show(publishResultOf(index))
+}
--- /dev/null
+++ b/internal/ctl/run.go
@@ -0,0 +1,101 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Config configures a run of chervilladderctl.
+type Config struct {
+	// Args are the arguments without the program's name.
+	Args []string
+	// Out takes the results, Err the errors.
+	Out io.Writer
+	Err io.Writer
+	// User is the operator if the command line names none.
+	User string
+}
+
+// globalOptions are the options that all commands have.
+type globalOptions struct {
+	Output string `long:"output" choice:"text" choice:"json" default:"text" description:"How results are written"`
+}
+
+// console is what the commands share.
+type console struct {
+	ctx    context.Context
+	out    io.Writer
+	user   string
+	global globalOptions
+}
+
+// result is what a command has to say. Its exported fields are its JSON.
+type result interface {
+	text() string
+}
+
+// show writes a result in the form that the operator asked for.
+func (c *console) show(r result) error {
+	if c.global.Output == "text" {
+		_, err := io.WriteString(c.out, r.text())
+		return err
+	}
+	e := json.NewEncoder(c.out)
+	e.SetIndent("", "  ")
+	return e.Encode(r)
+}
+
+// command describes a command to the parser.
+type command struct {
+	name    string
+	short   string
+	long    string
+	handler flags.Commander
+}
+
+// Run runs the command that the arguments name and returns the exit code.
+func Run(ctx context.Context, config Config) ExitCode {
+	err := run(ctx, config)
+	var usage *flags.Error
+	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+		_, err = fmt.Fprintln(config.Out, usage.Message)
+		return exitCode(err)
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(config.Err, "chervilladderctl:", err)
+	}
+	return exitCode(err)
+}
+
+func run(ctx context.Context, config Config) error {
+	c := &console{ctx: ctx, out: config.Out, user: config.User}
+	parser := flags.NewNamedParser("chervilladderctl", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Checks and publishes service files, and shows what is in force."
+	if _, err := parser.AddGroup("Options of all commands", "", &c.global); err != nil {
+		return err
+	}
+	for _, k := range commands(c) {
+		if _, err := parser.AddCommand(k.name, k.short, k.long, k.handler); err != nil {
+			return err
+		}
+	}
+	_, err := parser.ParseArgs(config.Args)
+	return err
+}
+
+func commands(c *console) []command {
+	return []command{
+		checkCommand(c),
+		publishCommand(c),
+		diffCommand(c),
+		historyCommand(c),
+		rollbackCommand(c),
+		statusCommand(c),
+		drainCommand(c),
+	}
+}
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,87 @@
+package ctl
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+type status struct {
+	console *console
+	vmOptions
+}
+
+func statusCommand(c *console) command {
+	return command{
+		name:  "status",
+		short: "Show what VMs say of themselves and of the groups",
+		long: "Asks VMs for their state, the revision that they run and its age, and the primary of each group." +
+			"\n\nExample:\nchervilladderctl status --vm 10.0.1.1:8081 --vm 10.0.1.2:8081",
+		handler: &status{console: c},
+	}
+}
+
+// statusResult holds the answers of the VMs that gave one.
+type statusResult struct {
+	VMs []vmStatus `json:"vms"`
+	// Groups holds each group as the VM that knows its highest term sees it.
+	Groups []vmGroup `json:"groups"`
+	// Mixed is set when the VMs run more than one revision.
+	Mixed bool `json:"mixed"`
+}
+
+// Execute asks the VMs. It shows the good answers also when some are missing.
+func (k *status) Execute([]string) error {
+	answers, errs := askAll[vmStatus](k.console.ctx, k.vmOptions, "/v1/status")
+	r := statusResult{VMs: []vmStatus{}}
+	for i, a := range answers {
+		if errs[i] == nil {
+			r.VMs = append(r.VMs, a)
+		}
+	}
+	r.Groups = newestGroups(r.VMs)
+	for _, vm := range r.VMs {
+		r.Mixed = r.Mixed || vm.Revision != r.VMs[0].Revision
+	}
+	return errors.Join(k.console.show(r), errors.Join(errs...))
+}
+
+func newestGroups(vms []vmStatus) []vmGroup {
+	newest := make(map[chervilladder.DatabaseID]vmGroup)
+	for _, vm := range vms {
+		for _, g := range vm.Groups {
+			if held, ok := newest[g.Database]; !ok || g.Term > held.Term {
+				newest[g.Database] = g
+			}
+		}
+	}
+	groups := make([]vmGroup, 0, len(newest))
+	for _, g := range newest {
+		groups = append(groups, g)
+	}
+	slices.SortFunc(groups, func(a, b vmGroup) int { return cmp.Compare(a.Database, b.Database) })
+	return groups
+}
+
+func (r statusResult) text() string {
+	var t table
+	t.row("VM", "DATA CENTRE", "STATE", "REVISION", "AGE", "OWNED", "MEMBERS")
+	for _, vm := range r.VMs {
+		age := fmt.Sprintf("%.1fs", vm.KnowledgeAgeSeconds)
+		t.row(vm.VM, vm.DataCentre, vm.State, vm.Revision, age, len(vm.Owned), len(vm.Members))
+	}
+	if len(r.Groups) > 0 {
+		t.line("")
+		t.row("DATABASE", "PRIMARY", "TERM", "OWNER")
+	}
+	for _, g := range r.Groups {
+		t.row(g.Database, g.Primary, g.Term, g.Owner)
+	}
+	if r.Mixed {
+		t.line("\nthe VMs run more than one revision; ask again in a few seconds")
+	}
+	return t.String()
+}
--- /dev/null
+++ b/internal/ctl/vm.go
@@ -0,0 +1,121 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// parallelVMs bounds the VMs that are asked at once.
+const parallelVMs = 16
+
+// maxVMAnswerBytes bounds what is read of a VM's answer.
+const maxVMAnswerBytes = 64 << 20
+
+// vmOptions say which VMs to ask.
+type vmOptions struct {
+	VMs       []string      `long:"vm" value-name:"ADDR" required:"yes" description:"The operators' address of a VM (may be repeated)"`
+	VMTimeout time.Duration `long:"vm-timeout" value-name:"TIME" default:"3s" description:"The time for one call to a VM"`
+}
+
+// vmStatus is what a VM says of itself.
+type vmStatus struct {
+	VM                  chervilladder.VMID         `json:"vm"`
+	DataCentre          chervilladder.DataCentreID `json:"data-centre"`
+	Revision            chervilladder.Revision     `json:"revision"`
+	KnowledgeAgeSeconds float64                    `json:"knowledge-age-seconds"`
+	// State is ready or draining.
+	State   string                     `json:"state"`
+	Owned   []chervilladder.DatabaseID `json:"owned"`
+	Members []vmMember                 `json:"members"`
+	Groups  []vmGroup                  `json:"groups"`
+}
+
+// vmMember is a VM as another one sees it.
+type vmMember struct {
+	VM    chervilladder.VMID `json:"vm"`
+	State string             `json:"state"`
+}
+
+// vmGroup is a database's group as a VM sees it.
+type vmGroup struct {
+	Database chervilladder.DatabaseID `json:"database"`
+	Primary  chervilladder.UpstreamID `json:"primary"`
+	Term     chervilladder.Term       `json:"term"`
+	Owner    chervilladder.VMID       `json:"owner"`
+}
+
+// VMError reports a VM that gave no good answer.
+type VMError struct {
+	Address string
+	Err     error
+}
+
+// Error names the address and says what to do.
+func (e *VMError) Error() string {
+	return fmt.Sprintf("VM at %s: %v; check that the address is the VM's operators' address and that it is up", e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *VMError) Unwrap() error { return e.Err }
+
+// call asks one VM and decodes its answer, unless into is nil.
+func (o vmOptions) call(ctx context.Context, method, address, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, o.VMTimeout)
+	defer cancel()
+	if err := callVM(ctx, method, address, path, into); err != nil {
+		return &VMError{Address: address, Err: err}
+	}
+	return nil
+}
+
+func callVM(ctx context.Context, method, address, path string, into any) error {
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	req, err := http.NewRequestWithContext(ctx, method, strings.TrimRight(address, "/")+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxVMAnswerBytes))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("status %d: %s", resp.StatusCode, strings.TrimSpace(string(body[:min(len(body), 200)])))
+	}
+	if into == nil {
+		return nil
+	}
+	return json.Unmarshal(body, into)
+}
+
+// askAll asks every VM for the same and keeps the order of the addresses. An
+// answer's error stands in its place.
+func askAll[T any](ctx context.Context, o vmOptions, path string) ([]T, []error) {
+	answers := make([]T, len(o.VMs))
+	errs := make([]error, len(o.VMs))
+	var group errgroup.Group
+	group.SetLimit(parallelVMs)
+	for i, address := range o.VMs {
+		group.Go(func() error {
+			errs[i] = o.call(ctx, http.MethodGet, address, path, &answers[i])
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return answers, errs
+}
--- a/pkg/servicefile/catalogue.go
+++ b/pkg/servicefile/catalogue.go
@@ -10,16 +10,20 @@
 // upstream or upstream address is in two of them. Its error is a *CheckError
 // with every fault.
 func Check(files []File) error {
-	c := checker{first: make(map[thing]string)}
+	return checkError(checkFiles(files))
+}
+
+func checkFiles(files []File) []*FaultError {
+	c := checker{first: make(map[thing]*File)}
 	for i := range files {
 		c.file(&files[i])
 	}
-	return checkError(c.faults)
+	return c.faults
 }
 
 // checker remembers which file has named a thing first.
 type checker struct {
-	first  map[thing]string
+	first  map[thing]*File
 	faults []*FaultError
 }
 
@@ -35,16 +39,22 @@
 }
 
 func (c *checker) claim(f *File, kind, name string) {
+	if name == "" {
+		return // a fault of the file itself
+	}
 	key := thing{kind, name}
 	first, ok := c.first[key]
 	if !ok {
-		c.first[key] = f.Name
+		c.first[key] = f
 		return
 	}
+	if first == f {
+		return // a fault of the file itself
+	}
 	at := f.places.find(kind, name)
 	c.faults = append(c.faults, &FaultError{
 		File: f.Name, Line: at.line, Column: at.column,
-		What: fmt.Sprintf("%s %q is in %s too", kind, name, first),
+		What: fmt.Sprintf("%s %q is in %s too", kind, name, first.Name),
 		Fix:  "give each its own, or remove one",
 	})
 }
--- a/pkg/servicefile/parse.go
+++ b/pkg/servicefile/parse.go
@@ -21,23 +21,29 @@
 // Parse reads one service file and checks all that can be checked without the
 // other files. Its error is a *CheckError with every fault.
 func Parse(name string, text []byte) (*File, error) {
+	f, faults := parse(name, text)
+	if err := checkError(faults); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// parse returns as much of the file as its faults leave.
+func parse(name string, text []byte) (*File, []*FaultError) {
 	d := newDecoder(name, text)
 	if len(text) > MaxBytes {
 		d.fault(0, fmt.Sprintf("the file has %d bytes", len(text)),
 			fmt.Sprintf("split the service; a file holds up to %d bytes", MaxBytes))
-		return nil, checkError(d.faults)
+		return &File{Name: name}, d.faults
 	}
 	v, err := hujson.Parse(text)
 	if err != nil {
 		d.syntaxFault(err)
-		return nil, checkError(d.faults)
+		return &File{Name: name}, d.faults
 	}
 	f := d.file(v)
 	f.Name, f.Text, f.places = name, string(text), d.places
-	if err := checkError(d.faults); err != nil {
-		return nil, err
-	}
-	return f, nil
+	return f, d.faults
 }
 
 func (d *decoder) syntaxFault(err error) {
--- a/pkg/servicefile/read.go
+++ b/pkg/servicefile/read.go
@@ -7,9 +7,26 @@
 	"path/filepath"
 )
 
+// PathError reports a path that no service file could be read from.
+type PathError struct {
+	Path string
+	Err  error
+}
+
+// Error names the path and says what to do.
+func (e *PathError) Error() string {
+	return fmt.Sprintf("service files of %s: %v; check the path", e.Path, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *PathError) Unwrap() error { return e.Err }
+
+var errNoFile = errors.New("no file ends in .json")
+
 // ReadPaths reads and checks the service files that the paths name. A path to
 // a directory stands for the files in it, but not below it, whose names end in
-// ".json". A *CheckError holds the faults of all files together.
+// ".json". Its error is a *PathError, or a *CheckError that holds the faults of
+// all files together.
 func ReadPaths(paths ...string) ([]File, error) {
 	names, err := expand(paths)
 	if err != nil {
@@ -18,35 +35,21 @@
 	var files []File
 	var faults []*FaultError
 	for _, name := range names {
-		f, err := readFile(name)
-		var check *CheckError
-		switch {
-		case errors.As(err, &check):
-			faults = append(faults, check.Faults...)
-		case err != nil:
-			return nil, err
-		default:
-			files = append(files, *f)
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return nil, &PathError{Path: name, Err: err}
 		}
+		f, found := parse(name, text)
+		files = append(files, *f)
+		faults = append(faults, found...)
 	}
-	var check *CheckError
-	if errors.As(Check(files), &check) {
-		faults = append(faults, check.Faults...)
-	}
+	faults = append(faults, checkFiles(files)...)
 	if err := checkError(faults); err != nil {
 		return nil, err
 	}
 	return files, nil
 }
 
-func readFile(name string) (*File, error) {
-	text, err := os.ReadFile(name)
-	if err != nil {
-		return nil, fmt.Errorf("service file: %w; check the path", err)
-	}
-	return Parse(name, text)
-}
-
 // expand replaces directories by their service files. A file that two paths
 // lead to is taken once.
 func expand(paths []string) ([]string, error) {
@@ -70,14 +73,14 @@
 func expandPath(path string) ([]string, error) {
 	info, err := os.Stat(path)
 	if err != nil {
-		return nil, fmt.Errorf("service file: %w; check the path", err)
+		return nil, &PathError{Path: path, Err: err}
 	}
 	if !info.IsDir() {
 		return []string{path}, nil
 	}
 	entries, err := os.ReadDir(path)
 	if err != nil {
-		return nil, fmt.Errorf("service files of %s: %w; check the permissions", path, err)
+		return nil, &PathError{Path: path, Err: err}
 	}
 	var names []string
 	for _, e := range entries {
@@ -86,7 +89,7 @@
 		}
 	}
 	if len(names) == 0 {
-		return nil, fmt.Errorf("service files of %s: no file ends in .json; check the path", path)
+		return nil, &PathError{Path: path, Err: errNoFile}
 	}
 	return names, nil
 }
