--- a/internal/blackboard/database.go
+++ b/internal/blackboard/database.go
@@ -67,6 +67,17 @@
 	Failing time.Time
 	// Err says how it fails.
 	Err error
+	// Unheard is since when the member has said that it never heard from
+	// its primary, or a primary from any replica; zero if it has.
+	Unheard time.Time
+}
+
+// ContactAge returns for how long the member has not heard from its group.
+func (v MemberView) ContactAge(now time.Time) time.Duration {
+	if v.Unheard.IsZero() {
+		return v.Status.Contact
+	}
+	return now.Sub(v.Unheard)
 }
 
 // With returns a copy of the group in which one member's view is replaced.
--- a/internal/control/group/watch.go
+++ b/internal/control/group/watch.go
@@ -83,7 +83,14 @@
 
 func (s *supervisor) answered(id chervilladder.UpstreamID, status chervilladder.MemberStatus, t blackboard.Tick, asked time.Time) {
 	s.state.Group.Update(func(g blackboard.Group) blackboard.Group {
-		return g.With(id, blackboard.MemberView{Status: status, Tick: t, Asked: asked})
+		v := blackboard.MemberView{Status: status, Tick: t, Asked: asked}
+		if status.Contact < 0 {
+			v.Unheard = asked
+			if old := g.Members[id].Unheard; !old.IsZero() {
+				v.Unheard = old
+			}
+		}
+		return g.With(id, v)
 	})
 }
 
--- a/internal/decide/promotion/promotion.go
+++ b/internal/decide/promotion/promotion.go
@@ -48,7 +48,7 @@
 		return CauseNone
 	case p.Status.Role != chervilladder.RolePrimary:
 		return CauseSteppedDown
-	case p.Status.Contact >= c.SuspectAfter || p.Status.Contact < 0:
+	case p.ContactAge(now) >= c.SuspectAfter:
 		return CauseCutOff
 	default:
 		return CauseNone
@@ -63,7 +63,7 @@
 		if id == g.Primary || v.Err != nil || now.Sub(v.Asked) > c.FreshFor {
 			continue
 		}
-		if v.Status.Contact < 0 || v.Status.Contact >= c.SuspectAfter {
+		if v.ContactAge(now) >= c.SuspectAfter {
 			n++
 		}
 	}
