--- /dev/null
+++ b/cmd/standin/upstream.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/state"
+)
+
+// dieCode is the exit code of a process that is made to die.
+const dieCode = 137
+
+// upstreamCommand runs the stand-in of one member of a database group.
+type upstreamCommand struct {
+	Name          string        `long:"name" required:"true" description:"Name of the member"`
+	Listen        string        `long:"listen" required:"true" value-name:"ADDRESS" description:"Address for PostgreSQL"`
+	Control       string        `long:"control" required:"true" value-name:"ADDRESS" description:"Address for the control calls over HTTP"`
+	GroupListen   string        `long:"group-listen" value-name:"ADDRESS" description:"Address for the other members; by default the member's own in --group"`
+	Group         string        `long:"group" value-name:"NAME=ADDRESS,…" description:"Group addresses of all members"`
+	Primary       string        `long:"primary" value-name:"NAME" description:"Member that is primary of term 1 of a new group"`
+	Slots         int           `long:"slots" default:"3" description:"Statements that run at once"`
+	Connections   int           `long:"connections" default:"20" description:"Connections that may be open"`
+	Reserved      int           `long:"reserved-connections" default:"3" description:"Connections besides, for the reserved user"`
+	ReservedUser  string        `long:"reserved-user" default:"chervilladder-control" description:"User of the reserved connections"`
+	ConnectDelay  time.Duration `long:"connect-delay" default:"12ms" description:"What opening a connection takes"`
+	StatementTime time.Duration `long:"statement-time" default:"1ms" description:"What each statement takes"`
+	Lag           time.Duration `long:"lag" default:"0s" description:"Lag of replaying the log on a replica"`
+	ReceiveLag    time.Duration `long:"receive-lag" default:"0s" description:"Lag of receiving the log on a replica"`
+}
+
+// Execute runs the member until it is told to stop.
+func (c *upstreamCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	group, err := parseGroup(c.Group)
+	if err != nil {
+		return err
+	}
+	u, err := upstream.New(upstream.Config{
+		Name:    chervilladder.UpstreamID(c.Name),
+		Group:   group,
+		Primary: chervilladder.UpstreamID(c.Primary),
+		Settings: state.Settings{
+			Slots: c.Slots, Connections: c.Connections, Reserved: c.Reserved, ReservedUser: c.ReservedUser,
+			ConnectDelay: c.ConnectDelay, StatementTime: c.StatementTime, ReplayLag: c.Lag, ReceiveLag: c.ReceiveLag,
+		},
+		Log: logrus.StandardLogger(),
+		Die: func() { os.Exit(dieCode) },
+	})
+	if err != nil {
+		return err
+	}
+	listeners, err := c.listen(group)
+	if err != nil {
+		return err
+	}
+	return u.Run(ctx, listeners)
+}
+
+func (c *upstreamCommand) listen(group map[chervilladder.UpstreamID]chervilladder.Address) (upstream.Listeners, error) {
+	own := c.GroupListen
+	if own == "" {
+		own = string(group[chervilladder.UpstreamID(c.Name)])
+	}
+	if own == "" {
+		own = "127.0.0.1:0"
+	}
+	var l upstream.Listeners
+	for _, entry := range []struct {
+		address string
+		to      *net.Listener
+	}{{c.Listen, &l.Callers}, {own, &l.Group}, {c.Control, &l.Control}} {
+		var err error
+		if *entry.to, err = net.Listen("tcp", entry.address); err != nil {
+			return l, err
+		}
+	}
+	return l, nil
+}
+
+// parseGroup reads a list of the form NAME=ADDRESS,NAME=ADDRESS.
+func parseGroup(text string) (map[chervilladder.UpstreamID]chervilladder.Address, error) {
+	group := map[chervilladder.UpstreamID]chervilladder.Address{}
+	if text == "" {
+		return group, nil
+	}
+	for entry := range strings.SplitSeq(text, ",") {
+		name, address, ok := strings.Cut(strings.TrimSpace(entry), "=")
+		if !ok || name == "" || address == "" {
+			return nil, fmt.Errorf("--group: %q is not of the form NAME=ADDRESS", entry)
+		}
+		group[chervilladder.UpstreamID(name)] = chervilladder.Address(address)
+	}
+	return group, nil
+}
--- /dev/null
+++ b/internal/standin/board/section.go
@@ -0,0 +1,82 @@
+// Package board holds the sections through which the parts of a stand-in
+// share their state. A reader loads an immutable value without a lock; a
+// writer copies it, changes the copy and swaps it in.
+package board
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// Section is one shared value. The zero Section is not usable; call
+// NewSection.
+//
+//	faults := board.NewSection(Faults{})
+//	faults.Update(func(f *Faults) { f.Down = true })
+//	down := faults.Load().Down
+type Section[T any] struct {
+	mu      sync.Mutex
+	current atomic.Pointer[node[T]]
+}
+
+// node is one value of a section with the channel that closes when the next
+// value takes its place.
+type node[T any] struct {
+	value    T
+	replaced chan struct{}
+}
+
+// NewSection returns a section that holds the given value.
+func NewSection[T any](value T) *Section[T] {
+	s := &Section[T]{}
+	s.current.Store(&node[T]{value: value, replaced: make(chan struct{})})
+	return s
+}
+
+// Load returns the current value.
+func (s *Section[T]) Load() T {
+	return s.current.Load().value
+}
+
+// Watch returns the current value and a channel that closes once it has been
+// replaced.
+func (s *Section[T]) Watch() (T, <-chan struct{}) {
+	n := s.current.Load()
+	return n.value, n.replaced
+}
+
+// Update changes a copy of the value and swaps it in. It returns the new
+// value.
+func (s *Section[T]) Update(change func(*T)) T {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.swap(change)
+}
+
+// TryUpdate is Update for a change that may refuse. The value stays as it is
+// when the change returns an error.
+func (s *Section[T]) TryUpdate(change func(*T) error) (T, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	value := s.current.Load().value
+	if err := change(&value); err != nil {
+		return s.current.Load().value, err
+	}
+	return s.swap(func(v *T) { *v = value }), nil
+}
+
+// Hold calls f with the value while no writer can replace it.
+func (s *Section[T]) Hold(f func(T) error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return f(s.current.Load().value)
+}
+
+func (s *Section[T]) swap(change func(*T)) T {
+	old := s.current.Load()
+	next := &node[T]{value: old.value, replaced: make(chan struct{})}
+	change(&next.value)
+	s.current.Store(next)
+	close(old.replaced)
+	return next.value
+}
--- /dev/null
+++ b/internal/standin/platform/counts.go
@@ -0,0 +1,29 @@
+package platform
+
+import "sync/atomic"
+
+// counts counts the calls of the object API.
+type counts struct {
+	reads   atomic.Int64
+	writes  atomic.Int64
+	watches atomic.Int64
+	waiting atomic.Int64
+}
+
+// Counts is how many calls of each kind there have been. Waiting is how many
+// watches wait now.
+type Counts struct {
+	Reads   int64 `json:"reads"`
+	Writes  int64 `json:"writes"`
+	Watches int64 `json:"watches"`
+	Waiting int64 `json:"watches-waiting"`
+}
+
+func (c *counts) load() Counts {
+	return Counts{
+		Reads:   c.reads.Load(),
+		Writes:  c.writes.Load(),
+		Watches: c.watches.Load(),
+		Waiting: c.waiting.Load(),
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/store.go
@@ -0,0 +1,124 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/standin/board"
+)
+
+// MaxValueBytes is the largest value that an object may have.
+const MaxValueBytes = 1 << 20
+
+// Object is one object of the store as the API shows it.
+type Object struct {
+	Kind    chervilladder.ObjectKind `json:"kind"`
+	Name    chervilladder.ObjectName `json:"name"`
+	Version chervilladder.Version    `json:"version"`
+	Value   json.RawMessage          `json:"value"`
+}
+
+// MismatchError reports a conditional change whose version was not the
+// object's.
+type MismatchError struct {
+	// Current is the object as it stands; its version is 0 when there is
+	// none.
+	Current Object
+}
+
+// Error names the object and its version.
+func (e *MismatchError) Error() string {
+	return fmt.Sprintf("object %s/%s is at version %d", e.Current.Kind, e.Current.Name, e.Current.Version)
+}
+
+// contents is one state of the store. It is never changed once it is shared.
+type contents struct {
+	version chervilladder.Version
+	kinds   map[chervilladder.ObjectKind]map[chervilladder.ObjectName]Object
+}
+
+// Store holds the objects. One counter, which rises by one with each change,
+// gives all objects their versions.
+type Store struct {
+	contents *board.Section[contents]
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{contents: board.NewSection(contents{})}
+}
+
+// Get returns an object, and whether there is one.
+func (s *Store) Get(kind chervilladder.ObjectKind, name chervilladder.ObjectName) (Object, bool) {
+	o, ok := s.contents.Load().kinds[kind][name]
+	return o, ok
+}
+
+// List returns the objects of a kind that are newer than the given version,
+// in the order of their names, with the store's version. The channel closes
+// with the next change of any object.
+func (s *Store) List(kind chervilladder.ObjectKind, after chervilladder.Version) (chervilladder.Version, []Object, <-chan struct{}) {
+	c, changed := s.contents.Watch()
+	objects := []Object{}
+	for _, o := range c.kinds[kind] {
+		if o.Version > after {
+			objects = append(objects, o)
+		}
+	}
+	slices.SortFunc(objects, func(a, b Object) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	return c.version, objects, changed
+}
+
+// Put writes an object whose version is still the given one; 0 means that it
+// must not exist. It returns a *MismatchError otherwise.
+func (s *Store) Put(kind chervilladder.ObjectKind, name chervilladder.ObjectName, value json.RawMessage, ifVersion chervilladder.Version) (chervilladder.Version, error) {
+	return s.change(kind, name, ifVersion, func(names map[chervilladder.ObjectName]Object, next chervilladder.Version) {
+		names[name] = Object{Kind: kind, Name: name, Version: next, Value: value}
+	})
+}
+
+// Delete removes an object whose version is still the given one. It returns a
+// *MismatchError otherwise.
+func (s *Store) Delete(kind chervilladder.ObjectKind, name chervilladder.ObjectName, ifVersion chervilladder.Version) (chervilladder.Version, error) {
+	return s.change(kind, name, ifVersion, func(names map[chervilladder.ObjectName]Object, _ chervilladder.Version) {
+		delete(names, name)
+	})
+}
+
+func (s *Store) change(
+	kind chervilladder.ObjectKind,
+	name chervilladder.ObjectName,
+	ifVersion chervilladder.Version,
+	apply func(map[chervilladder.ObjectName]Object, chervilladder.Version),
+) (chervilladder.Version, error) {
+	after, err := s.contents.TryUpdate(func(c *contents) error {
+		current, ok := c.kinds[kind][name]
+		if !ok {
+			current = Object{Kind: kind, Name: name, Value: json.RawMessage("null")}
+		}
+		if current.Version != ifVersion {
+			return &MismatchError{Current: current}
+		}
+		names := maps.Clone(c.kinds[kind])
+		if names == nil {
+			names = map[chervilladder.ObjectName]Object{}
+		}
+		c.version++
+		apply(names, c.version)
+		c.kinds = cloneKinds(c.kinds)
+		c.kinds[kind] = names
+		return nil
+	})
+	return after.version, err
+}
+
+func cloneKinds(kinds map[chervilladder.ObjectKind]map[chervilladder.ObjectName]Object) map[chervilladder.ObjectKind]map[chervilladder.ObjectName]Object {
+	if kinds == nil {
+		return map[chervilladder.ObjectKind]map[chervilladder.ObjectName]Object{}
+	}
+	return maps.Clone(kinds)
+}
--- /dev/null
+++ b/internal/standin/upstream/engine/locks.go
@@ -0,0 +1,129 @@
+package engine
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/pgerror"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/sql"
+)
+
+// rowKey names a row of a table.
+type rowKey struct {
+	table sql.TableName
+	id    RowID
+}
+
+// lock is the lock of one row with those who wait for it, in their order.
+type lock struct {
+	owner *Txn
+	queue []*lockWait
+}
+
+// lockWait is one transaction's wait for a lock.
+type lockWait struct {
+	txn     *Txn
+	granted chan struct{}
+}
+
+// lockTable holds the locks of all rows that are locked.
+type lockTable struct {
+	mu    sync.Mutex
+	locks map[rowKey]*lock
+}
+
+func newLockTable() *lockTable { return &lockTable{locks: map[rowKey]*lock{}} }
+
+// acquire locks a row for a transaction, and waits while another holds it.
+func (t *lockTable) acquire(ctx context.Context, txn *Txn, key rowKey) error {
+	wait, err := t.enter(txn, key)
+	if wait == nil || err != nil {
+		return err
+	}
+	select {
+	case <-wait.granted:
+	case <-txn.ended:
+		t.leave(wait, key)
+	case <-ctx.Done():
+		t.leave(wait, key)
+		return context.Cause(ctx)
+	}
+	if err := txn.Err(); err != nil {
+		// The lock may have been granted after the transaction ended.
+		t.release(txn)
+		return err
+	}
+	return nil
+}
+
+// enter takes the lock, or a place in its queue.
+func (t *lockTable) enter(txn *Txn, key rowKey) (*lockWait, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := txn.Err(); err != nil {
+		return nil, err
+	}
+	l := t.locks[key]
+	if l == nil {
+		t.locks[key] = &lock{owner: txn}
+		txn.held = append(txn.held, key)
+		return nil, nil
+	}
+	if l.owner == txn {
+		return nil, nil
+	}
+	if l.blocks(txn) {
+		return nil, pgerror.New(pgerror.Deadlock, "deadlock detected")
+	}
+	wait := &lockWait{txn: txn, granted: make(chan struct{})}
+	l.queue = append(l.queue, wait)
+	txn.waiting = l
+	return wait, nil
+}
+
+// blocks reports whether the lock's owner waits, through others, for txn.
+func (l *lock) blocks(txn *Txn) bool {
+	for l != nil {
+		if l.owner == txn {
+			return true
+		}
+		l = l.owner.waiting
+	}
+	return false
+}
+
+// leave gives up a wait, or the lock if it has been granted meanwhile.
+func (t *lockTable) leave(wait *lockWait, key rowKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	wait.txn.waiting = nil
+	if l := t.locks[key]; l != nil {
+		l.queue = slices.DeleteFunc(l.queue, func(w *lockWait) bool { return w == wait })
+	}
+}
+
+// release gives up all locks of a transaction.
+func (t *lockTable) release(txn *Txn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, key := range txn.held {
+		t.pass(key)
+	}
+	txn.held = nil
+}
+
+// pass hands a lock to the first who waits for it.
+func (t *lockTable) pass(key rowKey) {
+	l := t.locks[key]
+	if len(l.queue) == 0 {
+		delete(t.locks, key)
+		return
+	}
+	next := l.queue[0]
+	l.queue = l.queue[1:]
+	l.owner = next.txn
+	next.txn.waiting = nil
+	next.txn.held = append(next.txn.held, key)
+	close(next.granted)
+}
--- /dev/null
+++ b/internal/standin/upstream/engine/row.go
@@ -0,0 +1,175 @@
+// Package engine keeps the tables of one member of a database group: rows,
+// transactions, row locks and the log of what was committed. Readers load an
+// immutable version of all tables; a commit makes the next one.
+package engine
+
+import (
+	"hash/maphash"
+	"maps"
+	"slices"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/sql"
+)
+
+// RowID is the key of a row within its table.
+type RowID string
+
+// Field is the value of one column of a row.
+type Field struct {
+	Name sql.ColumnName `json:"name"`
+	// Value is nil for NULL.
+	Value *string `json:"value"`
+}
+
+// Row is one row. It is never changed once it is shared.
+type Row struct {
+	ID     RowID
+	Fields []Field
+	// order is the rank of the row's insertion among all rows.
+	order uint64
+}
+
+// Value returns the value of a column; nil is NULL.
+func (r *Row) Value(name sql.ColumnName) *string {
+	if name == sql.ColumnID {
+		id := string(r.ID)
+		return &id
+	}
+	for _, f := range r.Fields {
+		if f.Name == name {
+			return f.Value
+		}
+	}
+	return nil
+}
+
+// with returns the row with some columns changed.
+func (r *Row) with(fields []Field) *Row {
+	next := &Row{ID: r.ID, order: r.order, Fields: slices.Clone(r.Fields)}
+	for _, f := range fields {
+		i := slices.IndexFunc(next.Fields, func(have Field) bool { return have.Name == f.Name })
+		if i < 0 {
+			next.Fields = append(next.Fields, f)
+			continue
+		}
+		next.Fields[i] = f
+	}
+	return next
+}
+
+// bucketCount is into how many parts a table is cut. A commit copies only the
+// parts that it changes.
+const bucketCount = 256
+
+// hashSeed is the seed by which rows are spread over the buckets.
+var hashSeed = maphash.MakeSeed()
+
+func bucketOf(id RowID) int {
+	return int(maphash.String(hashSeed, string(id)) % bucketCount)
+}
+
+// Table is one state of a table. It is never changed once it is shared.
+type Table struct {
+	// Columns are the columns besides the id, in the order of their first
+	// use.
+	Columns []sql.ColumnName
+	Count   int
+	buckets [bucketCount]map[RowID]*Row
+}
+
+// Row returns a row, or nil.
+func (t *Table) Row(id RowID) *Row {
+	if t == nil {
+		return nil
+	}
+	return t.buckets[bucketOf(id)][id]
+}
+
+// Rows returns all rows in no order.
+func (t *Table) Rows() []*Row {
+	if t == nil {
+		return nil
+	}
+	rows := make([]*Row, 0, t.Count)
+	for _, b := range t.buckets {
+		for _, r := range b {
+			rows = append(rows, r)
+		}
+	}
+	return rows
+}
+
+// Version is one state of all tables. It is never changed once it is shared.
+type Version struct {
+	// Mark is the last log entry that the version holds.
+	Mark   chervilladder.Mark
+	Tables map[sql.TableName]*Table
+	orders uint64
+}
+
+// builder makes the next version from one that is shared.
+type builder struct {
+	version *Version
+	owned   map[sql.TableName]*[bucketCount]bool
+}
+
+func newBuilder(from *Version) *builder {
+	next := *from
+	next.Tables = maps.Clone(from.Tables)
+	if next.Tables == nil {
+		next.Tables = map[sql.TableName]*Table{}
+	}
+	return &builder{version: &next, owned: map[sql.TableName]*[bucketCount]bool{}}
+}
+
+// table returns a table that may be changed.
+func (b *builder) table(name sql.TableName) *Table {
+	if b.owned[name] == nil {
+		next := &Table{}
+		if t := b.version.Tables[name]; t != nil {
+			*next = *t
+			next.Columns = slices.Clone(t.Columns)
+		}
+		b.version.Tables[name] = next
+		b.owned[name] = &[bucketCount]bool{}
+	}
+	return b.version.Tables[name]
+}
+
+// bucket returns the part of a table that holds an id, for changing it.
+func (b *builder) bucket(name sql.TableName, id RowID) map[RowID]*Row {
+	t := b.table(name)
+	i := bucketOf(id)
+	if !b.owned[name][i] {
+		t.buckets[i] = maps.Clone(t.buckets[i])
+		if t.buckets[i] == nil {
+			t.buckets[i] = map[RowID]*Row{}
+		}
+		b.owned[name][i] = true
+	}
+	return t.buckets[i]
+}
+
+func (b *builder) apply(c Change) {
+	bucket := b.bucket(c.Table, c.ID)
+	t := b.table(c.Table)
+	old := bucket[c.ID]
+	switch {
+	case c.Operation == OperationDelete && old != nil:
+		delete(bucket, c.ID)
+		t.Count--
+	case c.Operation == OperationDelete:
+	case old != nil:
+		bucket[c.ID] = old.with(c.Columns)
+	default:
+		b.version.orders++
+		bucket[c.ID] = &Row{ID: c.ID, Fields: c.Columns, order: b.version.orders}
+		t.Count++
+	}
+	for _, f := range c.Columns {
+		if !slices.Contains(t.Columns, f.Name) {
+			t.Columns = append(t.Columns, f.Name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/upstream/group/keeper.go
@@ -0,0 +1,327 @@
+// Package group keeps a member's place in its database group: ballots, claims
+// and replication from the primary to the replicas.
+package group
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/engine"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/pgerror"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/state"
+)
+
+// claimTermShift is by how many bits the first claim of a term lies above the
+// number of the term.
+const claimTermShift = 20
+
+// Sessions is what the keeper asks of those who serve callers.
+type Sessions interface {
+	// EndBelow ends the connections that are bound to lower claims, and
+	// returns once their transactions are rolled back.
+	EndBelow(claim chervilladder.Claim, holder chervilladder.VMID)
+	// Open returns how many connections there are.
+	Open() int
+}
+
+// Config configures a Keeper.
+type Config struct {
+	Name  chervilladder.UpstreamID
+	Peers map[chervilladder.UpstreamID]chervilladder.Address
+	// Initial makes the member the primary of term 1 if the group has none.
+	Initial bool
+	Board   *state.Board
+	DB      *engine.DB
+	Log     logrus.FieldLogger
+}
+
+// Keeper is the one writer of the member's standing.
+type Keeper struct {
+	name     chervilladder.UpstreamID
+	peers    map[chervilladder.UpstreamID]chervilladder.Address
+	initial  bool
+	board    *state.Board
+	db       *engine.DB
+	log      logrus.FieldLogger
+	sessions Sessions
+	evidence *evidence
+}
+
+// New returns the keeper of a member that follows nobody yet.
+func New(c Config) (*Keeper, error) {
+	if c.Name == "" || c.Board == nil || c.DB == nil || c.Log == nil {
+		return nil, errors.New("group: Name, Board, DB and Log are required")
+	}
+	peers := maps.Clone(c.Peers)
+	delete(peers, c.Name)
+	return &Keeper{
+		name: c.Name, peers: peers, initial: c.Initial,
+		board: c.Board, db: c.DB, log: c.Log, evidence: newEvidence(peers),
+	}, nil
+}
+
+// SetSessions names those who serve callers. It must be called before any
+// other method.
+func (k *Keeper) SetSessions(s Sessions) { k.sessions = s }
+
+// Status is what a member says of itself.
+type Status struct {
+	Member   chervilladder.UpstreamID
+	Role     chervilladder.Role
+	Term     chervilladder.Term
+	Received chervilladder.Position
+	Replayed chervilladder.Position
+	// Contact is negative when there was none.
+	Contact time.Duration
+	Claim   chervilladder.Claim
+	Holder  chervilladder.VMID
+	Slots   int
+	// Connections is how many connections callers have open.
+	Connections int
+	// LogTerm is the newest term of which the log holds all that came
+	// before.
+	LogTerm chervilladder.Term
+}
+
+// Status returns what the member says of itself now.
+func (k *Keeper) Status() Status {
+	standing := k.board.Standing.Load()
+	reached := k.db.Log().Reached()
+	s := Status{
+		Member: k.name, Role: standing.Role, Term: standing.Term,
+		Received: reached.Position, Replayed: k.db.Version().Mark.Position, LogTerm: reached.Term,
+		Contact: -1, Claim: standing.Claim, Holder: standing.Holder,
+		Slots: k.board.Settings.Load().Slots, Connections: k.sessions.Open(),
+	}
+	if contact, ok := k.board.Contact(); ok {
+		s.Contact = contact
+	}
+	return s
+}
+
+// Claim hands out the next claim and ends the connections bound to lower ones.
+func (k *Keeper) Claim(vm chervilladder.VMID) (Status, error) {
+	if vm == "" {
+		return Status{}, pgerror.New(pgerror.InvalidParameter, "group_claim wants the name of a VM")
+	}
+	s, err := k.board.Standing.TryUpdate(func(s *state.Standing) error {
+		if s.Role != chervilladder.RolePrimary {
+			return pgerror.New(pgerror.ReadOnly, "group_claim: member is not primary")
+		}
+		s.Claim = max(s.Claim, chervilladder.Claim(s.Term)<<claimTermShift) + 1
+		s.Holder = vm
+		return nil
+	})
+	if err != nil {
+		return Status{}, err
+	}
+	k.log.Infof("group: Claim %d goes to %s.", s.Claim, vm)
+	k.sessions.EndBelow(s.Claim, s.Holder)
+	return k.Status(), nil
+}
+
+// CheckClaim returns an error when a claim is not the highest. A replica may
+// not have heard of the highest yet and takes what lies above those it knows.
+func (k *Keeper) CheckClaim(claim chervilladder.Claim) error {
+	return checkClaim(k.board.Standing.Load(), claim)
+}
+
+func checkClaim(s state.Standing, claim chervilladder.Claim) error {
+	if claim == s.Claim || claim > s.Claim && s.Role == chervilladder.RoleReplica {
+		return nil
+	}
+	e := pgerror.New(pgerror.ClaimLost, "claim lost")
+	e.Detail = string(s.Holder)
+	return e
+}
+
+// Commit calls commit if the member is primary and the claim to which a
+// connection is bound is still the highest; no claim is 0.
+func (k *Keeper) Commit(claim chervilladder.Claim, commit func(chervilladder.Term) error) error {
+	return k.board.Standing.Hold(func(s state.Standing) error {
+		if s.Role != chervilladder.RolePrimary {
+			return pgerror.New(pgerror.ReadOnly, "member is not primary; transaction rolled back")
+		}
+		if claim != 0 && claim < s.Claim {
+			return ClaimEnded(s.Claim, s.Holder)
+		}
+		return commit(s.Term)
+	})
+}
+
+// ClaimEnded returns the error that ends connections bound to lower claims.
+func ClaimEnded(claim chervilladder.Claim, holder chervilladder.VMID) *pgerror.Error {
+	e := pgerror.New(pgerror.AdminShutdown, "connection ended: claim %d goes to %s", claim, holder)
+	e.Detail = string(holder)
+	e.Fatal = true
+	return e
+}
+
+// Accept makes the member refuse all lower terms.
+func (k *Keeper) Accept(b chervilladder.Ballot) (Status, error) {
+	if err := k.changeStanding(func(s *state.Standing) error { return accept(s, b) }); err != nil {
+		return Status{}, err
+	}
+	return k.Status(), nil
+}
+
+// accept takes a ballot, or returns the term because of which it is refused.
+func accept(s *state.Standing, b chervilladder.Ballot) error {
+	if b.Attempt == "" || b.Term == 0 {
+		return pgerror.New(pgerror.InvalidParameter, "a ballot wants a term above 0 and the id of the attempt")
+	}
+	if b.Term == s.Term && b.Attempt == s.Attempt {
+		return nil
+	}
+	if b.Term <= s.Term {
+		return termRefused(s.Term)
+	}
+	s.Role = chervilladder.RoleReplica
+	s.Term, s.Attempt, s.Primary = b.Term, b.Attempt, ""
+	return nil
+}
+
+func termRefused(t chervilladder.Term) error {
+	e := pgerror.New(pgerror.TermRefused, "term refused")
+	e.Detail = strconv.FormatUint(uint64(t), 10)
+	return e
+}
+
+// Promote makes the member the primary of a term that it has accepted.
+func (k *Keeper) Promote(b chervilladder.Ballot) (Status, error) {
+	err := k.changeStanding(func(s *state.Standing) error {
+		if b.Term != s.Term || b.Attempt != s.Attempt {
+			return termRefused(s.Term)
+		}
+		if s.Role == chervilladder.RolePrimary {
+			return nil
+		}
+		if s.Primary != "" {
+			return pgerror.New(pgerror.InvalidParameter, "term %d has a primary: %s", s.Term, s.Primary)
+		}
+		k.db.Promote(s.Term)
+		s.Role, s.Primary = chervilladder.RolePrimary, k.name
+		s.Start = k.db.Log().Last().Position
+		return nil
+	})
+	if err != nil {
+		return Status{}, err
+	}
+	return k.Status(), nil
+}
+
+// Follow accepts a term if need be and replicates from its primary.
+func (k *Keeper) Follow(b chervilladder.Ballot, primary chervilladder.UpstreamID) (Status, error) {
+	if _, ok := k.peers[primary]; !ok {
+		return Status{}, pgerror.New(pgerror.InvalidParameter, "group_follow: %q is no other member of the group", primary)
+	}
+	err := k.changeStanding(func(s *state.Standing) error {
+		if err := accept(s, b); err != nil {
+			return err
+		}
+		if s.Role == chervilladder.RolePrimary {
+			return pgerror.New(pgerror.InvalidParameter, "group_follow: member is primary of term %d", s.Term)
+		}
+		s.Primary = primary
+		return nil
+	})
+	if err != nil {
+		return Status{}, err
+	}
+	return k.Status(), nil
+}
+
+// changeStanding changes the standing, and ends what a primary that steps down
+// has to end.
+func (k *Keeper) changeStanding(change func(*state.Standing) error) error {
+	var before state.Standing
+	after, err := k.board.Standing.TryUpdate(func(s *state.Standing) error {
+		before = *s
+		return change(s)
+	})
+	if err != nil {
+		return err
+	}
+	if after.Role != before.Role || after.Term != before.Term || after.Primary != before.Primary {
+		k.log.Infof("group: Standing changed. role=%s term=%d primary=%s", after.Role, after.Term, after.Primary)
+	}
+	if before.Role == chervilladder.RolePrimary && after.Role != chervilladder.RolePrimary {
+		k.db.StepDown()
+	}
+	return nil
+}
+
+// hear takes in what a peer says of itself.
+func (k *Keeper) hear(h hello) {
+	if !news(k.board.Standing.Load(), h) {
+		return
+	}
+	// The change can't fail: it only takes over what is newer.
+	_ = k.changeStanding(func(s *state.Standing) error {
+		learn(s, h)
+		return nil
+	})
+}
+
+// news reports whether a peer says something that changes the standing.
+func news(s state.Standing, h hello) bool {
+	before := s
+	learn(&s, h)
+	return s != before
+}
+
+// learn takes over a newer term, the primary of the term and its claim.
+func learn(s *state.Standing, h hello) {
+	if h.Term < s.Term {
+		return
+	}
+	primary := h.Role == chervilladder.RolePrimary
+	if h.Term > s.Term {
+		s.Role = chervilladder.RoleReplica
+		s.Term, s.Attempt, s.Primary = h.Term, h.Attempt, ""
+	}
+	if !primary || s.Role == chervilladder.RolePrimary {
+		return
+	}
+	s.Primary, s.Attempt = h.Member, h.Attempt
+	if h.Claim > s.Claim {
+		s.Claim, s.Holder = h.Claim, h.Holder
+	}
+}
+
+// Bootstrap makes the initial member the primary of term 1 once it is known
+// that no other member has been in a term. It returns when that is decided.
+func (k *Keeper) Bootstrap(ctx context.Context) error {
+	if !k.initial {
+		return nil
+	}
+	for {
+		s, changed := k.board.Standing.Watch()
+		if s.Term > 0 {
+			return nil
+		}
+		clear, more := k.evidence.noTerms()
+		if clear {
+			break
+		}
+		select {
+		case <-changed:
+		case <-more:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	return k.changeStanding(func(s *state.Standing) error {
+		if s.Term == 0 {
+			s.Role, s.Term, s.Primary = chervilladder.RolePrimary, 1, k.name
+			k.db.Log().Agree(1)
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/standin/upstream/query/query.go
@@ -0,0 +1,161 @@
+// Package query runs statements against the tables of a member. It knows
+// nothing of connections and messages.
+package query
+
+import (
+	"context"
+
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/engine"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/pgerror"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/sql"
+)
+
+// Session is what functions ask of the session that calls them.
+type Session interface {
+	// Setting returns a setting's value, and whether it is known.
+	Setting(name string) (string, bool)
+	// SetSetting changes a setting.
+	SetSetting(name, value string, local bool)
+	// User returns the role that the session signed in with.
+	User() string
+	// ProcessID returns the number of the session.
+	ProcessID() uint32
+	// InRecovery reports whether the member is a replica.
+	InRecovery() bool
+}
+
+// Env is what a statement runs in.
+type Env struct {
+	Txn     *engine.Txn
+	DB      *engine.DB
+	Params  []sql.Value
+	Session Session
+}
+
+// Column describes a column of a result.
+type Column struct {
+	Name sql.ColumnName
+	Type sql.Type
+}
+
+// Rows yields the rows of a result one after the other. It returns nil after
+// the last.
+type Rows func(context.Context) ([]sql.Value, error)
+
+// Result is the result of a statement. Affected is how many rows a statement
+// without rows of its own has changed.
+type Result struct {
+	Rows     Rows
+	Affected int
+}
+
+// Tables tells which columns a table has.
+type Tables interface {
+	Version() *engine.Version
+}
+
+// Run runs a statement that reads or writes tables.
+func Run(ctx context.Context, env *Env, s sql.Statement) (Result, error) {
+	switch s := s.(type) {
+	case *sql.Select:
+		return runSelect(ctx, env, s)
+	case *sql.Insert:
+		return runInsert(ctx, env, s)
+	case *sql.Update:
+		return runUpdate(ctx, env, s)
+	case *sql.Delete:
+		return runDelete(ctx, env, s)
+	default:
+		return Result{}, pgerror.New(pgerror.FeatureUnsupported, "%s is not supported here", s.Class())
+	}
+}
+
+// Eval returns the value of an expression that reads no row.
+func (v *Env) Eval(ctx context.Context, e sql.Expr) (sql.Value, error) {
+	return v.eval(ctx, e, scope{})
+}
+
+// Fixed returns rows that are known already.
+func Fixed(rows [][]sql.Value) Rows {
+	return func(context.Context) ([]sql.Value, error) {
+		if len(rows) == 0 {
+			return nil, nil
+		}
+		next := rows[0]
+		rows = rows[1:]
+		return next, nil
+	}
+}
+
+// Columns returns the columns of a statement's result, or nil when it has
+// none. Params are the types of the parameters.
+func Columns(s sql.Statement, params []sql.Type, tables Tables) []Column {
+	switch s := s.(type) {
+	case *sql.Select:
+		if s.From != nil && s.From.Function != nil {
+			return functionColumns(s, params)
+		}
+		if s.From != nil {
+			return itemColumns(s.Items, params, tables, s.From.Table)
+		}
+		return itemColumns(s.Items, params, tables, "")
+	case *sql.Insert:
+		return itemColumns(s.Returning, params, tables, s.Table)
+	case *sql.Update:
+		return itemColumns(s.Returning, params, tables, s.Table)
+	case *sql.Delete:
+		return itemColumns(s.Returning, params, tables, s.Table)
+	default:
+		return nil
+	}
+}
+
+func itemColumns(items []sql.Item, params []sql.Type, tables Tables, table sql.TableName) []Column {
+	var columns []Column
+	for _, i := range items {
+		if !i.Star {
+			columns = append(columns, Column{Name: i.Name, Type: typeOf(i.Expr, params)})
+			continue
+		}
+		for _, name := range tableColumns(tables, table) {
+			columns = append(columns, Column{Name: name, Type: sql.TypeText})
+		}
+	}
+	return columns
+}
+
+// tableColumns returns the columns of a table, the id first. A table that
+// doesn't exist yet has only its id.
+func tableColumns(tables Tables, table sql.TableName) []sql.ColumnName {
+	columns := []sql.ColumnName{sql.ColumnID}
+	if t := tables.Version().Tables[table]; t != nil {
+		columns = append(columns, t.Columns...)
+	}
+	return columns
+}
+
+// functionColumns returns the columns of a SELECT from a function.
+func functionColumns(s *sql.Select, params []sql.Type) []Column {
+	source := Column{Name: sourceName(s.From), Type: typeOf(s.From.Function, params)}
+	var columns []Column
+	for _, i := range s.Items {
+		if i.Star {
+			columns = append(columns, source)
+			continue
+		}
+		t := typeOf(i.Expr, params)
+		if c, ok := i.Expr.(*sql.Column); ok && c.Name == source.Name {
+			t = source.Type
+		}
+		columns = append(columns, Column{Name: i.Name, Type: t})
+	}
+	return columns
+}
+
+// sourceName returns the name of the one column of a function's rows.
+func sourceName(s *sql.Source) sql.ColumnName {
+	if s.Alias != "" {
+		return s.Alias
+	}
+	return sql.ColumnName(s.Function.Name)
+}
--- /dev/null
+++ b/internal/standin/upstream/query/write.go
@@ -0,0 +1,157 @@
+package query
+
+import (
+	"context"
+
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/engine"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/pgerror"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/sql"
+)
+
+// written collects the rows that a statement has changed.
+type written struct {
+	rows []*engine.Row
+}
+
+func (v *Env) result(w written, returning []sql.Item, table sql.TableName) (Result, error) {
+	r := Result{Affected: len(w.rows)}
+	if returning != nil {
+		r.Rows = v.project(returning, table, w.rows)
+	}
+	return r, nil
+}
+
+func runInsert(ctx context.Context, v *Env, s *sql.Insert) (Result, error) {
+	if err := v.Txn.Writable(s.Class()); err != nil {
+		return Result{}, err
+	}
+	var w written
+	for _, exprs := range s.Rows {
+		r, err := v.insertRow(ctx, s, exprs)
+		if err != nil {
+			return Result{}, err
+		}
+		if r != nil {
+			w.rows = append(w.rows, r)
+		}
+	}
+	return v.result(w, s.Returning, s.Table)
+}
+
+// insertRow adds a row. It returns nil when the id exists and nothing was to
+// be done about it.
+func (v *Env) insertRow(ctx context.Context, s *sql.Insert, exprs []sql.Expr) (*engine.Row, error) {
+	wanted, err := v.newRow(ctx, s, exprs)
+	if err != nil {
+		return nil, err
+	}
+	if err := v.Txn.Lock(ctx, s.Table, wanted.ID); err != nil {
+		return nil, err
+	}
+	old := v.Txn.Row(s.Table, wanted.ID)
+	switch {
+	case old == nil:
+		return v.Txn.Insert(s.Table, wanted.ID, wanted.Fields)
+	case s.Conflict == sql.ConflictDoesNothing:
+		return nil, nil
+	case s.Conflict == sql.ConflictUpdates:
+		return v.assign(ctx, s.Table, s.Set, scope{row: old, excluded: wanted})
+	default:
+		e := pgerror.New(pgerror.UniqueViolation, "duplicate key value violates unique constraint \"%s_pkey\"", s.Table)
+		e.Detail = "Key (id)=(" + string(wanted.ID) + ") already exists."
+		return nil, e
+	}
+}
+
+// newRow returns the row that an INSERT wants to add.
+func (v *Env) newRow(ctx context.Context, s *sql.Insert, exprs []sql.Expr) (*engine.Row, error) {
+	r := &engine.Row{}
+	hasID := false
+	for i, name := range s.Columns {
+		value, err := v.eval(ctx, exprs[i], scope{})
+		if err != nil {
+			return nil, err
+		}
+		if name == sql.ColumnID {
+			r.ID = engine.RowID(value.Text)
+			hasID = !value.Null
+			continue
+		}
+		r.Fields = append(r.Fields, field(name, value))
+	}
+	if !hasID {
+		return nil, pgerror.New(pgerror.NotNull, "null value in column \"id\" of relation %q violates not-null constraint", s.Table)
+	}
+	return r, nil
+}
+
+func field(name sql.ColumnName, value sql.Value) engine.Field {
+	if value.Null {
+		return engine.Field{Name: name}
+	}
+	return engine.Field{Name: name, Value: &value.Text}
+}
+
+// assign gives columns of a row that is locked new values.
+func (v *Env) assign(ctx context.Context, table sql.TableName, set []sql.Assignment, s scope) (*engine.Row, error) {
+	fields := make([]engine.Field, 0, len(set))
+	for _, a := range set {
+		value, err := v.eval(ctx, a.Value, s)
+		if err != nil {
+			return nil, err
+		}
+		fields = append(fields, field(a.Column, value))
+	}
+	return v.Txn.Update(table, s.row, fields)
+}
+
+func runUpdate(ctx context.Context, v *Env, s *sql.Update) (Result, error) {
+	if err := v.Txn.Writable(s.Class()); err != nil {
+		return Result{}, err
+	}
+	found, err := v.find(ctx, s.Table, s.Where)
+	if err != nil {
+		return Result{}, err
+	}
+	var w written
+	for _, r := range found {
+		now, err := v.lockRow(ctx, s.Table, r.ID, s.Where)
+		if err != nil {
+			return Result{}, err
+		}
+		if now == nil {
+			continue
+		}
+		next, err := v.assign(ctx, s.Table, s.Set, scope{row: now})
+		if err != nil {
+			return Result{}, err
+		}
+		w.rows = append(w.rows, next)
+	}
+	return v.result(w, s.Returning, s.Table)
+}
+
+func runDelete(ctx context.Context, v *Env, s *sql.Delete) (Result, error) {
+	if err := v.Txn.Writable(s.Class()); err != nil {
+		return Result{}, err
+	}
+	found, err := v.find(ctx, s.Table, s.Where)
+	if err != nil {
+		return Result{}, err
+	}
+	var w written
+	for _, r := range found {
+		now, err := v.lockRow(ctx, s.Table, r.ID, s.Where)
+		if err != nil {
+			return Result{}, err
+		}
+		if now == nil {
+			continue
+		}
+		if err := v.Txn.Delete(s.Table, r.ID); err != nil {
+			return Result{}, err
+		}
+		w.rows = append(w.rows, now)
+	}
+	return v.result(w, s.Returning, s.Table)
+}
--- /dev/null
+++ b/internal/standin/upstream/sql/parser.go
@@ -0,0 +1,402 @@
+package sql
+
+import "slices"
+
+// maxDepth is how deep expressions may nest.
+const maxDepth = 100
+
+// Parsed is a statement with what the protocol wants to know of it.
+type Parsed struct {
+	// Statement is nil when the text is empty.
+	Statement Statement
+	// Params are the types of the parameters, the first of which is $1.
+	Params []Type
+}
+
+// Parse reads a text that holds one statement or none.
+func Parse(text string) (Parsed, error) {
+	all, err := ParseAll(text)
+	if err != nil {
+		return Parsed{}, err
+	}
+	switch len(all) {
+	case 0:
+		return Parsed{}, nil
+	case 1:
+		return all[0], nil
+	default:
+		return Parsed{}, &SeveralError{}
+	}
+}
+
+// SeveralError reports several statements where only one may stand.
+type SeveralError struct{}
+
+// Error says so as PostgreSQL does.
+func (e *SeveralError) Error() string {
+	return "cannot insert multiple commands into a prepared statement"
+}
+
+// ParseAll reads all the statements of a text, which semicolons part.
+func ParseAll(text string) ([]Parsed, error) {
+	tokens, err := lex(text)
+	if err != nil {
+		return nil, err
+	}
+	p := &parser{tokens: tokens}
+	var all []Parsed
+	for {
+		for p.symbol(";") {
+		}
+		if p.current().kind == tokenEnd {
+			return all, nil
+		}
+		p.params = nil
+		s := p.statement()
+		if p.err == nil && p.current().kind != tokenEnd && !p.isSymbol(";") {
+			p.fail()
+		}
+		if p.err != nil {
+			return nil, p.err
+		}
+		all = append(all, Parsed{Statement: s, Params: paramTypes(s, p.params)})
+	}
+}
+
+// parser reads statements from tokens. Once it has failed it stays where it
+// is, at the end, so that every loop ends.
+type parser struct {
+	tokens []token
+	at     int
+	depth  int
+	params []int
+	err    error
+}
+
+func (p *parser) current() token { return p.tokens[p.at] }
+
+func (p *parser) ahead(n int) token { return p.tokens[min(p.at+n, len(p.tokens)-1)] }
+
+func (p *parser) advance() token {
+	t := p.current()
+	if t.kind != tokenEnd {
+		p.at++
+	}
+	return t
+}
+
+// fail records that the current token makes no sense.
+func (p *parser) fail() {
+	if p.err == nil {
+		t := p.current()
+		p.err = &SyntaxError{Offset: t.offset, Near: t.raw}
+	}
+	p.at = len(p.tokens) - 1
+}
+
+// word takes one of the given words, and reports whether it was there.
+func (p *parser) word(words ...string) bool {
+	if !p.isWord(words...) {
+		return false
+	}
+	p.advance()
+	return true
+}
+
+func (p *parser) isWord(words ...string) bool {
+	t := p.current()
+	return t.kind == tokenWord && slices.Contains(words, t.text)
+}
+
+// words takes a sequence of words, or nothing when the first isn't there.
+func (p *parser) words(first string, rest ...string) bool {
+	if !p.word(first) {
+		return false
+	}
+	for _, w := range rest {
+		p.need(p.word(w))
+	}
+	return true
+}
+
+func (p *parser) symbol(s string) bool {
+	if !p.isSymbol(s) {
+		return false
+	}
+	p.advance()
+	return true
+}
+
+func (p *parser) isSymbol(s string) bool {
+	t := p.current()
+	return t.kind == tokenSymbol && t.text == s
+}
+
+func (p *parser) need(there bool) {
+	if !there {
+		p.fail()
+	}
+}
+
+// reserved words can't be the name of a table or column without quotes.
+var reserved = []string{
+	"select", "from", "where", "order", "limit", "for", "insert", "into", "values", "update", "set",
+	"delete", "returning", "on", "and", "or", "not", "null", "group", "having", "union", "join", "as",
+}
+
+func (p *parser) name() string {
+	t := p.current()
+	switch {
+	case t.kind == tokenQuoted && t.text != "":
+	case t.kind == tokenWord && !slices.Contains(reserved, t.text):
+	default:
+		p.fail()
+		return ""
+	}
+	p.advance()
+	return t.text
+}
+
+// qualified reads a name before which a schema or table may stand.
+func (p *parser) qualified() string {
+	n := p.name()
+	for p.symbol(".") {
+		n = p.name()
+	}
+	return n
+}
+
+func (p *parser) table() TableName { return TableName(p.qualified()) }
+
+func (p *parser) column() ColumnName { return ColumnName(p.qualified()) }
+
+func (p *parser) statement() Statement {
+	switch t := p.current(); {
+	case t.kind != tokenWord:
+		p.fail()
+		return nil
+	case t.text == "select":
+		return p.selectStatement()
+	case t.text == "insert":
+		return p.insert()
+	case t.text == "update":
+		return p.update()
+	case t.text == "delete":
+		return p.deleteStatement()
+	default:
+		return p.control()
+	}
+}
+
+func (p *parser) selectStatement() Statement {
+	p.advance()
+	s := &Select{Items: p.items()}
+	if p.word("from") {
+		s.From = p.source()
+	}
+	s.Where = p.where()
+	if p.words("order", "by") {
+		s.OrderBy = p.orderBy()
+	}
+	if p.word("limit") && !p.word("all") {
+		s.Limit = p.expr()
+	}
+	if p.word("for") {
+		p.need(p.word("update", "share"))
+		s.ForUpdate = true
+	}
+	if s.ForUpdate && (s.From == nil || s.From.Function != nil) {
+		p.fail()
+	}
+	return s
+}
+
+func (p *parser) items() []Item {
+	list := []Item{p.item()}
+	for p.symbol(",") {
+		list = append(list, p.item())
+	}
+	return list
+}
+
+func (p *parser) item() Item {
+	if p.symbol("*") {
+		return Item{Star: true}
+	}
+	e := p.expr()
+	i := Item{Expr: e, Name: resultName(e)}
+	switch {
+	case p.word("as"):
+		i.Name = ColumnName(p.label())
+	case p.current().kind == tokenQuoted, p.current().kind == tokenWord && !p.isWord(reserved...):
+		i.Name = ColumnName(p.name())
+	}
+	return i
+}
+
+// label reads a name after AS, where reserved words may stand.
+func (p *parser) label() string {
+	t := p.current()
+	if t.kind != tokenWord && t.kind != tokenQuoted {
+		p.fail()
+		return ""
+	}
+	p.advance()
+	return t.text
+}
+
+// resultName returns the name that an unnamed column of a result gets.
+func resultName(e Expr) ColumnName {
+	switch e := e.(type) {
+	case *Column:
+		return e.Name
+	case *Call:
+		return ColumnName(e.Name)
+	case *Cast:
+		if n := resultName(e.Expr); n != "?column?" {
+			return n
+		}
+		return ColumnName(castNames[e.Type])
+	default:
+		return "?column?"
+	}
+}
+
+// castNames are the names that columns get from casts.
+var castNames = map[Type]string{
+	TypeBool: "bool", TypeInt2: "int2", TypeInt4: "int4", TypeInt8: "int8", TypeText: "text",
+	TypeVarchar: "varchar", TypeFloat8: "float8", TypeTimestamptz: "timestamptz", TypeXID8: "xid8",
+}
+
+func (p *parser) source() *Source {
+	s := &Source{}
+	if next := p.ahead(1); p.current().kind == tokenWord && next.kind == tokenSymbol && next.text == "(" {
+		call, ok := p.primary().(*Call)
+		if !ok {
+			p.fail()
+			return s
+		}
+		s.Function = call
+	} else {
+		s.Table = p.table()
+	}
+	if p.word("as") || p.current().kind == tokenQuoted || p.current().kind == tokenWord && !p.isWord(reserved...) {
+		s.Alias = ColumnName(p.name())
+	}
+	return s
+}
+
+func (p *parser) where() Expr {
+	if !p.word("where") {
+		return nil
+	}
+	return p.expr()
+}
+
+func (p *parser) orderBy() []Order {
+	var list []Order
+	for {
+		o := Order{Expr: p.expr()}
+		if !p.word("asc") {
+			o.Descending = p.word("desc")
+		}
+		list = append(list, o)
+		if !p.symbol(",") {
+			return list
+		}
+	}
+}
+
+func (p *parser) insert() Statement {
+	p.advance()
+	p.need(p.word("into"))
+	s := &Insert{Table: p.table()}
+	p.need(p.symbol("("))
+	for {
+		s.Columns = append(s.Columns, p.column())
+		if !p.symbol(",") {
+			break
+		}
+	}
+	p.need(p.symbol(")"))
+	p.need(p.word("values"))
+	for {
+		s.Rows = append(s.Rows, p.row(len(s.Columns)))
+		if !p.symbol(",") {
+			break
+		}
+	}
+	if p.words("on", "conflict") {
+		p.conflict(s)
+	}
+	s.Returning = p.returning()
+	return s
+}
+
+func (p *parser) row(columns int) []Expr {
+	p.need(p.symbol("("))
+	list := []Expr{p.expr()}
+	for p.symbol(",") {
+		list = append(list, p.expr())
+	}
+	if len(list) != columns {
+		p.fail()
+	}
+	p.need(p.symbol(")"))
+	return list
+}
+
+func (p *parser) conflict(s *Insert) {
+	if p.symbol("(") {
+		p.need(p.column() == ColumnID)
+		p.need(p.symbol(")"))
+	}
+	p.need(p.word("do"))
+	if p.word("nothing") {
+		s.Conflict = ConflictDoesNothing
+		return
+	}
+	p.need(p.words("update", "set"))
+	s.Conflict = ConflictUpdates
+	s.Set = p.assignments()
+}
+
+func (p *parser) update() Statement {
+	p.advance()
+	s := &Update{Table: p.table()}
+	p.need(p.word("set"))
+	s.Set = p.assignments()
+	s.Where = p.where()
+	s.Returning = p.returning()
+	return s
+}
+
+func (p *parser) assignments() []Assignment {
+	var list []Assignment
+	for {
+		a := Assignment{Column: p.column()}
+		p.need(a.Column != ColumnID)
+		p.need(p.symbol("="))
+		a.Value = p.expr()
+		list = append(list, a)
+		if !p.symbol(",") {
+			return list
+		}
+	}
+}
+
+func (p *parser) deleteStatement() Statement {
+	p.advance()
+	p.need(p.word("from"))
+	s := &Delete{Table: p.table()}
+	s.Where = p.where()
+	s.Returning = p.returning()
+	return s
+}
+
+func (p *parser) returning() []Item {
+	if !p.word("returning") {
+		return nil
+	}
+	return p.items()
+}
--- /dev/null
+++ b/internal/standin/upstream/sql/statement.go
@@ -0,0 +1,204 @@
+// Package sql reads the small dialect that the upstream's stand-in speaks. It
+// knows nothing of tables, connections or messages.
+package sql
+
+// TableName names a table.
+type TableName string
+
+// ColumnName names a column.
+type ColumnName string
+
+// ColumnID is the key column that every table has.
+const ColumnID ColumnName = "id"
+
+// Statement is one statement. The concrete types are those of this file.
+type Statement interface {
+	// Class returns the statement's class, as its command tag names it.
+	Class() Class
+}
+
+// Class is a class of statements, such as INSERT.
+type Class string
+
+// The classes of statements.
+const (
+	ClassSelect   Class = "SELECT"
+	ClassInsert   Class = "INSERT"
+	ClassUpdate   Class = "UPDATE"
+	ClassDelete   Class = "DELETE"
+	ClassBegin    Class = "BEGIN"
+	ClassCommit   Class = "COMMIT"
+	ClassRollback Class = "ROLLBACK"
+	ClassSave     Class = "SAVEPOINT"
+	ClassRelease  Class = "RELEASE"
+	ClassSet      Class = "SET"
+	ClassReset    Class = "RESET"
+	ClassShow     Class = "SHOW"
+	ClassDiscard  Class = "DISCARD"
+	ClassDealloc  Class = "DEALLOCATE"
+)
+
+// Select reads rows.
+type Select struct {
+	Items []Item
+	// From is nil for a SELECT without FROM.
+	From      *Source
+	Where     Expr
+	OrderBy   []Order
+	Limit     Expr
+	ForUpdate bool
+}
+
+// Item is one entry of a select list or of RETURNING.
+type Item struct {
+	Expr Expr
+	// Name is the column's name in the result.
+	Name ColumnName
+	// Star is set for "*".
+	Star bool
+}
+
+// Source is what a SELECT reads from: a table or a function.
+type Source struct {
+	Table    TableName
+	Function *Call
+	Alias    ColumnName
+}
+
+// Order is one key of ORDER BY.
+type Order struct {
+	Expr       Expr
+	Descending bool
+}
+
+// Insert adds rows.
+type Insert struct {
+	Table     TableName
+	Columns   []ColumnName
+	Rows      [][]Expr
+	Conflict  Conflict
+	Set       []Assignment
+	Returning []Item
+}
+
+// Conflict says what an INSERT does with an id that exists.
+type Conflict uint8
+
+// The ways to treat an id that exists.
+const (
+	ConflictFails Conflict = iota
+	ConflictDoesNothing
+	ConflictUpdates
+)
+
+// Assignment gives a column a new value.
+type Assignment struct {
+	Column ColumnName
+	Value  Expr
+}
+
+// Update changes rows.
+type Update struct {
+	Table     TableName
+	Set       []Assignment
+	Where     Expr
+	Returning []Item
+}
+
+// Delete removes rows.
+type Delete struct {
+	Table     TableName
+	Where     Expr
+	Returning []Item
+}
+
+// Begin opens a transaction.
+type Begin struct {
+	ReadOnly bool
+	Start    bool
+}
+
+// Commit ends a transaction.
+type Commit struct{}
+
+// Rollback undoes a transaction, or what came after a savepoint.
+type Rollback struct {
+	// Savepoint is empty for the whole transaction.
+	Savepoint string
+}
+
+// Savepoint marks a point in a transaction.
+type Savepoint struct{ Name string }
+
+// Release forgets a savepoint.
+type Release struct{ Name string }
+
+// Set changes a setting of the session.
+type Set struct {
+	Name  string
+	Value string
+	// Local settings end with the transaction.
+	Local bool
+	// Default resets the setting.
+	Default bool
+}
+
+// Reset gives a setting its default again.
+type Reset struct {
+	// Name is empty for all settings.
+	Name string
+}
+
+// Show reads a setting.
+type Show struct{ Name string }
+
+// Discard forgets the session's state.
+type Discard struct{ All bool }
+
+// Deallocate forgets a prepared statement.
+type Deallocate struct {
+	// Name is empty for all of them.
+	Name string
+}
+
+// Class returns SELECT.
+func (*Select) Class() Class { return ClassSelect }
+
+// Class returns INSERT.
+func (*Insert) Class() Class { return ClassInsert }
+
+// Class returns UPDATE.
+func (*Update) Class() Class { return ClassUpdate }
+
+// Class returns DELETE.
+func (*Delete) Class() Class { return ClassDelete }
+
+// Class returns BEGIN.
+func (*Begin) Class() Class { return ClassBegin }
+
+// Class returns COMMIT.
+func (*Commit) Class() Class { return ClassCommit }
+
+// Class returns ROLLBACK.
+func (*Rollback) Class() Class { return ClassRollback }
+
+// Class returns SAVEPOINT.
+func (*Savepoint) Class() Class { return ClassSave }
+
+// Class returns RELEASE.
+func (*Release) Class() Class { return ClassRelease }
+
+// Class returns SET.
+func (*Set) Class() Class { return ClassSet }
+
+// Class returns RESET.
+func (*Reset) Class() Class { return ClassReset }
+
+// Class returns SHOW.
+func (*Show) Class() Class { return ClassShow }
+
+// Class returns DISCARD.
+func (*Discard) Class() Class { return ClassDiscard }
+
+// Class returns DEALLOCATE.
+func (*Deallocate) Class() Class { return ClassDealloc }
--- /dev/null
+++ b/internal/standin/upstream/upstream_test.go
@@ -0,0 +1,273 @@
+package upstream_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/control"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/state"
+)
+
+// patience bounds every wait of a test.
+const patience = 20 * time.Second
+
+// member is one member that runs within the test.
+type member struct {
+	t         *testing.T
+	name      chervilladder.UpstreamID
+	config    upstream.Config
+	listeners upstream.Listeners
+	cancel    context.CancelFunc
+	stopped   chan error
+}
+
+// settings are the settings of members unless a test wants others.
+func settings() state.Settings {
+	return state.Settings{Slots: 3, Connections: 20, Reserved: 2, ReservedUser: "control"}
+}
+
+// newGroup starts the members a, b and c, of which a is the primary.
+func newGroup(t *testing.T, s state.Settings) map[chervilladder.UpstreamID]*member {
+	t.Helper()
+	group := map[chervilladder.UpstreamID]chervilladder.Address{}
+	members := map[chervilladder.UpstreamID]*member{}
+	for _, name := range []chervilladder.UpstreamID{"a", "b", "c"} {
+		m := &member{t: t, name: name, listeners: upstream.Listeners{Callers: listen(t, ""), Group: listen(t, ""), Control: listen(t, "")}}
+		group[name] = chervilladder.Address(m.listeners.Group.Addr().String())
+		m.config = upstream.Config{Name: name, Group: group, Primary: "a", Settings: s, Log: quiet(), Die: func() {}}
+		members[name] = m
+	}
+	for _, m := range members {
+		m.start()
+		t.Cleanup(m.stop)
+	}
+	members["a"].await("role = primary", func(s control.Status) bool { return s.Role == "primary" })
+	for _, name := range []chervilladder.UpstreamID{"b", "c"} {
+		members[name].await("follows a", func(s control.Status) bool { return s.Primary == "a" && s.ContactMillis >= 0 && s.LogTerm == 1 })
+	}
+	return members
+}
+
+// newMember starts one member that is a group of its own.
+func newMember(t *testing.T, s state.Settings) *member {
+	t.Helper()
+	m := &member{t: t, name: "a", listeners: upstream.Listeners{Callers: listen(t, ""), Group: listen(t, ""), Control: listen(t, "")}}
+	m.config = upstream.Config{Name: "a", Primary: "a", Settings: s, Log: quiet(), Die: func() {}}
+	m.start()
+	t.Cleanup(m.stop)
+	m.await("role = primary", func(s control.Status) bool { return s.Role == "primary" })
+	return m
+}
+
+func quiet() logrus.FieldLogger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return l
+}
+
+func listen(t *testing.T, address string) net.Listener {
+	t.Helper()
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func (m *member) start() {
+	u, err := upstream.New(m.config)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	var ctx context.Context
+	ctx, m.cancel = context.WithCancel(context.Background())
+	m.stopped = make(chan error, 1)
+	listeners, stopped := m.listeners, m.stopped
+	go func() { stopped <- u.Run(ctx, listeners) }()
+}
+
+func (m *member) stop() {
+	m.cancel()
+	select {
+	case err := <-m.stopped:
+		if err != nil {
+			m.t.Errorf("member %s: %v", m.name, err)
+		}
+		m.stopped <- nil
+	case <-time.After(patience):
+		m.t.Errorf("member %s does not stop", m.name)
+	}
+}
+
+// restart stops the member and starts it anew at the same addresses.
+func (m *member) restart() {
+	m.stop()
+	m.listeners = upstream.Listeners{
+		Callers: listen(m.t, m.listeners.Callers.Addr().String()),
+		Group:   listen(m.t, m.listeners.Group.Addr().String()),
+		Control: listen(m.t, m.listeners.Control.Addr().String()),
+	}
+	m.start()
+}
+
+func (m *member) connect(user string, options ...func(*pgx.ConnConfig)) (*pgx.Conn, error) {
+	config, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s@%s/agenda?sslmode=prefer", user, m.listeners.Callers.Addr()))
+	if err != nil {
+		return nil, err
+	}
+	for _, o := range options {
+		o(config)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return pgx.ConnectConfig(ctx, config)
+}
+
+// conn opens a connection that lasts as long as the test.
+func (m *member) conn(options ...func(*pgx.ConnConfig)) *pgx.Conn {
+	m.t.Helper()
+	c, err := m.connect("clerk", options...)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.t.Cleanup(func() { closeConn(c) })
+	return c
+}
+
+func closeConn(c *pgx.Conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	c.Close(ctx)
+}
+
+// post makes a control call.
+func (m *member) post(call string) {
+	m.t.Helper()
+	r, err := http.Post("http://"+m.listeners.Control.Addr().String()+call, "", nil)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		m.t.Fatalf("%s: %s", call, r.Status)
+	}
+}
+
+// get reads what a control call answers.
+func (m *member) get(call string, to any) {
+	m.t.Helper()
+	r, err := http.Get("http://" + m.listeners.Control.Addr().String() + call)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	defer r.Body.Close()
+	if err := json.NewDecoder(r.Body).Decode(to); err != nil {
+		m.t.Fatal(err)
+	}
+}
+
+func (m *member) status() control.Status {
+	m.t.Helper()
+	var s control.Status
+	m.get("/status", &s)
+	return s
+}
+
+// await waits until the status meets a condition.
+func (m *member) await(what string, ok func(control.Status) bool) control.Status {
+	m.t.Helper()
+	tick := time.NewTicker(2 * time.Millisecond)
+	defer tick.Stop()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); <-tick.C {
+		if s := m.status(); ok(s) {
+			return s
+		}
+	}
+	m.t.Fatalf("member %s: %s does not come about: %+v", m.name, what, m.status())
+	return control.Status{}
+}
+
+// logged is one transaction of a member's log.
+type logged struct {
+	Position chervilladder.Position
+	Term     chervilladder.Term
+	Changes  []struct{ Operation, Table, ID string }
+}
+
+// countLogged counts the changes of a row in the log.
+func (m *member) countLogged(id string) int {
+	m.t.Helper()
+	var list []logged
+	m.get("/log", &list)
+	n := 0
+	for _, e := range list {
+		for _, c := range e.Changes {
+			if c.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// code returns the SQLSTATE of an error.
+func code(err error) string {
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return fmt.Sprint(err)
+}
+
+// background is the context of calls that end by themselves.
+var background = context.Background()
+
+func exec(t *testing.T, c *pgx.Conn, sql string, args ...any) string {
+	t.Helper()
+	tag, err := c.Exec(background, sql, args...)
+	if err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+	return tag.String()
+}
+
+// one returns the one value that a query yields.
+func one[T any](t *testing.T, c *pgx.Conn, sql string, args ...any) T {
+	t.Helper()
+	var v T
+	if err := c.QueryRow(background, sql, args...).Scan(&v); err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+	return v
+}
+
+func TestReplication(t *testing.T) {
+	is := is.New(t)
+	members := newGroup(t, settings())
+	a := members["a"].conn()
+	is.Equal(exec(t, a, "INSERT INTO holds (id, room) VALUES ($1, $2)", "h1", "r1"), "INSERT 0 1")
+	for _, name := range []chervilladder.UpstreamID{"b", "c"} {
+		members[name].await("replayed 1", func(s control.Status) bool { return s.Replayed == 1 })
+		c := members[name].conn()
+		is.Equal(one[string](t, c, "SELECT room FROM holds WHERE id = $1", "h1"), "r1")
+		_, err := c.Exec(background, "INSERT INTO holds (id) VALUES ('h2')")
+		is.Equal(code(err), "25006")
+	}
+}
--- /dev/null
+++ b/internal/standin/upstream/wire/counts.go
@@ -0,0 +1,67 @@
+package wire
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/sql"
+)
+
+// Counts counts what the server has done.
+type Counts struct {
+	Opened  atomic.Int64
+	mu      sync.Mutex
+	classes map[sql.Class]int64
+}
+
+// note counts one execution of a statement of a class.
+func (c *Counts) note(class sql.Class) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.classes == nil {
+		c.classes = map[sql.Class]int64{}
+	}
+	c.classes[class]++
+}
+
+// Report is what the server does and has done.
+type Report struct {
+	Open          int                 `json:"open"`
+	Active        int                 `json:"active"`
+	InTransaction int                 `json:"in-transaction"`
+	Idle          int                 `json:"idle"`
+	Bound         int                 `json:"bound"`
+	Silenced      int                 `json:"silenced"`
+	Opened        int64               `json:"opened"`
+	Statements    map[sql.Class]int64 `json:"statements"`
+}
+
+// Report returns what the server does and has done.
+func (s *Server) Report() Report {
+	r := Report{Opened: s.counts.Opened.Load()}
+	for _, c := range s.all() {
+		r.Open++
+		switch c.activity.Load() {
+		case activityStatement:
+			r.Active++
+		case activityTransaction:
+			r.InTransaction++
+		default:
+			r.Idle++
+		}
+		if c.bound() != 0 {
+			r.Bound++
+		}
+		if c.conn.Silenced() {
+			r.Silenced++
+		}
+	}
+	s.counts.mu.Lock()
+	defer s.counts.mu.Unlock()
+	r.Statements = maps.Clone(s.counts.classes)
+	if r.Statements == nil {
+		r.Statements = map[sql.Class]int64{}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/standin/upstream/wire/functions.go
@@ -0,0 +1,21 @@
+package wire
+
+// Setting returns a setting's value, and whether it is known.
+func (c *session) Setting(name string) (string, bool) {
+	if name == "in_hot_standby" && c.InRecovery() {
+		return "on", true
+	}
+	return c.settings.get(name)
+}
+
+// SetSetting changes a setting.
+func (c *session) SetSetting(name, value string, local bool) { c.settings.set(name, value, local) }
+
+// User returns the role that the session signed in with.
+func (c *session) User() string { return c.user }
+
+// ProcessID returns the number of the session.
+func (c *session) ProcessID() uint32 { return c.id }
+
+// InRecovery reports whether the member is a replica.
+func (c *session) InRecovery() bool { return !c.server.board.Primary() }
--- /dev/null
+++ b/internal/standin/upstream/wire/startup.go
@@ -0,0 +1,97 @@
+package wire
+
+import (
+	"errors"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/pgerror"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/state"
+)
+
+// maxMessageBytes is the longest message that a caller may send.
+const maxMessageBytes = 16 << 20
+
+// refused is the answer to a request for encryption.
+var refused = []byte{'N'}
+
+// start goes through the start-up of a connection. It returns false when the
+// connection is over.
+func (c *session) start() bool {
+	m, err := c.startupMessage()
+	if err != nil {
+		return false
+	}
+	if cancel, ok := m.(*pgproto3.CancelRequest); ok {
+		c.server.cancel(cancel.ProcessID, cancel.SecretKey)
+		return false
+	}
+	startup, ok := m.(*pgproto3.StartupMessage)
+	if !ok {
+		return false
+	}
+	c.sign(startup)
+	if err := c.server.admit(c); err != nil {
+		c.sendError(err)
+		_ = c.out.Flush()
+		return false
+	}
+	if state.Sleep(c.ctx, c.server.board.Settings.Load().ConnectDelay) != nil {
+		return false
+	}
+	c.greet()
+	return c.out.Flush() == nil
+}
+
+// startupMessage reads the first message that isn't a request for encryption.
+func (c *session) startupMessage() (pgproto3.FrontendMessage, error) {
+	for {
+		m, err := c.out.ReceiveStartupMessage()
+		if err != nil {
+			return nil, err
+		}
+		switch m.(type) {
+		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+			if _, err := c.conn.Write(refused); err != nil {
+				return nil, err
+			}
+		default:
+			return m, nil
+		}
+	}
+}
+
+// sign takes the user and the settings from the start-up message.
+func (c *session) sign(m *pgproto3.StartupMessage) {
+	c.settings = newSettings()
+	for name, value := range m.Parameters {
+		switch name {
+		case "user":
+			c.user = value
+		case "database", "options", "replication":
+		default:
+			c.settings.start(name, value)
+		}
+	}
+}
+
+func (c *session) greet() {
+	c.out.Send(&pgproto3.AuthenticationOk{})
+	for _, name := range reported {
+		value, _ := c.settings.get(name.lower())
+		c.out.Send(&pgproto3.ParameterStatus{Name: string(name), Value: value})
+	}
+	c.out.Send(&pgproto3.BackendKeyData{ProcessID: c.id, SecretKey: c.secret})
+	c.sendReady()
+}
+
+// receiveError returns what a caller is told about bytes that are no message.
+func receiveError(err error) *pgerror.Error {
+	var long *pgproto3.ExceededMaxBodyLenErr
+	e := pgerror.New(pgerror.ProtocolViolation, "invalid message: %v", err)
+	if errors.As(err, &long) {
+		e.Message = "message is too long"
+	}
+	e.Fatal = true
+	return e
+}
--- /dev/null
+++ b/internal/standin/upstream/wire/txn.go
@@ -0,0 +1,164 @@
+package wire
+
+import (
+	"errors"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/engine"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/pgerror"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/sql"
+)
+
+// transaction returns the open transaction, and opens one if there is none.
+func (c *session) transaction() *engine.Txn {
+	if t := c.txn.Load(); t != nil {
+		return t
+	}
+	readOnly, _ := c.settings.get("default_transaction_read_only")
+	t := c.server.db.Begin(readOnly == "on")
+	c.settings.begin()
+	c.txn.Store(t)
+	if cause := c.ending.Load(); cause != nil {
+		t.Abort(cause)
+	}
+	return t
+}
+
+// control runs a statement that concerns the transaction. It returns the tag
+// of its answer.
+func (c *session) control(s sql.Statement) (string, error) {
+	switch s := s.(type) {
+	case *sql.Begin:
+		t := c.transaction()
+		if s.ReadOnly {
+			t.SetReadOnly(true)
+		}
+		c.block = true
+		if s.Start {
+			return "START TRANSACTION", nil
+		}
+		return "BEGIN", nil
+	case *sql.Commit:
+		if c.failed {
+			c.rollback()
+			return "ROLLBACK", nil
+		}
+		return "COMMIT", c.commit()
+	case *sql.Rollback:
+		if s.Savepoint != "" {
+			return "ROLLBACK", c.rollbackTo(s.Savepoint)
+		}
+		c.rollback()
+		return "ROLLBACK", nil
+	case *sql.Savepoint:
+		if !c.block {
+			return "", pgerror.New(pgerror.NoTransaction, "SAVEPOINT can only be used in transaction blocks")
+		}
+		c.transaction().Save(s.Name)
+		return "SAVEPOINT", nil
+	case *sql.Release:
+		return "RELEASE", c.transaction().Release(s.Name)
+	default:
+		return "", pgerror.New(pgerror.FeatureUnsupported, "%s is not supported", s.Class())
+	}
+}
+
+func (c *session) rollbackTo(name string) error {
+	if err := c.transaction().RollbackTo(name); err != nil {
+		return err
+	}
+	c.failed = false
+	return nil
+}
+
+// commit ends the transaction and its block.
+func (c *session) commit() error {
+	t := c.txn.Load()
+	c.leave()
+	if t == nil {
+		return nil
+	}
+	wrote := t.Wrote()
+	err := t.Commit(func(commit func(chervilladder.Term) error) error {
+		return c.server.keeper.Commit(c.bound(), commit)
+	})
+	c.settings.finish(err == nil)
+	c.wrote = c.wrote || err == nil && wrote
+	return err
+}
+
+// rollback undoes the transaction and ends its block.
+func (c *session) rollback() {
+	t := c.txn.Load()
+	c.leave()
+	if t != nil {
+		t.Rollback()
+		c.settings.finish(false)
+	}
+}
+
+// leave takes the transaction from the session.
+func (c *session) leave() {
+	c.txn.Store(nil)
+	c.block, c.failed = false, false
+	clear(c.portals)
+}
+
+// abort undoes what an error has spoilt: the whole transaction outside a
+// block. Within one, the caller has to roll back.
+func (c *session) abort() {
+	if c.block {
+		c.failed = true
+		return
+	}
+	c.rollback()
+}
+
+// finishImplicit commits a transaction that no BEGIN has opened.
+func (c *session) finishImplicit() error {
+	if c.block {
+		return nil
+	}
+	return c.commit()
+}
+
+// check returns an error when the transaction has failed already.
+func (c *session) check(s sql.Statement) error {
+	if !c.failed {
+		return nil
+	}
+	switch s := s.(type) {
+	case *sql.Commit, *sql.Rollback:
+		return nil
+	case *sql.Select:
+		if groupCall(s) == nil {
+			return errFailed
+		}
+		return nil
+	default:
+		return errFailed
+	}
+}
+
+// errFailed is the answer to statements in a transaction that has failed.
+var errFailed = pgerror.New(pgerror.FailedTransaction,
+	"current transaction is aborted, commands ignored until end of transaction block")
+
+// asError returns an error in the form in which the protocol carries it.
+func asError(err error) *pgerror.Error {
+	var own *pgerror.Error
+	if errors.As(err, &own) {
+		return own
+	}
+	var syntax *sql.SyntaxError
+	if errors.As(err, &syntax) {
+		e := pgerror.New(pgerror.Syntax, "%s", err.Error())
+		e.Position = int32(syntax.Offset) + 1
+		return e
+	}
+	var several *sql.SeveralError
+	if errors.As(err, &several) {
+		return pgerror.New(pgerror.Syntax, "%s", err.Error())
+	}
+	return pgerror.New(pgerror.Internal, "%v", err)
+}
