Keep the byte that ends a wait in the reader's buffer

Cause: the first byte a caller sends after a pause was still outside the buffer when the next wait looked at it; the wait took the buffer for empty and dropped the byte, so the session hung. Ruled out: the proof loop, by a stack dump that showed the session reading. The byte is now pulled in at once.

--- a/internal/caller/reader.go
+++ b/internal/caller/reader.go
@@ -34,7 +34,9 @@
 	}
 	r.buffered = readers.Get().(*bufio.Reader)
 	r.buffered.Reset(io.MultiReader(&oneByte{b: r.first[0]}, r.conn))
-	return nil
+	// The byte has to be in the buffer before the next wait looks there.
+	_, err := r.buffered.Peek(1)
+	return err
 }
 
 // release gives an empty buffer back.
