Let a session that lost an answer see whether its write was done

Cause: after an unknown outcome the session's floor stayed where it was, so a look right after it could read a replica that had not replayed the write, and the caller would send it again. Seen: scenario lost-answer read 0 rows where the write was done. Ruled out: the primary, which held the row. The floor now takes a tick; a replica serves the session once it has replayed what the primary had received after that tick. LISTEN and its like are now refused when they are prepared, not only when they run.

--- a/internal/blackboard/floors.go
+++ b/internal/blackboard/floors.go
@@ -16,6 +16,10 @@
 	// Replica gave that answer: a status of it asked for at Tick or later
 	// covers what the session saw. If it is empty, any replica may have.
 	Replica chervilladder.UpstreamID
+	// Unsure was taken after a write of unknown outcome; zero if there was
+	// none. A status of the primary asked for at Unsure or later covers the
+	// write if it was done, so that the session can look for it.
+	Unsure Tick
 }
 
 // floorShards spreads sessions so that requests seldom meet on a lock.
@@ -50,6 +54,12 @@
 	f.edit(id, func(floor *Floor) { floor.Written = floor.Written.Later(m) })
 }
 
+// Lost records that the outcome of a session's write is unknown, and a tick
+// taken after that.
+func (f *Floors) Lost(id chervilladder.SessionID, t Tick) {
+	f.edit(id, func(floor *Floor) { floor.Unsure = t })
+}
+
 // Read records which replica answered a session and a tick taken after that.
 func (f *Floors) Read(id chervilladder.SessionID, replica chervilladder.UpstreamID, t Tick) {
 	f.edit(id, func(floor *Floor) { floor.Replica, floor.Tick = replica, t })
@@ -90,6 +100,7 @@
 		return s.common
 	}
 	floor.Written = floor.Written.Later(s.common.Written)
+	floor.Unsure = max(floor.Unsure, s.common.Unsure)
 	return floor
 }
 
@@ -98,6 +109,7 @@
 	for _, floor := range s.sessions {
 		s.common.Written = s.common.Written.Later(floor.Written)
 		s.common.Tick = max(s.common.Tick, floor.Tick)
+		s.common.Unsure = max(s.common.Unsure, floor.Unsure)
 	}
 	s.sessions = make(map[chervilladder.SessionID]Floor)
 }
--- a/internal/caller/batch.go
+++ b/internal/caller/batch.go
@@ -165,20 +165,31 @@
 		if x.Class != "" {
 			b.class = x.Class
 		}
-		switch x.Kind {
-		case sqltext.KindRefused:
-			b.fail(&protocolError{code: codeNotSupported, message: x.Why + " is not supported through the proxy"})
-		case sqltext.KindForget:
-			b.fail(&protocolError{code: codeNotSupported, message: "DEALLOCATE and DISCARD have to be sent alone, as a simple query"})
-		case sqltext.KindSet:
+		if x.Kind == sqltext.KindSet {
 			if err := s.settings.check(x); err != nil {
 				b.fail(err)
 			}
 		}
 	}
+	if err := refused(parts); err != nil {
+		b.fail(err)
+	}
 	b.statements = append(b.statements, parts...)
 }
 
+// refused returns why statements can't run on a pooled connection, if so.
+func refused(parts []sqltext.Statement) error {
+	for _, x := range parts {
+		switch x.Kind {
+		case sqltext.KindRefused:
+			return &protocolError{code: codeNotSupported, message: x.Why + " is not supported through the proxy"}
+		case sqltext.KindForget:
+			return &protocolError{code: codeNotSupported, message: "DEALLOCATE and DISCARD have to be sent alone, as a simple query"}
+		}
+	}
+	return nil
+}
+
 // access says which members may run the batch.
 func (b *batch) access() chervilladder.Access {
 	for _, x := range b.statements {
--- a/internal/caller/extended.go
+++ b/internal/caller/extended.go
@@ -39,6 +39,10 @@
 		return nil
 	}
 	p := newPrepared(m.Query, append([]uint32(nil), m.ParameterOIDs...))
+	if err := refused(p.parts); err != nil {
+		b.fail(err)
+		return nil
+	}
 	b.parsed = append(b.parsed, parsed{name: m.Name, prepared: p})
 	b.unnamedHere = m.Name == ""
 	m.Name = ""
--- a/internal/decide/route/route.go
+++ b/internal/decide/route/route.go
@@ -17,6 +17,9 @@
 	if !replayed.Covers(floor.Written) {
 		return false
 	}
+	if floor.Unsure != 0 && !coversUnsure(g, floor, replayed) {
+		return false
+	}
 	if floor.Tick == 0 || floor.Replica == replica {
 		return true
 	}
@@ -28,6 +31,13 @@
 	return chervilladder.Mark{Term: s.LogTerm, Position: s.Replayed}
 }
 
+// coversUnsure reports whether a mark covers a write of unknown outcome, if it
+// was done.
+func coversUnsure(g blackboard.Group, floor blackboard.Floor, replayed chervilladder.Mark) bool {
+	v := g.Members[g.Primary]
+	return v.Tick >= floor.Unsure && replayed.Covers(chervilladder.Mark{Term: g.Term, Position: v.Status.Received})
+}
+
 // coversObserved reports whether a mark covers what the session may have seen
 // on the replicas that it read from.
 func coversObserved(g blackboard.Group, floor blackboard.Floor, replayed chervilladder.Mark) bool {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -55,8 +56,9 @@
 			"signal": cmdSignal,
 			"start":  cmdStart,
 			"fault":  cmdFault,
+			"status": cmdStatus,
 			"load":   cmdLoad,
-			"wait":   cmdWait,
+			"acked":  cmdAcked,
 			"verify": cmdVerify,
 			"ctl":    cmdCtl,
 		},
@@ -232,6 +234,20 @@
 	ts.Check(w.call(http.MethodPost, "http://"+w.controls[args[0]]+args[1], strings.Join(args[2:], " ")))
 }
 
+// status NAME prints what a stand-in says of itself.
+func cmdStatus(ts *testscript.TestScript, _ bool, args []string) {
+	w := stateOf(ts).world
+	path := "/status"
+	if args[0] == "platform" {
+		path = "/control/status"
+	}
+	answer, err := http.Get("http://" + w.controls[args[0]] + path)
+	ts.Check(err)
+	defer answer.Body.Close()
+	_, err = io.Copy(ts.Stdout(), answer.Body)
+	ts.Check(err)
+}
+
 // load WORKERS starts roaming sessions that write and read back; load stop
 // ends them.
 func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
@@ -246,8 +262,8 @@
 	s.load = startLoad(s.world, s.history, n)
 }
 
-// wait N waits until N more writes are acknowledged.
-func cmdWait(ts *testscript.TestScript, _ bool, args []string) {
+// acked N waits until N more writes are acknowledged.
+func cmdAcked(ts *testscript.TestScript, _ bool, args []string) {
 	s := stateOf(ts)
 	n, err := strconv.Atoi(args[0])
 	ts.Check(err)
--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -128,6 +128,7 @@
 	case wasOpen && !x.batch.Commits:
 		return x.notRun(chervilladder.ReasonRolledBack, err)
 	default:
+		x.state.Floors.Lost(x.work.Session, x.state.Evidence.Ask())
 		return &chervilladder.UnknownError{Database: x.work.Database, Upstream: x.served, Err: err}
 	}
 }
