Report how fast classes burn their error budgets

The recorder counts events and answer times in slices of a minute. The report gives burn rates, the budget left, its causes, percentiles, and one plain line for each class in trouble, as text, JSON and a page.

--- /dev/null
+++ b/internal/burn/buckets_test.go
@@ -0,0 +1,57 @@
+package burn
+
+import (
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestBucketsMatchLibrary proves that recording in buckets loses nothing
+// against recording in the library's histogram.
+func TestBucketsMatchLibrary(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		is := is.NewRelaxed(t)
+		var b buckets
+		want := newHistogram()
+		for _, n := range rapid.SliceOf(rapid.Int64Range(0, int64(3*time.Hour))).Draw(rt, "times") {
+			b.record(time.Duration(n))
+			is.NoErr(want.RecordValue(valueOf(time.Duration(n))))
+		}
+		got := newHistogram()
+		b.pack().addTo(got)
+		gotText, err := got.Encode()
+		is.NoErr(err)
+		wantText, err := want.Encode()
+		is.NoErr(err)
+		is.Equal(string(gotText), string(wantText))
+		if t.Failed() {
+			rt.FailNow()
+		}
+	})
+}
+
+// BenchmarkMemory reports what one class keeps when every minute of the hour
+// had events.
+func BenchmarkMemory(b *testing.B) {
+	const classes = 200
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		kept := make([]series, classes)
+		for i := range kept {
+			for minute := range int64(2 * longMinutes) {
+				for n := range 100 {
+					kept[i].record(minute, Event{Target: time.Second, Took: time.Duration(n*n) * 50 * time.Microsecond})
+				}
+			}
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(kept)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/classes, "B/class")
+}
--- /dev/null
+++ b/internal/burn/merge.go
@@ -0,0 +1,72 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// Merge merges the snapshots of several VMs. Histograms and counts are added,
+// never averaged. What a class's goals are is taken from the newest revision. A
+// second snapshot of the same VM is left out.
+func Merge(snapshots ...Snapshot) Snapshot {
+	snapshots = slices.Clone(snapshots)
+	slices.SortStableFunc(snapshots, func(a, b Snapshot) int {
+		return cmp.Compare(a.Revision, b.Revision)
+	})
+	merged := Snapshot{Classes: []ClassSnapshot{}}
+	at := make(map[key]int)
+	for _, s := range snapshots {
+		if slices.ContainsFunc(s.VMs, func(vm chervilladder.VMID) bool { return slices.Contains(merged.VMs, vm) }) {
+			continue
+		}
+		merged.Revision = s.Revision
+		merged.VMs = append(merged.VMs, s.VMs...)
+		if s.Taken.After(merged.Taken) {
+			merged.Taken = s.Taken
+		}
+		for _, c := range s.Classes {
+			k := key{c.Service, c.Class}
+			i, ok := at[k]
+			if !ok {
+				i = len(merged.Classes)
+				at[k] = i
+				merged.Classes = append(merged.Classes, ClassSnapshot{Service: c.Service, Class: c.Class, Minutes: []Minute{}})
+			}
+			merged.Classes[i].merge(c)
+		}
+	}
+	slices.Sort(merged.VMs)
+	merged.sort()
+	return merged
+}
+
+// merge adds a class's snapshot, whose goals are at least as new.
+func (c *ClassSnapshot) merge(o ClassSnapshot) {
+	c.Priority = o.Priority
+	c.TargetSeconds = o.TargetSeconds
+	c.ObjectivePercent = o.ObjectivePercent
+	c.Short.merge(o.Short)
+	c.Long.merge(o.Long)
+	c.Minutes = mergeMinutes(c.Minutes, o.Minutes)
+}
+
+func (w *Window) merge(o Window) {
+	w.Counts = w.Counts.plus(o.Counts)
+	w.Times.merge(o.Times.times)
+}
+
+func mergeMinutes(a, b []Minute) []Minute {
+	all := slices.Concat(a, b)
+	slices.SortStableFunc(all, func(x, y Minute) int { return cmp.Compare(x.Minute, y.Minute) })
+	merged := all[:0]
+	for _, m := range all {
+		if n := len(merged); n > 0 && merged[n-1].Minute == m.Minute {
+			merged[n-1].Counts = merged[n-1].Counts.plus(m.Counts)
+			continue
+		}
+		merged = append(merged, m)
+	}
+	return merged
+}
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -96,6 +96,7 @@
 		historyCommand(c),
 		rollbackCommand(c),
 		statusCommand(c),
+		burnCommand(c),
 		drainCommand(c),
 	}
 }
