--- a/internal/burn/snapshot.go
+++ b/internal/burn/snapshot.go
@@ -51,8 +51,11 @@
 }
 
 // Snapshot returns the last hour of the classes that the catalogue has. The
-// classes that it no longer has are dropped.
+// classes that it no longer has are dropped. Without a catalogue there are none.
 func (r *Recorder) Snapshot(vm chervilladder.VMID, catalogue *chervilladder.Catalogue) Snapshot {
+	if catalogue == nil {
+		catalogue = &chervilladder.Catalogue{}
+	}
 	now := time.Now()
 	r.retain(func(k key) bool { return classOf(catalogue, k) != nil })
 	s := Snapshot{
--- a/internal/publish/bundle.go
+++ b/internal/publish/bundle.go
@@ -25,11 +25,7 @@
 
 // Encode encodes the bundle for a peer.
 func (b Bundle) Encode() ([]byte, error) {
-	out := bundleJSON{Revision: b.Revision, Index: b.Index, Files: []string{}}
-	for _, f := range b.Files {
-		out.Files = append(out.Files, f.Text)
-	}
-	data, err := json.Marshal(out)
+	data, err := json.Marshal(bundleJSON{Revision: b.Revision, Index: b.Index, Files: texts(b.Files)})
 	if err != nil {
 		return nil, fmt.Errorf("encode revision %d: %w", b.Revision, err)
 	}
@@ -42,18 +38,39 @@
 	if err := json.Unmarshal(data, &in); err != nil {
 		return Bundle{}, fmt.Errorf("decode a bundle: %w", err)
 	}
-	if in.Revision != in.Index.Revision || len(in.Files) != len(in.Index.Services) {
-		return Bundle{}, fmt.Errorf("decode the bundle of revision %d: its index doesn't fit its files; ask another peer", in.Revision)
+	if in.Revision != in.Index.Revision {
+		return Bundle{}, fmt.Errorf("decode the bundle of revision %d: its index is of revision %d; ask another peer", in.Revision, in.Index.Revision)
+	}
+	files, err := parseContents(in.Index.Services, in.Files)
+	if err != nil {
+		return Bundle{}, fmt.Errorf("decode the bundle of revision %d: %w", in.Revision, err)
+	}
+	return Bundle{Revision: in.Revision, Index: in.Index, Files: files}, nil
+}
+
+func texts(files []servicefile.File) []string {
+	texts := make([]string, 0, len(files))
+	for _, f := range files {
+		texts = append(texts, f.Text)
+	}
+	return texts
+}
+
+// parseContents checks the contents that a peer sent against the entries that
+// it sent along.
+func parseContents(entries []Entry, texts []string) ([]servicefile.File, error) {
+	if len(entries) != len(texts) {
+		return nil, fmt.Errorf("%d files for %d services; ask another peer", len(texts), len(entries))
 	}
-	b := Bundle{Revision: in.Revision, Index: in.Index}
-	for i, text := range in.Files {
-		f, err := parseContent(in.Index.Services[i], text)
+	files := make([]servicefile.File, 0, len(texts))
+	for i, text := range texts {
+		f, err := parseContent(entries[i], text)
 		if err != nil {
-			return Bundle{}, fmt.Errorf("decode the bundle of revision %d: %w", in.Revision, err)
+			return nil, err
 		}
-		b.Files = append(b.Files, *f)
+		files = append(files, *f)
 	}
-	return b, nil
+	return files, nil
 }
 
 // Catalogue resolves the bundle for look-up.
