--- a/internal/burn/html.go
+++ b/internal/burn/html.go
@@ -32,6 +32,7 @@
 	ClassReport
 	Name    string
 	Causes  string
+	Budget  string
 	Windows []pageWindow
 	Bars    []bar
 	// BudgetY is the height at which the objective's share of bad events is.
@@ -45,7 +46,7 @@
 	WindowReport
 }
 
-// bar is one minute: its height is the share of bad events.
+// bar is one minute with bad events: its height is their share.
 type bar struct {
 	X, Y, Width, Height float64
 	Title               string
@@ -89,6 +90,7 @@
 		ClassReport: c,
 		Name:        c.name(),
 		Causes:      c.Long.Counts.causes(),
+		Budget:      c.budget(),
 		Windows:     []pageWindow{{"5 min", c.Short}, {"1 h", c.Long}},
 		Bars:        bars(c.snapshot.Minutes, minuteOf(r.Taken)),
 		BudgetY:     shareY((100 - c.ObjectivePercent) / 100),
@@ -106,7 +108,7 @@
 	var bars []bar
 	for _, m := range minutes {
 		age := last - m.Minute
-		if age < 0 || age >= longMinutes {
+		if age < 0 || age >= longMinutes || m.Counts.Bad() == 0 {
 			continue
 		}
 		y := shareY(badPercent(m.Counts) / 100)
