--- a/internal/burn/buckets_test.go
+++ b/internal/burn/buckets_test.go
@@ -1,6 +1,7 @@
 package burn
 
 import (
+	"flag"
 	"runtime"
 	"testing"
 	"time"
@@ -9,6 +10,14 @@
 	"pgregory.net/rapid"
 )
 
+// The seed is fixed, so that runs repeat; -rapid.seed on the command line
+// takes another.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 // TestBucketsMatchLibrary proves that recording in buckets loses nothing
 // against recording in the library's histogram.
 func TestBucketsMatchLibrary(t *testing.T) {
--- a/pkg/servicefile/render_test.go
+++ b/pkg/servicefile/render_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -15,6 +16,14 @@
 	"github.com/chervilladder/chervilladder/pkg/servicefile"
 )
 
+// The seed is fixed, so that runs repeat; -rapid.seed on the command line
+// takes another.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 // drawFile draws a file without faults.
 func drawFile(t *rapid.T) servicefile.File {
 	f := servicefile.File{Service: "service", DefaultClass: "class-0"}
