--- a/internal/standin/platform/vms.go
+++ b/internal/standin/platform/vms.go
@@ -45,6 +45,9 @@
 
 // NewVMs returns a list that holds the given VMs.
 func NewVMs(vms []VM) *VMs {
+	if vms == nil {
+		vms = []VM{}
+	}
 	return &VMs{listings: board.NewSection([]listing{{vms: vms}})}
 }
 
--- a/internal/standin/upstream/engine/db.go
+++ b/internal/standin/upstream/engine/db.go
@@ -111,7 +111,7 @@
 // Promote replays all that has been received, and makes ids rise above those
 // that the former primary gave out.
 func (d *DB) Promote(term chervilladder.Term) {
-	for d.ReplayNext() {
+	for d.Replay(d.Version().Mark.Position + 1) {
 	}
 	d.xids.skip()
 	d.log.Agree(term)
@@ -150,30 +150,31 @@
 // it isn't the one that follows.
 func (d *DB) Receive(e Entry) bool { return d.log.append(e) }
 
-// ReplayNext replays the next entry that has been received. It returns false
-// when there is none.
-func (d *DB) ReplayNext() bool {
+// Replay replays the entry at a position. It returns false when that isn't the
+// next one, or has not been received.
+func (d *DB) Replay(p chervilladder.Position) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next, _, ok := d.log.next(d.version.Load().Mark.Position)
-	if ok {
-		d.apply(next.entry)
+	if !ok || next.entry.Position != p {
+		return false
 	}
-	return ok
+	d.apply(next.entry)
+	return true
 }
 
 // AwaitReplay waits until an entry is received that has not been replayed, and
-// returns when that entry came.
-func (d *DB) AwaitReplay(ctx context.Context) (time.Time, error) {
+// returns its position and when it came.
+func (d *DB) AwaitReplay(ctx context.Context) (chervilladder.Position, time.Time, error) {
 	for {
 		next, grown, ok := d.log.next(d.version.Load().Mark.Position)
 		if ok {
-			return next.at, nil
+			return next.entry.Position, next.at, nil
 		}
 		select {
 		case <-grown:
 		case <-ctx.Done():
-			return time.Time{}, ctx.Err()
+			return 0, time.Time{}, ctx.Err()
 		}
 	}
 }
--- a/internal/standin/upstream/engine/row.go
+++ b/internal/standin/upstream/engine/row.go
@@ -108,6 +108,16 @@
 	orders uint64
 }
 
+// Columns returns the columns of a table, the id first. A table that nobody has
+// written has its id only.
+func (v *Version) Columns(name sql.TableName) []sql.ColumnName {
+	columns := []sql.ColumnName{sql.ColumnID}
+	if t := v.Tables[name]; t != nil {
+		columns = append(columns, t.Columns...)
+	}
+	return columns
+}
+
 // builder makes the next version from one that is shared.
 type builder struct {
 	version *Version
--- a/internal/standin/upstream/engine/txn.go
+++ b/internal/standin/upstream/engine/txn.go
@@ -55,6 +55,9 @@
 // SetReadOnly makes the transaction refuse writes, or not.
 func (t *Txn) SetReadOnly(on bool) { t.readOnly = on }
 
+// ReadOnly reports whether the transaction refuses writes.
+func (t *Txn) ReadOnly() bool { return t.readOnly }
+
 // end makes the transaction refuse all that follows, and gives up its locks.
 func (t *Txn) end(cause *pgerror.Error) {
 	if t.cause.CompareAndSwap(nil, cause) {
@@ -126,6 +129,23 @@
 	return rows
 }
 
+// Columns returns the columns of a table as the transaction sees it, the id
+// first.
+func (t *Txn) Columns(table sql.TableName) []sql.ColumnName {
+	columns := t.db.Version().Columns(table)
+	for _, c := range t.changes {
+		if c.Table != table {
+			continue
+		}
+		for _, f := range c.Columns {
+			if !slices.Contains(columns, f.Name) {
+				columns = append(columns, f.Name)
+			}
+		}
+	}
+	return columns
+}
+
 // Insert adds a row, whose lock the transaction holds.
 func (t *Txn) Insert(table sql.TableName, id RowID, fields []Field) (*Row, error) {
 	row := &Row{ID: id, Fields: fields, order: uncommitted + uint64(len(t.changes))}
--- a/internal/standin/upstream/group/evidence.go
+++ b/internal/standin/upstream/group/evidence.go
@@ -11,23 +11,23 @@
 // been in a term. All content is in memory, so that a peer whose process
 // doesn't run has forgotten all.
 type evidence struct {
-	clear *board.Section[map[chervilladder.UpstreamID]bool]
+	termless *board.Section[map[chervilladder.UpstreamID]bool]
 }
 
 func newEvidence(peers map[chervilladder.UpstreamID]chervilladder.Address) *evidence {
-	clear := map[chervilladder.UpstreamID]bool{}
+	termless := map[chervilladder.UpstreamID]bool{}
 	for name := range peers {
-		clear[name] = false
+		termless[name] = false
 	}
-	return &evidence{clear: board.NewSection(clear)}
+	return &evidence{termless: board.NewSection(termless)}
 }
 
 // note keeps that a peer doesn't run or has never been in a term.
 func (e *evidence) note(peer chervilladder.UpstreamID) {
-	if e.clear.Load()[peer] {
+	if e.termless.Load()[peer] {
 		return
 	}
-	e.clear.Update(func(m *map[chervilladder.UpstreamID]bool) {
+	e.termless.Update(func(m *map[chervilladder.UpstreamID]bool) {
 		*m = maps.Clone(*m)
 		(*m)[peer] = true
 	})
@@ -36,9 +36,9 @@
 // noTerms reports whether no peer has been in a term, and returns a channel
 // that closes when more is known.
 func (e *evidence) noTerms() (bool, <-chan struct{}) {
-	known, more := e.clear.Watch()
-	for _, clear := range known {
-		if !clear {
+	known, more := e.termless.Watch()
+	for _, termless := range known {
+		if !termless {
 			return false, more
 		}
 	}
--- a/internal/standin/upstream/group/follow.go
+++ b/internal/standin/upstream/group/follow.go
@@ -38,7 +38,7 @@
 // replay replays each entry once it is as old as the lag.
 func (k *Keeper) replay(ctx context.Context) {
 	for {
-		at, err := k.db.AwaitReplay(ctx)
+		position, at, err := k.db.AwaitReplay(ctx)
 		if err != nil {
 			return
 		}
@@ -48,7 +48,7 @@
 		if k.board.AwaitFlow(ctx, func(f state.Faults) bool { return f.Freeze }) != nil {
 			return
 		}
-		k.db.ReplayNext()
+		k.db.Replay(position)
 	}
 }
 
--- a/internal/standin/upstream/group/keeper.go
+++ b/internal/standin/upstream/group/keeper.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/standin"
 	"github.com/chervilladder/chervilladder/internal/standin/upstream/engine"
 	"github.com/chervilladder/chervilladder/internal/standin/upstream/pgerror"
 	"github.com/chervilladder/chervilladder/internal/standin/upstream/state"
@@ -21,15 +22,6 @@
 // number of the term.
 const claimTermShift = 20
 
-// Sessions is what the keeper asks of those who serve callers.
-type Sessions interface {
-	// EndBelow ends the connections that are bound to lower claims, and
-	// returns once their transactions are rolled back.
-	EndBelow(claim chervilladder.Claim, holder chervilladder.VMID)
-	// Open returns how many connections there are.
-	Open() int
-}
-
 // Config configures a Keeper.
 type Config struct {
 	Name  chervilladder.UpstreamID
@@ -49,7 +41,7 @@
 	board    *state.Board
 	db       *engine.DB
 	log      logrus.FieldLogger
-	sessions Sessions
+	sessions standin.Sessions
 	evidence *evidence
 }
 
@@ -68,7 +60,7 @@
 
 // SetSessions names those who serve callers. It must be called before any
 // other method.
-func (k *Keeper) SetSessions(s Sessions) { k.sessions = s }
+func (k *Keeper) SetSessions(s standin.Sessions) { k.sessions = s }
 
 // Status is what a member says of itself.
 type Status struct {
@@ -306,8 +298,8 @@
 		if s.Term > 0 {
 			return nil
 		}
-		clear, more := k.evidence.noTerms()
-		if clear {
+		none, more := k.evidence.noTerms()
+		if none {
 			break
 		}
 		select {
--- a/internal/standin/upstream/query/functions.go
+++ b/internal/standin/upstream/query/functions.go
@@ -84,7 +84,7 @@
 }
 
 func currentSetting(_ context.Context, v *Env, args []sql.Value) (sql.Value, error) {
-	value, ok := v.Session.Setting(strings.ToLower(args[0].Text))
+	value, ok := v.Caller.Setting(strings.ToLower(args[0].Text))
 	if !ok {
 		return sql.Value{}, pgerror.New(pgerror.UndefinedObject, "unknown configuration parameter %q", args[0].Text)
 	}
@@ -96,12 +96,12 @@
 	if err != nil {
 		return local, err
 	}
-	v.Session.SetSetting(strings.ToLower(args[0].Text), args[1].Text, local.True())
+	v.Caller.SetSetting(strings.ToLower(args[0].Text), args[1].Text, local.True())
 	return sql.Text(args[1].Text), nil
 }
 
 func inRecovery(_ context.Context, v *Env, _ []sql.Value) (sql.Value, error) {
-	return sql.Bool(v.Session.InRecovery()), nil
+	return sql.Bool(v.Caller.InRecovery()), nil
 }
 
 func version(context.Context, *Env, []sql.Value) (sql.Value, error) {
@@ -109,7 +109,7 @@
 }
 
 func currentUser(_ context.Context, v *Env, _ []sql.Value) (sql.Value, error) {
-	return sql.Text(v.Session.User()), nil
+	return sql.Text(v.Caller.User()), nil
 }
 
 func now(context.Context, *Env, []sql.Value) (sql.Value, error) {
@@ -117,7 +117,7 @@
 }
 
 func processID(_ context.Context, v *Env, _ []sql.Value) (sql.Value, error) {
-	return convert(sql.Int(int64(v.Session.ProcessID())), sql.TypeInt4)
+	return convert(sql.Int(int64(v.Caller.ProcessID())), sql.TypeInt4)
 }
 
 func repeat(_ context.Context, _ *Env, args []sql.Value) (sql.Value, error) {
--- a/internal/standin/upstream/query/query.go
+++ b/internal/standin/upstream/query/query.go
@@ -4,32 +4,20 @@
 
 import (
 	"context"
+	"slices"
 
+	"github.com/chervilladder/chervilladder/internal/standin"
 	"github.com/chervilladder/chervilladder/internal/standin/upstream/engine"
 	"github.com/chervilladder/chervilladder/internal/standin/upstream/pgerror"
 	"github.com/chervilladder/chervilladder/internal/standin/upstream/sql"
 )
 
-// Session is what functions ask of the session that calls them.
-type Session interface {
-	// Setting returns a setting's value, and whether it is known.
-	Setting(name string) (string, bool)
-	// SetSetting changes a setting.
-	SetSetting(name, value string, local bool)
-	// User returns the role that the session signed in with.
-	User() string
-	// ProcessID returns the number of the session.
-	ProcessID() uint32
-	// InRecovery reports whether the member is a replica.
-	InRecovery() bool
-}
-
 // Env is what a statement runs in.
 type Env struct {
-	Txn     *engine.Txn
-	DB      *engine.DB
-	Params  []sql.Value
-	Session Session
+	Txn    *engine.Txn
+	DB     *engine.DB
+	Params []sql.Value
+	Caller standin.Caller
 }
 
 // Column describes a column of a result.
@@ -49,10 +37,8 @@
 	Affected int
 }
 
-// Tables tells which columns a table has.
-type Tables interface {
-	Version() *engine.Version
-}
+// Tables returns the columns of a table, the id first.
+type Tables func(sql.TableName) []sql.ColumnName
 
 // Run runs a statement that reads or writes tables.
 func Run(ctx context.Context, env *Env, s sql.Statement) (Result, error) {
@@ -100,7 +86,7 @@
 		}
 		return itemColumns(s.Items, params, tables, "")
 	case *sql.Insert:
-		return itemColumns(s.Returning, params, tables, s.Table)
+		return itemColumns(s.Returning, params, tables.with(s.Columns), s.Table)
 	case *sql.Update:
 		return itemColumns(s.Returning, params, tables, s.Table)
 	case *sql.Delete:
@@ -117,21 +103,24 @@
 			columns = append(columns, Column{Name: i.Name, Type: typeOf(i.Expr, params)})
 			continue
 		}
-		for _, name := range tableColumns(tables, table) {
+		for _, name := range tables(table) {
 			columns = append(columns, Column{Name: name, Type: sql.TypeText})
 		}
 	}
 	return columns
 }
 
-// tableColumns returns the columns of a table, the id first. A table that
-// doesn't exist yet has only its id.
-func tableColumns(tables Tables, table sql.TableName) []sql.ColumnName {
-	columns := []sql.ColumnName{sql.ColumnID}
-	if t := tables.Version().Tables[table]; t != nil {
-		columns = append(columns, t.Columns...)
+// with returns the columns that tables have once some are added.
+func (t Tables) with(added []sql.ColumnName) Tables {
+	return func(table sql.TableName) []sql.ColumnName {
+		columns := t(table)
+		for _, name := range added {
+			if !slices.Contains(columns, name) {
+				columns = append(columns, name)
+			}
+		}
+		return columns
 	}
-	return columns
 }
 
 // functionColumns returns the columns of a SELECT from a function.
--- a/internal/standin/upstream/query/select.go
+++ b/internal/standin/upstream/query/select.go
@@ -235,7 +235,7 @@
 
 // project returns the wanted columns of rows.
 func (v *Env) project(items []sql.Item, table sql.TableName, rows []*engine.Row) Rows {
-	star := tableColumns(v.DB, table)
+	star := v.Txn.Columns(table)
 	return func(ctx context.Context) ([]sql.Value, error) {
 		if len(rows) == 0 {
 			return nil, nil
--- a/internal/standin/upstream/sql/parse_control.go
+++ b/internal/standin/upstream/sql/parse_control.go
@@ -92,8 +92,11 @@
 	} else {
 		p.word("session")
 	}
-	if p.word("transaction") || p.words("characteristics", "as", "transaction") {
-		return p.setTransaction(s)
+	if p.word("transaction") {
+		return p.setTransaction(s, "transaction_read_only")
+	}
+	if p.words("characteristics", "as", "transaction") {
+		return p.setTransaction(s, "default_transaction_read_only")
 	}
 	if p.words("time", "zone") {
 		s.Name = "timezone"
@@ -111,10 +114,10 @@
 }
 
 // setTransaction reads SET TRANSACTION, of which only the read mode counts.
-func (p *parser) setTransaction(s *Set) Statement {
+func (p *parser) setTransaction(s *Set, name string) Statement {
 	b := &Begin{}
 	p.begin(b)
-	s.Name = "transaction_read_only"
+	s.Name = name
 	s.Value = "off"
 	if b.ReadOnly {
 		s.Value = "on"
--- a/internal/standin/upstream/sql/parse_expr.go
+++ b/internal/standin/upstream/sql/parse_expr.go
@@ -51,11 +51,20 @@
 		if !ok {
 			return left
 		}
+		p.count()
 		left = next
 	}
 	return left
 }
 
+// count counts an operator, and fails when there are too many.
+func (p *parser) count() {
+	p.operators++
+	if p.operators > maxOperators {
+		p.fail()
+	}
+}
+
 func (p *parser) prefix() Expr {
 	if p.word("not") {
 		return &Unary{Op: OpNot, Expr: p.operation(bindNot)}
@@ -66,6 +75,7 @@
 	e := p.primary()
 	for p.symbol("::") {
 		e = &Cast{Expr: e, Type: p.typeName()}
+		p.count()
 	}
 	return e
 }
--- a/internal/standin/upstream/sql/parser.go
+++ b/internal/standin/upstream/sql/parser.go
@@ -5,6 +5,10 @@
 // maxDepth is how deep expressions may nest.
 const maxDepth = 100
 
+// maxOperators is how many operators a statement may have. Each one nests the
+// expression before it.
+const maxOperators = 10_000
+
 // Parsed is a statement with what the protocol wants to know of it.
 type Parsed struct {
 	// Statement is nil when the text is empty.
@@ -51,7 +55,7 @@
 		if p.current().kind == tokenEnd {
 			return all, nil
 		}
-		p.params = nil
+		p.params, p.operators = nil, 0
 		s := p.statement()
 		if p.err == nil && p.current().kind != tokenEnd && !p.isSymbol(";") {
 			p.fail()
@@ -70,7 +74,9 @@
 	at     int
 	depth  int
 	params []int
-	err    error
+	// operators is how many operators the statement has so far.
+	operators int
+	err       error
 }
 
 func (p *parser) current() token { return p.tokens[p.at] }
@@ -306,97 +312,3 @@
 		}
 	}
 }
-
-func (p *parser) insert() Statement {
-	p.advance()
-	p.need(p.word("into"))
-	s := &Insert{Table: p.table()}
-	p.need(p.symbol("("))
-	for {
-		s.Columns = append(s.Columns, p.column())
-		if !p.symbol(",") {
-			break
-		}
-	}
-	p.need(p.symbol(")"))
-	p.need(p.word("values"))
-	for {
-		s.Rows = append(s.Rows, p.row(len(s.Columns)))
-		if !p.symbol(",") {
-			break
-		}
-	}
-	if p.words("on", "conflict") {
-		p.conflict(s)
-	}
-	s.Returning = p.returning()
-	return s
-}
-
-func (p *parser) row(columns int) []Expr {
-	p.need(p.symbol("("))
-	list := []Expr{p.expr()}
-	for p.symbol(",") {
-		list = append(list, p.expr())
-	}
-	if len(list) != columns {
-		p.fail()
-	}
-	p.need(p.symbol(")"))
-	return list
-}
-
-func (p *parser) conflict(s *Insert) {
-	if p.symbol("(") {
-		p.need(p.column() == ColumnID)
-		p.need(p.symbol(")"))
-	}
-	p.need(p.word("do"))
-	if p.word("nothing") {
-		s.Conflict = ConflictDoesNothing
-		return
-	}
-	p.need(p.words("update", "set"))
-	s.Conflict = ConflictUpdates
-	s.Set = p.assignments()
-}
-
-func (p *parser) update() Statement {
-	p.advance()
-	s := &Update{Table: p.table()}
-	p.need(p.word("set"))
-	s.Set = p.assignments()
-	s.Where = p.where()
-	s.Returning = p.returning()
-	return s
-}
-
-func (p *parser) assignments() []Assignment {
-	var list []Assignment
-	for {
-		a := Assignment{Column: p.column()}
-		p.need(a.Column != ColumnID)
-		p.need(p.symbol("="))
-		a.Value = p.expr()
-		list = append(list, a)
-		if !p.symbol(",") {
-			return list
-		}
-	}
-}
-
-func (p *parser) deleteStatement() Statement {
-	p.advance()
-	p.need(p.word("from"))
-	s := &Delete{Table: p.table()}
-	s.Where = p.where()
-	s.Returning = p.returning()
-	return s
-}
-
-func (p *parser) returning() []Item {
-	if !p.word("returning") {
-		return nil
-	}
-	return p.items()
-}
--- a/internal/standin/upstream/wire/functions.go
+++ b/internal/standin/upstream/wire/functions.go
@@ -2,10 +2,15 @@
 
 // Setting returns a setting's value, and whether it is known.
 func (c *session) Setting(name string) (string, bool) {
-	if name == "in_hot_standby" && c.InRecovery() {
+	t := c.txn.Load()
+	switch {
+	case name == "in_hot_standby" && c.InRecovery():
 		return "on", true
+	case name == "transaction_read_only" && (c.InRecovery() || t != nil && t.ReadOnly()):
+		return "on", true
+	default:
+		return c.settings.get(name)
 	}
-	return c.settings.get(name)
 }
 
 // SetSetting changes a setting.
--- a/internal/standin/upstream/wire/group.go
+++ b/internal/standin/upstream/wire/group.go
@@ -80,7 +80,7 @@
 		return nil, pgerror.New(pgerror.Internal, "no call of a function")
 	}
 	call := groupCall(q)
-	args := groupArgs{env: query.Env{DB: c.server.db, Params: params, Session: c}, list: call.Args}
+	args := groupArgs{env: query.Env{DB: c.server.db, Params: params, Caller: c}, list: call.Args}
 	status, err := c.callFunction(call.Name, &args)
 	if err != nil {
 		return nil, err
--- a/internal/standin/upstream/wire/run.go
+++ b/internal/standin/upstream/wire/run.go
@@ -12,6 +12,14 @@
 	"github.com/chervilladder/chervilladder/internal/standin/upstream/state"
 )
 
+// tables returns the columns of a table as the session sees it.
+func (c *session) tables(name sql.TableName) []sql.ColumnName {
+	if t := c.txn.Load(); t != nil {
+		return t.Columns(name)
+	}
+	return c.server.db.Version().Columns(name)
+}
+
 // run is the execution of one statement.
 type run struct {
 	session *session
@@ -59,7 +67,7 @@
 	if classify(s) == classGroup {
 		return groupColumns(s)
 	}
-	return query.Columns(s, params, c.server.db)
+	return query.Columns(s, params, c.tables)
 }
 
 // proceed runs the statement and passes its rows to send, at most max of them
@@ -100,7 +108,7 @@
 		r.tag, r.rows, err = c.controlRows(r.parsed.Statement)
 		return err
 	}
-	env := &query.Env{Txn: c.transaction(), DB: c.server.db, Params: r.params, Session: c}
+	env := &query.Env{Txn: c.transaction(), DB: c.server.db, Params: r.params, Caller: c}
 	if err := state.Sleep(ctx, c.server.board.Settings.Load().StatementTime); err != nil {
 		return err
 	}
--- a/internal/standin/upstream/wire/send.go
+++ b/internal/standin/upstream/wire/send.go
@@ -41,9 +41,10 @@
 }
 
 func (c *session) sendReady() {
-	for _, name := range c.settings.changes() {
-		value, _ := c.settings.get(name.lower())
-		c.out.Send(&pgproto3.ParameterStatus{Name: string(name), Value: value})
+	for _, name := range reported {
+		if value, _ := c.Setting(name.lower()); c.settings.tell(name, value) {
+			c.out.Send(&pgproto3.ParameterStatus{Name: string(name), Value: value})
+		}
 	}
 	status := byte(statusIdle)
 	c.activity.Store(activityIdle)
--- a/internal/standin/upstream/wire/server.go
+++ b/internal/standin/upstream/wire/server.go
@@ -144,15 +144,23 @@
 	}
 	patience := time.NewTimer(endPatience)
 	defer patience.Stop()
-	for _, c := range ended {
+	for i, c := range ended {
 		select {
 		case <-c.unwound:
 		case <-patience.C:
+			closeAll(ended[i:])
 			return
 		}
 	}
 }
 
+// closeAll closes connections whose sessions hang in sending.
+func closeAll(list []*session) {
+	for _, c := range list {
+		_ = c.conn.Close()
+	}
+}
+
 // Silence makes all connections that are open now carry nothing any more.
 func (s *Server) Silence() int {
 	list := s.all()
--- a/internal/standin/upstream/wire/settings.go
+++ b/internal/standin/upstream/wire/settings.go
@@ -55,13 +55,13 @@
 	// saved are the session's values at the begin of the transaction.
 	saved map[string]string
 	// told are the values that the caller was last told of.
-	told map[string]string
+	told map[reportedName]string
 }
 
 func newSettings() *settings {
 	return &settings{
 		initial: maps.Clone(defaults), session: map[string]string{}, local: map[string]string{},
-		told: map[string]string{},
+		told: map[reportedName]string{},
 	}
 }
 
@@ -114,16 +114,10 @@
 	s.saved = nil
 }
 
-// changes returns the reported settings of whose values the caller has not
-// been told.
-func (s *settings) changes() []reportedName {
-	var list []reportedName
-	for _, name := range reported {
-		v, _ := s.get(name.lower())
-		if told, ok := s.told[name.lower()]; !ok || told != v {
-			list = append(list, name)
-		}
-		s.told[name.lower()] = v
-	}
-	return list
+// tell reports whether the caller has yet to be told of a value, and notes that
+// it is.
+func (s *settings) tell(name reportedName, value string) bool {
+	told, ok := s.told[name]
+	s.told[name] = value
+	return !ok || told != value
 }
--- a/internal/standin/upstream/wire/startup.go
+++ b/internal/standin/upstream/wire/startup.go
@@ -68,6 +68,7 @@
 		switch name {
 		case "user":
 			c.user = value
+			c.settings.start("session_authorization", value)
 		case "database", "options", "replication":
 		default:
 			c.settings.start(name, value)
@@ -77,10 +78,6 @@
 
 func (c *session) greet() {
 	c.out.Send(&pgproto3.AuthenticationOk{})
-	for _, name := range reported {
-		value, _ := c.settings.get(name.lower())
-		c.out.Send(&pgproto3.ParameterStatus{Name: string(name), Value: value})
-	}
 	c.out.Send(&pgproto3.BackendKeyData{ProcessID: c.id, SecretKey: c.secret})
 	c.sendReady()
 }
--- a/internal/standin/upstream/wire/txn.go
+++ b/internal/standin/upstream/wire/txn.go
@@ -7,6 +7,7 @@
 	"github.com/chervilladder/chervilladder/internal/standin/upstream/engine"
 	"github.com/chervilladder/chervilladder/internal/standin/upstream/pgerror"
 	"github.com/chervilladder/chervilladder/internal/standin/upstream/sql"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/state"
 )
 
 // transaction returns the open transaction, and opens one if there is none.
@@ -78,6 +79,9 @@
 	if t == nil {
 		return nil
 	}
+	// A frozen member commits nothing. The end of the session, the only
+	// error, shows in the transaction.
+	_ = c.server.board.AwaitFlow(c.ctx, func(f state.Faults) bool { return f.Freeze })
 	wrote := t.Wrote()
 	err := t.Commit(func(commit func(chervilladder.Term) error) error {
 		return c.server.keeper.Commit(c.bound(), commit)
