--- a/internal/standin/upstream/engine/db_test.go
+++ b/internal/standin/upstream/engine/db_test.go
@@ -132,20 +132,24 @@
 	}
 }
 
+// A wait that ends while the lock is handed over leaves no lock behind.
 func TestAbortedWaitLeavesNoLock(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		db := newDB(t)
-		holder, waiter, last := db.Begin(false), db.Begin(false), db.Begin(false)
-		is.NoErr(holder.Lock(t.Context(), table, "1"))
-		failed := make(chan error, 1)
-		go func() { failed <- waiter.Lock(t.Context(), table, "1") }()
-		synctest.Wait()
-		waiter.Rollback()
-		is.True(<-failed != nil)
-		holder.Rollback()
-		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-		defer cancel()
-		is.NoErr(last.Lock(ctx, table, "1"))
-	})
+	const rounds = 200
+	for range rounds {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			db := newDB(t)
+			holder, waiter, last := db.Begin(false), db.Begin(false), db.Begin(false)
+			is.NoErr(holder.Lock(t.Context(), table, "1"))
+			failed := make(chan error, 1)
+			go func() { failed <- waiter.Lock(t.Context(), table, "1") }()
+			synctest.Wait()
+			waiter.Rollback()
+			holder.Rollback()
+			is.True(<-failed != nil)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			is.NoErr(last.Lock(ctx, table, "1"))
+		})
+	}
 }
--- a/internal/standin/upstream/group_test.go
+++ b/internal/standin/upstream/group_test.go
@@ -123,9 +123,9 @@
 	s, err := callGroup(ballot, "group_accept(2, 'x')")
 	is.NoErr(err)
 	is.Equal([]any{s.Role, s.Term}, []any{"replica", int64(2)})
+	is.Equal(one[string](t, ballot, "SELECT pg_xact_status($1)", xid), "aborted")
 	_, err = writer.Exec(background, "COMMIT")
 	is.Equal(code(err), "25006")
-	is.Equal(one[string](t, ballot, "SELECT pg_xact_status($1)", xid), "aborted")
 
 	// The others hear of the term and accept the same attempt.
 	m["b"].await("term 2", func(s control.Status) bool { return s.Term == 2 })
@@ -170,6 +170,21 @@
 	m["c"].await("replayed 1", func(s control.Status) bool { return s.Replayed == 1 })
 }
 
+// What was under way from a primary of a lower term is not kept.
+func TestAcceptedTermStopsTheLogOfLowerTerms(t *testing.T) {
+	is := is.New(t)
+	m := newGroup(t, settings())
+	c := m["c"].conn()
+	m["c"].post("/lag?receive=1h")
+	exec(t, m["a"].conn(), "INSERT INTO holds (id) VALUES ('h1')")
+	m["b"].await("received 1", func(s control.Status) bool { return s.Received == 1 })
+	_, err := callGroup(c, "group_accept(2, 'x')")
+	is.NoErr(err)
+	m["c"].post("/lag")
+	exec(t, c, "SELECT pg_sleep(0.1)")
+	is.Equal(m["c"].status().Received, chervilladder.Position(0))
+}
+
 func TestContactTellsOfAPartition(t *testing.T) {
 	m := newGroup(t, settings())
 	m["a"].post("/partition?on=true")
