Learn a transaction's id before its first byte leaves, and ask for its fate

The id is now learnt first, which also proves that the flow carries; if the answer is lost later, the connection is ended at the primary and the transaction's status asked for, in the same term only. Idle connections are probed before use, and the idle ones are dropped with a silent one.

--- a/errors.go
+++ b/errors.go
@@ -59,6 +59,22 @@
 // Unwrap returns the cause.
 func (e *UnknownError) Unwrap() error { return e.Err }
 
+// DoneError reports work that was done, but whose answer was lost. It must not
+// be sent again.
+type DoneError struct {
+	Database DatabaseID
+	Upstream UpstreamID
+	Err      error
+}
+
+// Error says where the answer was lost.
+func (e *DoneError) Error() string {
+	return fmt.Sprintf("database %s: done at upstream %s, its answer is lost: %v", e.Database, e.Upstream, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *DoneError) Unwrap() error { return e.Err }
+
 // UpstreamLostError reports an upstream connection that failed or fell silent.
 type UpstreamLostError struct {
 	Upstream UpstreamID
--- a/ids.go
+++ b/ids.go
@@ -28,5 +28,8 @@
 // was lost can be recognised as one's own.
 type AttemptID string
 
+// TransactionID identifies a transaction at one primary, in one term.
+type TransactionID string
+
 // Address is an IP number and a port, such as "127.0.0.1:5432".
 type Address string
--- a/internal/caller/batch.go
+++ b/internal/caller/batch.go
@@ -34,6 +34,7 @@
 	// that the caller last parsed in this batch.
 	unnamedHere bool
 
+	simple     bool
 	failed     bool
 	rolledBack bool
 
@@ -137,6 +138,7 @@
 	if len(parts) == 1 && parts[0].Kind == sqltext.KindForget && !b.inTransaction {
 		return s.forget(b, parts[0])
 	}
+	b.simple = true
 	b.run(s, parts)
 	b.append('Q', body)
 	return nil
@@ -210,9 +212,30 @@
 		Needs:   b.needs,
 		Closes:  b.ends(),
 		Commits: b.commits(),
+		Trace:   b.trace(),
 	}
 }
 
+// trace says how the transaction's id can be asked for. A lone statement of
+// the simple protocol has no place for the question.
+func (b *batch) trace() chervilladder.Trace {
+	if b.inTransaction {
+		if b.ends() {
+			return chervilladder.TraceBefore
+		}
+		return chervilladder.TraceNone
+	}
+	if b.simple || len(b.statements) == 0 {
+		return chervilladder.TraceNone
+	}
+	for _, x := range b.statements {
+		if !x.Changes {
+			return chervilladder.TraceNone
+		}
+	}
+	return chervilladder.TraceWithin
+}
+
 func (b *batch) ends() bool {
 	for _, x := range b.statements {
 		if x.Kind == sqltext.KindCommit || x.Kind == sqltext.KindRollback {
--- a/internal/caller/errors.go
+++ b/internal/caller/errors.go
@@ -14,6 +14,7 @@
 const (
 	codeProtocol        = "08P01"
 	codeUnknownOutcome  = "08007"
+	codeDoneAnswerLost  = "08D01"
 	codeNotSupported    = "0A000"
 	codeUnknownStmt     = "26000"
 	codeDuplicateStmt   = "42P05"
@@ -46,6 +47,7 @@
 	var protocol *protocolError
 	var notRun *chervilladder.NotRunError
 	var unknown *chervilladder.UnknownError
+	var done *chervilladder.DoneError
 	switch {
 	case errors.As(err, &protocol):
 		r.Code, r.Hint = protocol.code, protocol.hint
@@ -54,6 +56,10 @@
 		r.Code = notRunCode(notRun.Reason)
 		r.Detail = "outcome: not-run, reason: " + string(notRun.Reason) + retryAfter(notRun.RetryAfter)
 		r.Hint = "The work did not run. It may be sent again."
+	case errors.As(err, &done):
+		r.Code = codeDoneAnswerLost
+		r.Detail = "outcome: done"
+		r.Hint = "The work was done, only its answer is lost. Do not send it again."
 	case errors.As(err, &unknown):
 		r.Detail = "outcome: unknown"
 		r.Hint = "The work may have been done. Look before sending it again."
--- a/internal/caller/sqltext/scan.go
+++ b/internal/caller/sqltext/scan.go
@@ -39,6 +39,9 @@
 	Reset bool
 	// Why says what is refused.
 	Why string
+	// Changes is set on statements that change rows and may run within any
+	// transaction.
+	Changes bool
 }
 
 // Scan reads the statements of a text, in order. An empty text has none.
@@ -65,6 +68,8 @@
 		return classifyShow(w)
 	case "begin", "start":
 		return classifyBegin(w)
+	case "insert", "update", "delete", "merge":
+		return Statement{Kind: KindWrite, Changes: true}
 	case "commit", "end":
 		return Statement{Kind: KindCommit}
 	case "rollback", "abort":
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -56,7 +56,7 @@
 }
 
 func encodeBatch(b chervilladder.Batch) *peerpb.Batch {
-	out := &peerpb.Batch{Payload: b.Payload, Closes: b.Closes, Commits: b.Commits}
+	out := &peerpb.Batch{Payload: b.Payload, Closes: b.Closes, Commits: b.Commits, Trace: uint32(b.Trace)}
 	for _, s := range b.Needs {
 		out.Needs = append(out.Needs, &peerpb.Statement{Name: s.Name, Sql: s.SQL, ParameterTypes: s.ParameterTypes})
 	}
@@ -64,7 +64,12 @@
 }
 
 func decodeBatch(b *peerpb.Batch) chervilladder.Batch {
-	out := chervilladder.Batch{Payload: b.GetPayload(), Closes: b.GetCloses(), Commits: b.GetCommits()}
+	out := chervilladder.Batch{
+		Payload: b.GetPayload(),
+		Closes:  b.GetCloses(),
+		Commits: b.GetCommits(),
+		Trace:   chervilladder.Trace(b.GetTrace()),
+	}
 	for _, s := range b.GetNeeds() {
 		out.Needs = append(out.Needs, chervilladder.Statement{
 			Name:           s.GetName(),
@@ -99,6 +104,7 @@
 	f := &peerpb.Failure{Kind: peerpb.Failure_KIND_UNKNOWN, Message: err.Error()}
 	var notRun *chervilladder.NotRunError
 	var unknown *chervilladder.UnknownError
+	var done *chervilladder.DoneError
 	switch {
 	case errors.As(err, &notRun):
 		f.Kind = peerpb.Failure_KIND_NOT_RUN
@@ -108,6 +114,10 @@
 	case errors.As(err, &unknown):
 		f.Upstream = string(unknown.Upstream)
 		f.Message = causeText(unknown.Err)
+	case errors.As(err, &done):
+		f.Kind = peerpb.Failure_KIND_DONE
+		f.Upstream = string(done.Upstream)
+		f.Message = causeText(done.Err)
 	}
 	return &peerpb.RunResponse{Kind: &peerpb.RunResponse_Failure{Failure: f}}
 }
@@ -124,13 +134,18 @@
 	if f.GetMessage() != "" {
 		cause = errors.New(f.GetMessage())
 	}
-	if f.GetKind() == peerpb.Failure_KIND_NOT_RUN {
+	upstream := chervilladder.UpstreamID(f.GetUpstream())
+	switch f.GetKind() {
+	case peerpb.Failure_KIND_NOT_RUN:
 		return &chervilladder.NotRunError{
 			Database:   db,
 			Reason:     chervilladder.Reason(f.GetReason()),
 			RetryAfter: time.Duration(f.GetRetryAfterUs()) * time.Microsecond,
 			Err:        cause,
 		}
+	case peerpb.Failure_KIND_DONE:
+		return &chervilladder.DoneError{Database: db, Upstream: upstream, Err: cause}
+	default:
+		return &chervilladder.UnknownError{Database: db, Upstream: upstream, Err: cause}
 	}
-	return &chervilladder.UnknownError{Database: db, Upstream: chervilladder.UpstreamID(f.GetUpstream()), Err: cause}
 }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -157,7 +157,8 @@
 
 // [!] sql VM[/CONNECTION] STATEMENT [ARGUMENT…] runs a statement with pgx and
 // prints its rows, or its SQLSTATE and message. A connection that is named
-// stays open.
+// stays open. A statement that begins with "simple:" is sent by the simple
+// protocol.
 func cmdSQL(ts *testscript.TestScript, neg bool, args []string) {
 	s := stateOf(ts)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -191,9 +192,12 @@
 	} else {
 		defer func() { _ = c.Close(ctx) }()
 	}
-	values := make([]any, len(args))
-	for i, a := range args {
-		values[i] = a
+	var values []any
+	if rest, ok := strings.CutPrefix(statement, "simple:"); ok {
+		statement, values = rest, append(values, pgx.QueryExecModeSimpleProtocol)
+	}
+	for _, a := range args {
+		values = append(values, a)
 	}
 	rows, err := c.Query(ctx, statement, values...)
 	if err != nil {
--- a/internal/standin/upstream/sql/params.go
+++ b/internal/standin/upstream/sql/params.go
@@ -59,5 +59,6 @@
 	"group_bind":      {TypeInt8},
 	"group_accept":    {TypeInt8, TypeText},
 	"group_promote":   {TypeInt8, TypeText},
+	"group_end":       {TypeInt8},
 	"group_follow":    {TypeInt8, TypeText, TypeText},
 }
--- a/internal/standin/upstream/wire/group.go
+++ b/internal/standin/upstream/wire/group.go
@@ -131,6 +131,13 @@
 			return group.Status{}, err
 		}
 		return c.bindClaim(claim)
+	case "group_end":
+		id := a.number()
+		if err := a.check(1); err != nil {
+			return group.Status{}, err
+		}
+		c.server.End(uint32(id))
+		return k.Status(), nil
 	case "group_accept":
 		b := a.ballot()
 		if err := a.check(2); err != nil {
--- a/internal/standin/upstream/wire/run.go
+++ b/internal/standin/upstream/wire/run.go
@@ -41,6 +41,8 @@
 	classWork statementClass = iota
 	// classControl concerns the transaction or the session.
 	classControl
+	// classTrace asks for the id of the transaction, outside slots.
+	classTrace
 	// classGroup is a function of the group, outside slots and transactions.
 	classGroup
 )
@@ -51,6 +53,9 @@
 		if groupCall(s) != nil {
 			return classGroup
 		}
+		if asksTransaction(s) {
+			return classTrace
+		}
 		return classWork
 	case *sql.Insert, *sql.Update, *sql.Delete:
 		return classWork
@@ -59,6 +64,15 @@
 	}
 }
 
+// asksTransaction reports whether a SELECT only asks for the transaction's id.
+func asksTransaction(s *sql.Select) bool {
+	if s.From != nil || len(s.Items) != 1 {
+		return false
+	}
+	call, ok := s.Items[0].Expr.(*sql.Call)
+	return ok && (call.Name == "pg_current_xact_id" || call.Name == "pg_current_xact_id_if_assigned")
+}
+
 // columnsOf returns the columns of a statement's result, or nil.
 func (c *session) columnsOf(s sql.Statement, params []sql.Type) []query.Column {
 	if show, ok := s.(*sql.Show); ok {
@@ -109,8 +123,10 @@
 		return err
 	}
 	env := &query.Env{Txn: c.transaction(), DB: c.server.db, Params: r.params, Caller: c}
-	if err := state.Sleep(ctx, c.server.board.Settings.Load().StatementTime); err != nil {
-		return err
+	if class == classWork {
+		if err := state.Sleep(ctx, c.server.board.Settings.Load().StatementTime); err != nil {
+			return err
+		}
 	}
 	result, err := query.Run(ctx, env, r.parsed.Statement)
 	if err != nil {
--- a/internal/standin/upstream/wire/server.go
+++ b/internal/standin/upstream/wire/server.go
@@ -142,6 +142,23 @@
 			ended = append(ended, c)
 		}
 	}
+	awaitUnwound(ended)
+}
+
+// End ends one connection, and returns once its transaction is settled.
+func (s *Server) End(id uint32) {
+	var ended []*session
+	for _, c := range s.all() {
+		if c.id == id {
+			c.end(pgerror.New(pgerror.AdminShutdown, "terminating connection due to administrator command"))
+			ended = append(ended, c)
+		}
+	}
+	awaitUnwound(ended)
+}
+
+// awaitUnwound waits until the transactions of ended connections are settled.
+func awaitUnwound(ended []*session) {
 	patience := time.NewTimer(endPatience)
 	defer patience.Stop()
 	for i, c := range ended {
--- a/internal/upstream/batch.go
+++ b/internal/upstream/batch.go
@@ -33,10 +33,10 @@
 
 // send passes a batch to the upstream, with what it needs before it.
 func (c *Conn) send(b chervilladder.Batch) error {
-	out := c.scratch[:0]
 	c.parsing = c.parsing[:0]
+	out := c.scratch[:0]
+	var err error
 	for _, s := range b.Needs {
-		var err error
 		if out, err = c.prepare(out, s); err != nil {
 			return err
 		}
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -52,6 +52,11 @@
 	held    []byte
 	scratch []byte
 	opened  time.Time
+	// idleSince is when the connection was last given back.
+	idleSince time.Time
+	// transaction is the id of the transaction that the running batch is
+	// to commit, if it was asked for.
+	transaction chervilladder.TransactionID
 	// cancelled is set once a request to cancel was sent for the connection.
 	cancelled bool
 }
@@ -89,8 +94,11 @@
 	return c, nil
 }
 
+// keepAlive lets the kernel find connections that no peer holds any more.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
+
 func dialPlain(ctx context.Context, a chervilladder.Address) (net.Conn, error) {
-	var d net.Dialer
+	d := net.Dialer{KeepAliveConfig: keepAlive}
 	return d.DialContext(ctx, "tcp", string(a))
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -56,14 +56,47 @@
 	if x.conn == nil {
 		return nil
 	}
-	x.sent, x.answering = true, true
-	x.conn.setDeadline(x.deadline().Add(-x.grace()))
-	if err := x.conn.send(b); err != nil {
+	if err := x.transmit(); err != nil {
 		return x.fail(err)
 	}
 	return nil
 }
 
+// transmit sends the batch on the connection. If the transaction's id can't be
+// had first, the connection has most likely gone silent, and its fellows with
+// it: nothing was sent, and fresh ones are used.
+func (x *exchange) transmit() error {
+	x.conn.setDeadline(time.Now().Add(min(x.grace(), time.Until(x.deadline()))))
+	err := x.conn.probe()
+	if err == nil {
+		err = x.conn.ask(x.trace())
+	}
+	if err != nil {
+		x.dropIdle()
+		return x.notRun(x.unsentReason(), err)
+	}
+	x.conn.setDeadline(x.deadline().Add(-x.grace()))
+	x.sent, x.answering = true, true
+	return x.conn.send(x.batch)
+}
+
+// unsentReason says why a batch was not sent: the transaction that it belongs
+// to, if any, is rolled back with its connection.
+func (x *exchange) unsentReason() chervilladder.Reason {
+	if x.open {
+		return chervilladder.ReasonRolledBack
+	}
+	return chervilladder.ReasonNoPrimary
+}
+
+// dropIdle closes the idle connections that are as old as the lost one.
+func (x *exchange) dropIdle() {
+	readOnly := x.work.Access == chervilladder.AccessRead && x.conn.claim != 0
+	if pool := x.executor.pool(x.work.Database, x.member, readOnly); pool != nil {
+		pool.Drop()
+	}
+}
+
 // Recv returns the next part of the answer.
 func (x *exchange) Recv() (chervilladder.Reply, error) {
 	for {
@@ -104,7 +137,10 @@
 // rather than lost.
 func (x *exchange) next() (chunk, error) {
 	k, err := x.conn.next(x.failed)
-	if err == nil || !stalled(err) || x.cancelled {
+	if stalled(err) {
+		x.dropIdle()
+	}
+	if err == nil || !stalled(err) || x.cancelled || x.conn.transaction != "" {
 		return k, err
 	}
 	x.cancelled = true
@@ -119,6 +155,15 @@
 	cancelGraceDivisor = 5
 )
 
+// trace says whether to ask for the transaction's id: only work that must not
+// be sent again is worth the question.
+func (x *exchange) trace() chervilladder.Trace {
+	if x.class.Idempotent || x.work.Access == chervilladder.AccessRead {
+		return chervilladder.TraceNone
+	}
+	return x.batch.Trace
+}
+
 func (x *exchange) grace() time.Duration {
 	return min(maxCancelGrace, x.class.Deadline/cancelGraceDivisor)
 }
@@ -146,9 +191,7 @@
 		return x.notRun(chervilladder.ReasonNoPrimary, err)
 	}
 	x.setConn(conn)
-	conn.setDeadline(x.deadline().Add(-x.grace()))
-	x.sent, x.answering = true, true
-	return conn.send(x.batch)
+	return x.transmit()
 }
 
 // awaitUsableSlot waits for a slot that still suits the group, and returns
--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -114,7 +114,7 @@
 
 // fail ends the exchange and says honestly what is known of the batch.
 func (x *exchange) fail(err error) error {
-	wasOpen := x.open
+	wasOpen, conn := x.open, x.conn
 	x.abandon()
 	var notRun *chervilladder.NotRunError
 	if errors.As(err, &notRun) {
@@ -128,11 +128,39 @@
 	case wasOpen && !x.batch.Commits:
 		return x.notRun(chervilladder.ReasonRolledBack, err)
 	default:
+		if settled := x.settle(conn, err); settled != nil {
+			return settled
+		}
 		x.state.Floors.Lost(x.work.Session, x.state.Evidence.Ask())
 		return &chervilladder.UnknownError{Database: x.work.Database, Upstream: x.served, Err: err}
 	}
 }
 
+// settle asks for the fate of a transaction whose answer was lost, and returns
+// nil if it stays unknown.
+func (x *exchange) settle(conn *Conn, cause error) error {
+	if conn == nil || conn.transaction == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.grace())
+	defer cancel()
+	fate, err := conn.fate(ctx, x.term)
+	if err != nil {
+		return nil
+	}
+	switch fate {
+	case fateAborted:
+		return x.notRun(chervilladder.ReasonRolledBack, cause)
+	case fateCommitted:
+		if _, err := x.prove(); err != nil {
+			return nil
+		}
+		return &chervilladder.DoneError{Database: x.work.Database, Upstream: x.served, Err: cause}
+	default:
+		return nil
+	}
+}
+
 func (x *exchange) notRun(r chervilladder.Reason, err error) error {
 	return &chervilladder.NotRunError{Database: x.work.Database, Reason: r, Err: err}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgproto3"
+
 	"github.com/chervilladder/chervilladder"
 )
 
@@ -48,6 +50,7 @@
 		return
 	}
 	c.setDeadline(time.Time{})
+	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle = append(p.idle, c)
@@ -93,6 +96,34 @@
 	return c, nil
 }
 
+// probeAfter is how long a connection may have been idle without being probed
+// before its next use.
+const probeAfter = 250 * time.Millisecond
+
+// probe checks that a connection that was idle still carries messages both
+// ways. A flow that was lost in between stays silent.
+func (c *Conn) probe() error {
+	if c.idleSince.IsZero() || time.Since(c.idleSince) < probeAfter {
+		return nil
+	}
+	out, err := (&pgproto3.Sync{}).Encode(nil)
+	if err != nil {
+		return err
+	}
+	if _, err := c.conn.Write(out); err != nil {
+		return c.lost(false, err)
+	}
+	for {
+		m, err := c.readMessage(nil)
+		if err != nil {
+			return c.lost(false, err)
+		}
+		if m[0] == 'Z' {
+			return nil
+		}
+	}
+}
+
 // quiet reports whether the upstream has neither closed the connection nor
 // sent anything while it was idle.
 func (c *Conn) quiet() bool {
--- a/work.go
+++ b/work.go
@@ -48,6 +48,20 @@
 	Settings []Setting
 }
 
+// Trace says how a batch can be preceded by a question for the id of its
+// transaction, by which its fate can be asked for if the answer is lost.
+type Trace uint8
+
+// The ways to ask for a transaction's id.
+const (
+	// TraceNone asks for none.
+	TraceNone Trace = iota
+	// TraceWithin asks within the batch's own implicit transaction.
+	TraceWithin
+	// TraceBefore asks in the open transaction that the batch is to commit.
+	TraceBefore
+)
+
 // Batch is a run of encoded messages that an upstream answers with exactly
 // one ready message.
 type Batch struct {
@@ -59,6 +73,9 @@
 	Closes bool
 	// Commits is set when running the batch may make a change durable.
 	Commits bool
+	// Trace says how the upstream can be asked for the transaction's id
+	// before the batch runs.
+	Trace Trace
 }
 
 // Reply is a part of the answer to a batch.
