Retry a read whose proof failed once the group has changed

Cause: between a promotion's first accepted ballot and the new claim, reads were still granted under the old term; each lost its proof at once, and three attempts were used up within milliseconds. Ruled out: parts of the answer passed on too early; keeping the first part of a read until it is large or whole is kept nevertheless, since it is what allows the retry. The supervisor now suspends the claim when a member has accepted a higher term, and a retry waits for the change.

--- a/internal/control/group/supervisor.go
+++ b/internal/control/group/supervisor.go
@@ -102,6 +102,10 @@
 		s.lose(p.Status.Holder, now)
 		return
 	}
+	if superseded(g) && g.Claim != 0 {
+		s.suspend()
+		return
+	}
 	if cause := promotion.Assess(s.Promotion, g, now); cause != promotion.CauseNone {
 		if now.After(s.promoteAfter) {
 			s.promoteAfter = now.Add(s.CallTimeout)
@@ -109,11 +113,31 @@
 		}
 		return
 	}
-	if g.Primary != "" && g.Claim == 0 && now.After(s.standOffUntil) && g.Members[g.Primary].Err == nil {
+	if g.Primary != "" && g.Claim == 0 && !superseded(g) && now.After(s.standOffUntil) && g.Members[g.Primary].Err == nil {
 		s.claim(ctx, db, g)
 	}
 }
 
+// superseded reports whether a member has accepted a higher term than the
+// group's: nothing that runs in the old one can be proved any more.
+func superseded(g blackboard.Group) bool {
+	for _, v := range g.Members {
+		if v.Status.Term > g.Term {
+			return true
+		}
+	}
+	return false
+}
+
+// suspend gives up the claim, so that work waits for the new primary.
+func (s *supervisor) suspend() {
+	s.state.Group.Update(func(g blackboard.Group) blackboard.Group {
+		g.Claim = 0
+		return g
+	})
+	s.log.Info("group: term superseded, work waits")
+}
+
 // newestPrimary returns the member that takes itself for a primary in the
 // highest term that any member has accepted.
 func newestPrimary(g blackboard.Group) (chervilladder.UpstreamID, chervilladder.Term, bool) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -108,23 +109,36 @@
 			return chervilladder.Reply{}, x.fail(err)
 		}
 		x.abandon()
+		if errors.Is(err, errNoProof) {
+			x.awaitChange()
+		}
 		if err := x.queue(); err != nil {
 			return chervilladder.Reply{}, err
 		}
 	}
 }
 
+// awaitChange waits until the group is no longer the one in which a proof
+// failed, so that a retry can't fail in the same way at once.
+func (x *exchange) awaitChange() {
+	ctx, cancel := context.WithDeadline(x.ctx, x.work.Deadline)
+	defer cancel()
+	// After the deadline the retry fails by itself.
+	_, _ = x.state.Await(ctx, func(g blackboard.Group) bool {
+		return g.Term != x.term || g.Claim != x.claim
+	})
+}
+
 func (x *exchange) attempt() (chervilladder.Reply, error) {
 	if x.conn == nil {
 		if err := x.start(); err != nil {
 			return chervilladder.Reply{}, err
 		}
 	}
-	k, err := x.next()
+	k, err := x.nextPart()
 	if err != nil {
 		return chervilladder.Reply{}, err
 	}
-	x.failed = k.failed
 	if len(k.fenced) == 0 {
 		x.begun = true
 		return chervilladder.Reply{Payload: k.payload}, nil
@@ -132,6 +146,26 @@
 	return x.finish(k)
 }
 
+// nextPart reads the next part of the answer to pass on. The first part of a
+// read is kept until it is large or whole: as long as nothing was passed on,
+// the read can be sent again after its proof has failed.
+func (x *exchange) nextPart() (chunk, error) {
+	var kept []byte
+	for {
+		k, err := x.next()
+		if err != nil {
+			return chunk{}, err
+		}
+		x.failed = k.failed
+		k.payload = append(kept, k.payload...)
+		whole := len(k.fenced) > 0 || len(k.payload) >= chunkBytes
+		if whole || x.begun || x.work.Access != chervilladder.AccessRead {
+			return k, nil
+		}
+		kept = k.payload
+	}
+}
+
 // next reads the next part of the answer. A statement that has not ended
 // shortly before the deadline is cancelled, so that its outcome is known
 // rather than lost.
