--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -46,7 +46,7 @@
 	group := map[chervilladder.UpstreamID]chervilladder.Address{}
 	members := map[chervilladder.UpstreamID]*member{}
 	for _, name := range []chervilladder.UpstreamID{"a", "b", "c"} {
-		m := &member{t: t, name: name, listeners: upstream.Listeners{Callers: listen(t, ""), Group: listen(t, ""), Control: listen(t, "")}}
+		m := &member{t: t, name: name, listeners: upstream.Listeners{Callers: listen(t), Group: listen(t), Control: listen(t)}}
 		group[name] = chervilladder.Address(m.listeners.Group.Addr().String())
 		m.config = upstream.Config{Name: name, Group: group, Primary: "a", Settings: s, Log: quiet(), Die: func() {}}
 		members[name] = m
@@ -65,7 +65,7 @@
 // newMember starts one member that is a group of its own.
 func newMember(t *testing.T, s state.Settings) *member {
 	t.Helper()
-	m := &member{t: t, name: "a", listeners: upstream.Listeners{Callers: listen(t, ""), Group: listen(t, ""), Control: listen(t, "")}}
+	m := &member{t: t, name: "a", listeners: upstream.Listeners{Callers: listen(t), Group: listen(t), Control: listen(t)}}
 	m.config = upstream.Config{Name: "a", Primary: "a", Settings: s, Log: quiet(), Die: func() {}}
 	m.start()
 	t.Cleanup(m.stop)
@@ -79,18 +79,32 @@
 	return l
 }
 
-func listen(t *testing.T, address string) net.Listener {
+func listen(t *testing.T) net.Listener {
 	t.Helper()
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
-	l, err := net.Listen("tcp", address)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { l.Close() })
 	return l
 }
 
+// again returns a listener at the same port, which stays taken when the one
+// that is returned is closed, so that a member can start anew there.
+func again(t *testing.T, l net.Listener) net.Listener {
+	t.Helper()
+	f, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	next, err := net.FileListener(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
 func (m *member) start() {
 	u, err := upstream.New(m.config)
 	if err != nil {
@@ -99,7 +113,12 @@
 	var ctx context.Context
 	ctx, m.cancel = context.WithCancel(context.Background())
 	m.stopped = make(chan error, 1)
-	listeners, stopped := m.listeners, m.stopped
+	listeners := upstream.Listeners{
+		Callers: again(m.t, m.listeners.Callers),
+		Group:   again(m.t, m.listeners.Group),
+		Control: again(m.t, m.listeners.Control),
+	}
+	stopped := m.stopped
 	go func() { stopped <- u.Run(ctx, listeners) }()
 }
 
@@ -119,11 +138,6 @@
 // restart stops the member and starts it anew at the same addresses.
 func (m *member) restart() {
 	m.stop()
-	m.listeners = upstream.Listeners{
-		Callers: listen(m.t, m.listeners.Callers.Addr().String()),
-		Group:   listen(m.t, m.listeners.Group.Addr().String()),
-		Control: listen(m.t, m.listeners.Control.Addr().String()),
-	}
 	m.start()
 }
 
@@ -157,10 +171,14 @@
 	c.Close(ctx)
 }
 
+// client makes each call on a connection of its own, because a member that is
+// restarted closes those that it had.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
 // post makes a control call.
 func (m *member) post(call string) {
 	m.t.Helper()
-	r, err := http.Post("http://"+m.listeners.Control.Addr().String()+call, "", nil)
+	r, err := client.Post("http://"+m.listeners.Control.Addr().String()+call, "", nil)
 	if err != nil {
 		m.t.Fatal(err)
 	}
@@ -173,7 +191,7 @@
 // get reads what a control call answers.
 func (m *member) get(call string, to any) {
 	m.t.Helper()
-	r, err := http.Get("http://" + m.listeners.Control.Addr().String() + call)
+	r, err := client.Get("http://" + m.listeners.Control.Addr().String() + call)
 	if err != nil {
 		m.t.Fatal(err)
 	}
