Refuse what the stand-in's SQL would answer wrongly

ORDER BY took a number or the name of a result's column for a constant and left the rows unsorted; DISTINCT was taken for a column's name; ORDER BY of a function's result was ignored. The first two now sort, the others are errors. LIMIT holds for count(*) too.

Measured: scripts/test passes. Run against the code before, ORDER BY 1 and the three new errors fail their tests; the test of ORDER BY by a name lies behind the first failure and was not reached there. LIMIT with count(*) has no test.

--- a/internal/standin/upstream/query/select.go
+++ b/internal/standin/upstream/query/select.go
@@ -24,9 +24,13 @@
 	}
 	if counts(s.Items) {
 		rows, err := v.countRows(ctx, s, len(found))
-		return Result{Rows: rows}, err
+		return Result{Rows: limited(rows, limit)}, err
 	}
-	if err := v.order(ctx, found, s.OrderBy); err != nil {
+	keys, err := orderKeys(s)
+	if err != nil {
+		return Result{}, err
+	}
+	if err := v.order(ctx, found, keys); err != nil {
 		return Result{}, err
 	}
 	if limit >= 0 && int64(len(found)) > limit {
@@ -155,6 +159,28 @@
 	return value.True(), err
 }
 
+// orderKeys returns the keys of ORDER BY, in which a name or a number may stand
+// for an entry of the select list.
+func orderKeys(s *sql.Select) ([]sql.Order, error) {
+	keys := slices.Clone(s.OrderBy)
+	for i, k := range keys {
+		switch e := k.Expr.(type) {
+		case *sql.Column:
+			at := slices.IndexFunc(s.Items, func(i sql.Item) bool { return !i.Star && i.Name == e.Name })
+			if at >= 0 {
+				keys[i].Expr = s.Items[at].Expr
+			}
+		case *sql.Literal:
+			n, err := e.Value.Int64()
+			if err != nil || n < 1 || n > int64(len(s.Items)) || s.Items[n-1].Star {
+				return nil, pgerror.New("42P10", "ORDER BY %s is not an entry of the select list", e.Value.Text)
+			}
+			keys[i].Expr = s.Items[n-1].Expr
+		}
+	}
+	return keys, nil
+}
+
 // order sorts rows by keys.
 func (v *Env) order(ctx context.Context, rows []*engine.Row, keys []sql.Order) error {
 	if len(keys) == 0 {
--- a/internal/standin/upstream/query/series.go
+++ b/internal/standin/upstream/query/series.go
@@ -13,6 +13,9 @@
 // selectFunction runs a SELECT from a function or from nothing. Its rows are
 // made one at a time, so that a large result needs no memory.
 func (v *Env) selectFunction(ctx context.Context, s *sql.Select) (Rows, error) {
+	if len(s.OrderBy) > 0 {
+		return nil, pgerror.New(pgerror.FeatureUnsupported, "ORDER BY is supported for tables only")
+	}
 	call := seriesCall(s)
 	numbers := series{next: 1, last: 1}
 	if call != nil {
--- a/internal/standin/upstream/sql/parser.go
+++ b/internal/standin/upstream/sql/parser.go
@@ -148,6 +148,7 @@
 var reserved = []string{
 	"select", "from", "where", "order", "limit", "for", "insert", "into", "values", "update", "set",
 	"delete", "returning", "on", "and", "or", "not", "null", "group", "having", "union", "join", "as",
+	"distinct", "all", "offset", "fetch", "with", "case", "like", "between",
 }
 
 func (p *parser) name() string {
--- a/internal/standin/upstream/sql_test.go
+++ b/internal/standin/upstream/sql_test.go
@@ -38,6 +38,8 @@
 			is.Equal(one[int64](t, c, "SELECT count(*) FROM "+table+" WHERE room = $1", "r1"), int64(1))
 			is.Equal(one[string](t, c, "UPDATE "+table+" SET room = room || $2 WHERE id = $1 RETURNING room", "h1", "x"), "r1x")
 			is.Equal(one[string](t, c, "SELECT id FROM "+table+" ORDER BY id DESC LIMIT $1", 1), "h3")
+			is.Equal(one[string](t, c, "SELECT id FROM "+table+" ORDER BY 1 DESC LIMIT 1"), "h3")
+			is.Equal(one[string](t, c, "SELECT room AS place FROM "+table+" ORDER BY place DESC LIMIT 1"), "r9")
 			is.Equal(exec(t, c, "DELETE FROM "+table+" WHERE id = $1 AND room = $2", "h1", "other"), "DELETE 0")
 			is.Equal(exec(t, c, "DELETE FROM "+table+" WHERE id = $1", "h1"), "DELETE 1")
 			is.Equal(one[int32](t, c, "SELECT $1::int", 7), int32(7))
@@ -127,6 +129,9 @@
 		"SELECT 1 / 0":                                       "22012",
 		"SELECT nothing(1)":                                  "42883",
 		"SHOW nothing":                                       "42704",
+		"SELECT DISTINCT id FROM holds":                      "42601",
+		"SELECT id FROM holds ORDER BY 2":                    "42P10",
+		"SELECT * FROM generate_series(1, 2) ORDER BY 1":     "0A000",
 		"CREATE TABLE t (id text)":                           "42601",
 		"SELECT 'open":                                       "42601",
 		"BEGIN READ ONLY; INSERT INTO holds (id) VALUES (1)": "25006",
