Name the types that cross the stand-ins' package borders

Bare maps and groups of results crossed them: addresses of members, counts of statements, tables of a version, the tail of a log. They are named types now, and the list of addresses is read where its type is. LIMIT with count(*) has its test.

--- a/cmd/standin/upstream.go
+++ b/cmd/standin/upstream.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"os"
 	"os/signal"
-	"strings"
 	"syscall"
 	"time"
 
@@ -14,6 +12,7 @@
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/standin/upstream"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/group"
 	"github.com/chervilladder/chervilladder/internal/standin/upstream/state"
 )
 
@@ -42,13 +41,13 @@
 func (c *upstreamCommand) Execute([]string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	group, err := parseGroup(c.Group)
+	addresses, err := group.ParseAddresses(c.Group)
 	if err != nil {
 		return err
 	}
 	u, err := upstream.New(upstream.Config{
 		Name:    chervilladder.UpstreamID(c.Name),
-		Group:   group,
+		Group:   addresses,
 		Primary: chervilladder.UpstreamID(c.Primary),
 		Settings: state.Settings{
 			Slots: c.Slots, Connections: c.Connections, Reserved: c.Reserved, ReservedUser: c.ReservedUser,
@@ -60,17 +59,17 @@
 	if err != nil {
 		return err
 	}
-	listeners, err := c.listen(group)
+	listeners, err := c.listen(addresses)
 	if err != nil {
 		return err
 	}
 	return u.Run(ctx, listeners)
 }
 
-func (c *upstreamCommand) listen(group map[chervilladder.UpstreamID]chervilladder.Address) (upstream.Listeners, error) {
+func (c *upstreamCommand) listen(addresses group.Addresses) (upstream.Listeners, error) {
 	own := c.GroupListen
 	if own == "" {
-		own = string(group[chervilladder.UpstreamID(c.Name)])
+		own = string(addresses[chervilladder.UpstreamID(c.Name)])
 	}
 	if own == "" {
 		own = "127.0.0.1:0"
@@ -87,19 +86,3 @@
 	}
 	return l, nil
 }
-
-// parseGroup reads a list of the form NAME=ADDRESS,NAME=ADDRESS.
-func parseGroup(text string) (map[chervilladder.UpstreamID]chervilladder.Address, error) {
-	group := map[chervilladder.UpstreamID]chervilladder.Address{}
-	if text == "" {
-		return group, nil
-	}
-	for entry := range strings.SplitSeq(text, ",") {
-		name, address, ok := strings.Cut(strings.TrimSpace(entry), "=")
-		if !ok || name == "" || address == "" {
-			return nil, fmt.Errorf("--group: %q is not of the form NAME=ADDRESS", entry)
-		}
-		group[chervilladder.UpstreamID(name)] = chervilladder.Address(address)
-	}
-	return group, nil
-}
--- a/internal/standin/upstream/control/report.go
+++ b/internal/standin/upstream/control/report.go
@@ -117,7 +117,7 @@
 		return
 	}
 	list := []row{}
-	for _, found := range s.DB.Version().Tables[table].Rows() {
+	for _, found := range s.DB.Version().Table(table).Rows() {
 		list = append(list, row{ID: found.ID, Columns: columnsOf(found.Fields)})
 	}
 	slices.SortFunc(list, func(a, b row) int { return strings.Compare(string(a.ID), string(b.ID)) })
--- a/internal/standin/upstream/engine/db.go
+++ b/internal/standin/upstream/engine/db.go
@@ -207,7 +207,7 @@
 	d.log.mu.Lock()
 	s.Base = d.log.base
 	d.log.mu.Unlock()
-	for name, t := range v.Tables {
+	for name, t := range v.tables {
 		s.Tables = append(s.Tables, dump(name, t))
 	}
 	for _, id := range s.Committed {
--- a/internal/standin/upstream/engine/db_test.go
+++ b/internal/standin/upstream/engine/db_test.go
@@ -103,11 +103,11 @@
 }
 
 func follow(t *rapid.T, from, to *engine.DB) {
-	list, _, ok := from.Log().After(to.Log().Last(), 1000)
-	if !ok {
+	tail := from.Log().After(to.Log().Last(), 1000)
+	if tail.Parted {
 		t.Fatal("the logs have parted")
 	}
-	for _, e := range list {
+	for _, e := range tail.Entries {
 		if !to.Receive(e) || !to.Replay(e.Position) {
 			t.Fatalf("entry %d does not fit", e.Position)
 		}
@@ -127,8 +127,7 @@
 		{}: true, {Term: 1, Position: 1}: true, {Term: 2, Position: 2}: true,
 		{Term: 1, Position: 2}: false, {Term: 2, Position: 1}: false, {Term: 2, Position: 3}: false,
 	} {
-		_, _, ok := db.Log().After(m, 1)
-		is.Equal(ok, want)
+		is.Equal(!db.Log().After(m, 1).Parted, want)
 	}
 }
 
--- a/internal/standin/upstream/engine/log.go
+++ b/internal/standin/upstream/engine/log.go
@@ -91,17 +91,25 @@
 	return entriesOf(l.entries)
 }
 
-// After returns up to limit entries after a mark and a channel that closes
-// when the log grows. It returns false when the log doesn't hold the mark's
-// entry: the follower's log has parted from this one, or lies too far back.
-func (l *Log) After(m chervilladder.Mark, limit int) ([]Entry, <-chan struct{}, bool) {
+// Tail is what a log holds after a mark.
+type Tail struct {
+	Entries []Entry
+	// Grown closes when the log grows.
+	Grown <-chan struct{}
+	// Parted is set when the log doesn't hold the mark's entry: the
+	// follower's log has parted from this one, or lies too far back.
+	Parted bool
+}
+
+// After returns up to limit entries after a mark.
+func (l *Log) After(m chervilladder.Mark, limit int) Tail {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.holds(m) {
-		return nil, l.grown, false
+		return Tail{Grown: l.grown, Parted: true}
 	}
 	rest := l.entries[m.Position-l.base.Position:]
-	return entriesOf(rest[:min(limit, len(rest))]), l.grown, true
+	return Tail{Entries: entriesOf(rest[:min(limit, len(rest))]), Grown: l.grown}
 }
 
 // next returns the first entry after a position with the time at which it
--- a/internal/standin/upstream/engine/row.go
+++ b/internal/standin/upstream/engine/row.go
@@ -104,15 +104,18 @@
 type Version struct {
 	// Mark is the last log entry that the version holds.
 	Mark   chervilladder.Mark
-	Tables map[sql.TableName]*Table
+	tables map[sql.TableName]*Table
 	orders uint64
 }
 
+// Table returns a table, or nil when nobody has written to it.
+func (v *Version) Table(name sql.TableName) *Table { return v.tables[name] }
+
 // Columns returns the columns of a table, the id first. A table that nobody has
 // written has its id only.
 func (v *Version) Columns(name sql.TableName) []sql.ColumnName {
 	columns := []sql.ColumnName{sql.ColumnID}
-	if t := v.Tables[name]; t != nil {
+	if t := v.tables[name]; t != nil {
 		columns = append(columns, t.Columns...)
 	}
 	return columns
@@ -126,9 +129,9 @@
 
 func newBuilder(from *Version) *builder {
 	next := *from
-	next.Tables = maps.Clone(from.Tables)
-	if next.Tables == nil {
-		next.Tables = map[sql.TableName]*Table{}
+	next.tables = maps.Clone(from.tables)
+	if next.tables == nil {
+		next.tables = map[sql.TableName]*Table{}
 	}
 	return &builder{version: &next, owned: map[sql.TableName]*[bucketCount]bool{}}
 }
@@ -137,14 +140,14 @@
 func (b *builder) table(name sql.TableName) *Table {
 	if b.owned[name] == nil {
 		next := &Table{}
-		if t := b.version.Tables[name]; t != nil {
+		if t := b.version.tables[name]; t != nil {
 			*next = *t
 			next.Columns = slices.Clone(t.Columns)
 		}
-		b.version.Tables[name] = next
+		b.version.tables[name] = next
 		b.owned[name] = &[bucketCount]bool{}
 	}
-	return b.version.Tables[name]
+	return b.version.tables[name]
 }
 
 // bucket returns the part of a table that holds an id, for changing it.
--- a/internal/standin/upstream/engine/txn.go
+++ b/internal/standin/upstream/engine/txn.go
@@ -108,13 +108,13 @@
 	if r, ok := t.rows[rowKey{table, id}]; ok {
 		return r
 	}
-	return t.db.Version().Tables[table].Row(id)
+	return t.db.Version().Table(table).Row(id)
 }
 
 // Rows returns all rows of a table as the transaction sees them now, in the
 // order of their insertion.
 func (t *Txn) Rows(table sql.TableName) []*Row {
-	rows := slices.DeleteFunc(t.db.Version().Tables[table].Rows(), func(r *Row) bool {
+	rows := slices.DeleteFunc(t.db.Version().Table(table).Rows(), func(r *Row) bool {
 		_, own := t.rows[rowKey{table, r.ID}]
 		return own
 	})
--- a/internal/standin/upstream/group/evidence.go
+++ b/internal/standin/upstream/group/evidence.go
@@ -14,7 +14,7 @@
 	termless *board.Section[map[chervilladder.UpstreamID]bool]
 }
 
-func newEvidence(peers map[chervilladder.UpstreamID]chervilladder.Address) *evidence {
+func newEvidence(peers Addresses) *evidence {
 	termless := map[chervilladder.UpstreamID]bool{}
 	for name := range peers {
 		termless[name] = false
--- a/internal/standin/upstream/group/keeper.go
+++ b/internal/standin/upstream/group/keeper.go
@@ -25,7 +25,7 @@
 // Config configures a Keeper.
 type Config struct {
 	Name  chervilladder.UpstreamID
-	Peers map[chervilladder.UpstreamID]chervilladder.Address
+	Peers Addresses
 	// Initial makes the member the primary of term 1 if the group has none.
 	Initial bool
 	Board   *state.Board
@@ -36,7 +36,7 @@
 // Keeper is the one writer of the member's standing.
 type Keeper struct {
 	name     chervilladder.UpstreamID
-	peers    map[chervilladder.UpstreamID]chervilladder.Address
+	peers    Addresses
 	initial  bool
 	board    *state.Board
 	db       *engine.DB
--- a/internal/standin/upstream/group/keeper_test.go
+++ b/internal/standin/upstream/group/keeper_test.go
@@ -32,7 +32,7 @@
 		t.Fatal(err)
 	}
 	k, err := group.New(group.Config{
-		Name: "a", Peers: map[chervilladder.UpstreamID]chervilladder.Address{"b": ""}, Board: board, DB: db, Log: log,
+		Name: "a", Peers: group.Addresses{"b": ""}, Board: board, DB: db, Log: log,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/standin/upstream/group/serve.go
+++ b/internal/standin/upstream/group/serve.go
@@ -136,7 +136,7 @@
 		f.term = 0
 		return nil
 	}
-	if _, _, agree := f.keeper.db.Log().After(f.sent, 0); agree {
+	if !f.keeper.db.Log().After(f.sent, 0).Parted {
 		return f.out.Encode(frame{Entries: &entries{Term: s.Term, Start: s.Start}})
 	}
 	return f.sendSnapshot(s)
@@ -156,18 +156,18 @@
 		if !ok {
 			return nil, nil
 		}
-		list, grown, agree := f.keeper.db.Log().After(f.sent, maxEntries)
-		if !agree {
+		tail := f.keeper.db.Log().After(f.sent, maxEntries)
+		if tail.Parted {
 			if err := f.sendSnapshot(s); err != nil {
 				return nil, err
 			}
 			continue
 		}
-		if len(list) == 0 {
-			return grown, nil
+		if len(tail.Entries) == 0 {
+			return tail.Grown, nil
 		}
-		f.sent = lastOf(list)
-		if err := f.out.Encode(frame{Entries: &entries{Term: s.Term, Start: s.Start, List: list}}); err != nil {
+		f.sent = lastOf(tail.Entries)
+		if err := f.out.Encode(frame{Entries: &entries{Term: s.Term, Start: s.Start, List: tail.Entries}}); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/standin/upstream/sql_test.go
+++ b/internal/standin/upstream/sql_test.go
@@ -57,6 +57,8 @@
 	is := is.New(t)
 	c := newMember(t, settings()).conn()
 	const rows = 200_000
+	is.Equal(exec(t, c, "SELECT count(*) FROM generate_series(1, 3) LIMIT 0"), "SELECT 0")
+	is.Equal(exec(t, c, "SELECT count(*) FROM nothing LIMIT 0"), "SELECT 0")
 	for _, query := range []string{"SELECT * FROM generate_series(1, $1)", "SELECT generate_series(1, $1), repeat('x', 10)"} {
 		r, err := c.Query(background, query, rows)
 		is.NoErr(err)
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -25,7 +25,7 @@
 type Config struct {
 	Name chervilladder.UpstreamID
 	// Group holds the group's addresses of all members.
-	Group map[chervilladder.UpstreamID]chervilladder.Address
+	Group group.Addresses
 	// Primary is the member that becomes primary of term 1 when the group
 	// has no term yet.
 	Primary  chervilladder.UpstreamID
--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -19,6 +19,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/standin/upstream"
 	"github.com/chervilladder/chervilladder/internal/standin/upstream/control"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/group"
 	"github.com/chervilladder/chervilladder/internal/standin/upstream/state"
 )
 
@@ -43,12 +44,12 @@
 // newGroup starts the members a, b and c, of which a is the primary.
 func newGroup(t *testing.T, s state.Settings) map[chervilladder.UpstreamID]*member {
 	t.Helper()
-	group := map[chervilladder.UpstreamID]chervilladder.Address{}
+	addresses := group.Addresses{}
 	members := map[chervilladder.UpstreamID]*member{}
 	for _, name := range []chervilladder.UpstreamID{"a", "b", "c"} {
 		m := &member{t: t, name: name, listeners: upstream.Listeners{Callers: listen(t), Group: listen(t), Control: listen(t)}}
-		group[name] = chervilladder.Address(m.listeners.Group.Addr().String())
-		m.config = upstream.Config{Name: name, Group: group, Primary: "a", Settings: s, Log: quiet(), Die: func() {}}
+		addresses[name] = chervilladder.Address(m.listeners.Group.Addr().String())
+		m.config = upstream.Config{Name: name, Group: addresses, Primary: "a", Settings: s, Log: quiet(), Die: func() {}}
 		members[name] = m
 	}
 	for _, m := range members {
--- a/internal/standin/upstream/wire/counts.go
+++ b/internal/standin/upstream/wire/counts.go
@@ -8,11 +8,14 @@
 	"github.com/chervilladder/chervilladder/internal/standin/upstream/sql"
 )
 
+// ClassCounts is how often statements of each class were run.
+type ClassCounts map[sql.Class]int64
+
 // Counts counts what the server has done.
 type Counts struct {
 	Opened  atomic.Int64
 	mu      sync.Mutex
-	classes map[sql.Class]int64
+	classes ClassCounts
 }
 
 // note counts one execution of a statement of a class.
@@ -20,21 +23,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.classes == nil {
-		c.classes = map[sql.Class]int64{}
+		c.classes = ClassCounts{}
 	}
 	c.classes[class]++
 }
 
 // Report is what the server does and has done.
 type Report struct {
-	Open          int                 `json:"open"`
-	Active        int                 `json:"active"`
-	InTransaction int                 `json:"in-transaction"`
-	Idle          int                 `json:"idle"`
-	Bound         int                 `json:"bound"`
-	Silenced      int                 `json:"silenced"`
-	Opened        int64               `json:"opened"`
-	Statements    map[sql.Class]int64 `json:"statements"`
+	Open          int         `json:"open"`
+	Active        int         `json:"active"`
+	InTransaction int         `json:"in-transaction"`
+	Idle          int         `json:"idle"`
+	Bound         int         `json:"bound"`
+	Silenced      int         `json:"silenced"`
+	Opened        int64       `json:"opened"`
+	Statements    ClassCounts `json:"statements"`
 }
 
 // Report returns what the server does and has done.
@@ -61,7 +64,7 @@
 	defer s.counts.mu.Unlock()
 	r.Statements = maps.Clone(s.counts.classes)
 	if r.Statements == nil {
-		r.Statements = map[sql.Class]int64{}
+		r.Statements = ClassCounts{}
 	}
 	return r
 }
