Measure the queue beside two baselines in virtual time

Cause: nothing showed how the queue serves each priority under a flood, the loss of an owner, long transactions or a slow upstream.

--- /dev/null
+++ b/internal/decide/schedule/measure_test.go
@@ -0,0 +1,121 @@
+package schedule
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// measureSeed fixes the arrivals and service times of every measurement.
+const measureSeed = 18
+
+// proxyCount is how many proxies the baseline spreads callers over.
+const proxyCount = 5
+
+var (
+	urgent     = chervilladder.Class{ID: "urgent", Priority: chervilladder.PriorityUrgent, Target: 100 * time.Millisecond, Deadline: time.Second}
+	normal     = chervilladder.Class{ID: "normal", Priority: chervilladder.PriorityNormal, Target: 300 * time.Millisecond, Deadline: 2 * time.Second, FloorPercent: 10}
+	background = chervilladder.Class{ID: "background", Priority: chervilladder.PriorityBackground, Target: 2 * time.Second, Deadline: 5 * time.Second, FloorPercent: 5}
+)
+
+func stream(c chervilladder.Class, a chervilladder.Access, perSecond float64, mean time.Duration) load {
+	return load{class: c, access: a, perSecond: perSecond, mean: mean}
+}
+
+// scenario is a run that is played by the product and by the baselines.
+type scenario struct {
+	name     string
+	slots    int
+	loads    []load
+	slow     func(time.Duration) float64
+	loseAt   time.Duration
+	takeover time.Duration
+}
+
+const (
+	write = chervilladder.AccessWrite
+	read  = chervilladder.AccessRead
+	short = 10 * time.Millisecond
+)
+
+func scenarios() []scenario {
+	calm := []load{stream(urgent, write, 30, short), stream(normal, read, 100, short), stream(normal, write, 20, short), stream(background, write, 20, short)}
+	lowest := append(append([]load(nil), calm[:3]...), stream(background, write, 3000, short))
+	most := append([]load{stream(urgent, write, 3000, short)}, stream(normal, read, 100, short), stream(normal, write, 100, short), stream(background, write, 100, short))
+	long := append(append([]load(nil), calm[:3]...), stream(background, write, 20, 2*time.Second))
+	reads := []load{stream(urgent, read, 60, short), stream(normal, read, 200, short), stream(background, read, 3000, short)}
+	slows := func(since time.Duration) float64 {
+		if since < 2*time.Second {
+			return 1
+		}
+		return 10
+	}
+	return []scenario{
+		{name: "unloaded", slots: 3, loads: calm[:1]},
+		{name: "calm", slots: 3, loads: calm},
+		{name: "flood-lowest", slots: 3, loads: lowest},
+		{name: "flood-lowest-2-slots", slots: 2, loads: lowest},
+		{name: "flood-urgent", slots: 3, loads: most},
+		{name: "owner-lost", slots: 3, loads: lowest, loseAt: 5 * time.Second, takeover: 1500 * time.Millisecond},
+		{name: "long-transactions", slots: 3, loads: long},
+		{name: "long-transactions-2", slots: 2, loads: long},
+		{name: "replica-slows", slots: 3, loads: reads, slow: slows},
+	}
+}
+
+func (s scenario) world(name string, proxies int, build func() scheduler) *world {
+	w := &world{
+		name: s.name + " " + name, loads: s.loads, length: 10 * time.Second, members: threeUpstreams(s.slots),
+		make: build, proxies: proxies, loseAt: s.loseAt, takeover: s.takeover,
+	}
+	w.members[2].slow = s.slow
+	return w
+}
+
+func (s scenario) worlds() []*world {
+	list := capacities(threeUpstreams(s.slots), s.slots)
+	ours := s.world("ours", 1, func() scheduler { return newProduct(list) })
+	if !*measure {
+		return []*world{ours}
+	}
+	share := capacities(threeUpstreams(s.slots), max(1, s.slots/proxyCount))
+	return []*world{
+		s.world("proxies", proxyCount, func() scheduler { return newFirstCome(share) }),
+		s.world("fcfs", 1, func() scheduler { return newFirstCome(list) }),
+		ours,
+	}
+}
+
+// product is the queue as the bench drives it.
+type product struct{ *Queue }
+
+func newProduct(list []Capacity) product {
+	q := &Queue{}
+	q.Configure(list)
+	return product{q}
+}
+
+func (p product) finish(_ *Ticket, at chervilladder.UpstreamID) { p.Release(at) }
+
+var measure = flag.Bool("measure", false, "play the scenarios at full length, with the baselines")
+
+// TestMeasureScenarios prints the figures of docs/MEASURES.md:
+//
+//	go test -run TestMeasureScenarios -v ./internal/decide/schedule -measure
+//
+// Without the flag it plays the product alone, for a second of virtual time.
+func TestMeasureScenarios(t *testing.T) {
+	for _, s := range scenarios() {
+		for _, w := range s.worlds() {
+			if !*measure {
+				w.length = time.Second
+			}
+			t.Run(w.name, func(t *testing.T) {
+				w.run(t, measureSeed)
+				w.report(t)
+			})
+		}
+	}
+}
