Queue work in lanes and share a priority fairly among callers

Cause: the queue looked at every ticket at each submit and release, and one caller's flood kept out the other callers of its priority.

Ruled out: start tags given at arrival (a caller whose flood expired unserved would be charged for work that never ran); deficit round robin (needs a quantum per round, and slot times differ a hundredfold between classes).

Change: tickets wait in lanes by class and by the set of members that may run them. In a lane, a heap orders callers by start-time fair queueing on slot time; the estimate charged at the grant is corrected at the release. A read's set is looked at again when a replica has a free slot, at its fallback, and before its grant. Property tests with a fixed seed check slots, loss, double grants, withdrawal, idle slots and priority order.

--- a/internal/decide/schedule/measure_test.go
+++ b/internal/decide/schedule/measure_test.go
@@ -46,6 +46,10 @@
 	most := append([]load{stream(urgent, write, 3000, short)}, stream(normal, read, 100, short), stream(normal, write, 100, short), stream(background, write, 100, short))
 	long := append(append([]load(nil), calm[:3]...), stream(background, write, 20, 2*time.Second))
 	reads := []load{stream(urgent, read, 60, short), stream(normal, read, 200, short), stream(background, read, 3000, short)}
+	callers := []load{stream(normal, write, 20, short), stream(normal, write, 60, short), stream(normal, write, 3000, short)}
+	for i, name := range []string{"-a", "-b", "-floods"} {
+		callers[i].caller = name
+	}
 	slows := func(since time.Duration) float64 {
 		if since < 2*time.Second {
 			return 1
@@ -61,6 +65,7 @@
 		{name: "owner-lost", slots: 3, loads: lowest, loseAt: 5 * time.Second, takeover: 1500 * time.Millisecond},
 		{name: "long-transactions", slots: 3, loads: long},
 		{name: "long-transactions-2", slots: 2, loads: long},
+		{name: "caller-floods", slots: 3, loads: callers},
 		{name: "replica-slows", slots: 3, loads: reads, slow: slows},
 	}
 }
@@ -97,7 +102,7 @@
 	return product{q}
 }
 
-func (p product) finish(_ *Ticket, at chervilladder.UpstreamID) { p.Release(at) }
+func (p product) finish(t *Ticket, _ chervilladder.UpstreamID) { p.Release(t) }
 
 var measure = flag.Bool("measure", false, "play the scenarios at full length, with the baselines")
 
--- /dev/null
+++ b/internal/decide/schedule/property_test.go
@@ -0,0 +1,168 @@
+package schedule
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// model follows a queue through random steps.
+type model struct {
+	q        Queue
+	slots    map[chervilladder.UpstreamID]int
+	readable map[chervilladder.UpstreamID]bool
+	waiting  []*Ticket
+	holding  map[*Ticket]chervilladder.UpstreamID
+	refused  []*Ticket
+}
+
+// TestQueueKeepsItsPromises checks random runs: no more grants than slots, no
+// ticket lost or granted twice, none refused and granted, none held after it
+// was withdrawn, and priority order wherever no floor is owed.
+func TestQueueKeepsItsPromises(t *testing.T) {
+	_ = flag.Set("rapid.seed", "18")
+	rapid.Check(t, func(r *rapid.T) {
+		m := &model{
+			slots:    make(map[chervilladder.UpstreamID]int),
+			readable: map[chervilladder.UpstreamID]bool{"b": true, "c": true},
+			holding:  make(map[*Ticket]chervilladder.UpstreamID),
+		}
+		m.configure(r)
+		r.Repeat(map[string]func(*rapid.T){
+			"":          m.check,
+			"submit":    m.submit,
+			"withdraw":  m.withdraw,
+			"release":   m.release,
+			"configure": m.configure,
+			"evidence":  m.evidence,
+		})
+	})
+}
+
+func (m *model) submit(r *rapid.T) {
+	p := chervilladder.Priority(rapid.IntRange(0, 2).Draw(r, "priority"))
+	t := &Ticket{
+		Priority: p,
+		Class:    chervilladder.ClassID(p.String()),
+		Caller:   fmt.Sprint(rapid.IntRange(0, 3).Draw(r, "caller")),
+		Access:   chervilladder.Access(rapid.IntRange(0, 1).Draw(r, "access")),
+		Deadline: time.Now().Add(time.Hour),
+		Readable: func(id chervilladder.UpstreamID) bool { return m.readable[id] },
+	}
+	if err := m.q.Submit(t); err != nil {
+		m.refused = append(m.refused, t)
+		return
+	}
+	m.waiting = append(m.waiting, t)
+}
+
+func (m *model) withdraw(r *rapid.T) {
+	if len(m.waiting) == 0 {
+		r.Skip("nothing waits")
+	}
+	i := rapid.IntRange(0, len(m.waiting)-1).Draw(r, "index")
+	t := m.waiting[i]
+	m.waiting = append(m.waiting[:i], m.waiting[i+1:]...)
+	m.q.Withdraw(t)
+	m.q.Withdraw(t)
+}
+
+func (m *model) release(r *rapid.T) {
+	for t := range m.holding {
+		delete(m.holding, t)
+		m.q.Release(t)
+		return
+	}
+	r.Skip("nothing runs")
+}
+
+func (m *model) configure(r *rapid.T) {
+	var list []Capacity
+	m.slots = make(map[chervilladder.UpstreamID]int)
+	for i, id := range []chervilladder.UpstreamID{"a", "b", "c"}[:rapid.IntRange(0, 3).Draw(r, "members")] {
+		m.slots[id] = rapid.IntRange(1, 3).Draw(r, "slots")
+		list = append(list, Capacity{Upstream: id, Slots: m.slots[id], Primary: i == 0})
+	}
+	m.q.Configure(list)
+}
+
+func (m *model) evidence(r *rapid.T) {
+	m.readable["b"] = rapid.Bool().Draw(r, "b")
+	m.readable["c"] = rapid.Bool().Draw(r, "c")
+	m.q.Dispatch()
+}
+
+// check takes the grants over and compares them with the model.
+func (m *model) check(r *rapid.T) {
+	before := m.held()
+	var kept, granted []*Ticket
+	for _, t := range m.waiting {
+		select {
+		case id, ok := <-t.granted:
+			if !ok {
+				continue
+			}
+			m.holding[t] = id
+			granted = append(granted, t)
+			if before[id]++; before[id] > m.slots[id] {
+				r.Fatalf("%s runs %d with %d slots", id, before[id], m.slots[id])
+			}
+		default:
+			kept = append(kept, t)
+		}
+	}
+	m.waiting = kept
+	if m.q.Waiting() != len(kept) {
+		r.Fatalf("%d wait, the queue counts %d", len(kept), m.q.Waiting())
+	}
+	for _, t := range m.refused {
+		if len(t.granted) > 0 {
+			r.Fatal("a refused ticket was granted")
+		}
+	}
+	m.checkUse(r)
+	m.checkOrder(r, granted)
+}
+
+// checkOrder checks that no write passed a more urgent one.
+func (m *model) checkOrder(r *rapid.T, granted []*Ticket) {
+	for _, g := range granted {
+		for _, t := range m.waiting {
+			if m.holding[g] == "a" && t.Access == chervilladder.AccessWrite && t.Priority < g.Priority {
+				r.Fatalf("priority %v was granted while %v waited", g.Priority, t.Priority)
+			}
+		}
+	}
+}
+
+func (m *model) held() map[chervilladder.UpstreamID]int {
+	n := make(map[chervilladder.UpstreamID]int)
+	for _, id := range m.holding {
+		n[id]++
+	}
+	return n
+}
+
+// checkUse compares the slots in use, and checks that the queue keeps none
+// free that a waiting write may use.
+func (m *model) checkUse(r *rapid.T) {
+	held := m.held()
+	for _, member := range m.q.members {
+		if member.used != held[member.Upstream] {
+			r.Fatalf("%s: %d slots in use, %d held", member.Upstream, member.used, held[member.Upstream])
+		}
+		for _, t := range m.waiting {
+			if member.Primary && t.Access == chervilladder.AccessWrite && member.free() > keptFree(member, t) {
+				r.Fatalf("%s has free slots while a write of priority %v waits", member.Upstream, t.Priority)
+			}
+		}
+	}
+}
+
+// keptFree is how many slots of a member stay free though a ticket waits.
+func keptFree(*member, *Ticket) int { return 0 }
--- a/internal/decide/schedule/queue.go
+++ b/internal/decide/schedule/queue.go
@@ -2,70 +2,51 @@
 package schedule
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/chervilladder/chervilladder"
 )
 
-// Ticket is work that waits for a slot.
-type Ticket struct {
-	Priority chervilladder.Priority
-	Deadline time.Time
-	// Access says whether a replica may run the work.
-	Access chervilladder.Access
-	// Readable reports whether a replica may serve the work now. It must
-	// not block.
-	Readable func(chervilladder.UpstreamID) bool
-	// ReplicaOnlyUntil is until when the work waits for a replica before
-	// it falls back to the primary.
-	ReplicaOnlyUntil time.Time
-
-	granted chan chervilladder.UpstreamID
-}
-
-// Granted receives the upstream at which the ticket holds a slot.
-func (t *Ticket) Granted() <-chan chervilladder.UpstreamID {
-	return t.granted
-}
-
-// Capacity is the slots of one upstream as the queue may use them.
-type Capacity struct {
-	Upstream chervilladder.UpstreamID
-	Slots    int
-	Primary  bool
-}
-
 // Queue holds the work that waits for the slots of one database. Its lock is
-// never held during I/O.
+// never held during I/O. The zero Queue is ready for use:
+//
+//	if err := q.Submit(t); err != nil {
+//		return err // nothing was queued
+//	}
+//	id := <-t.Granted()
+//	defer q.Release(t)
 type Queue struct {
 	mu      sync.Mutex
-	waiting [chervilladder.PriorityCount][]*Ticket
-	slots   []slots
+	members []*member
+	lanes   []*lane
+	classes map[chervilladder.ClassID]*class
+	flows   map[flowKey]*flow
+	// virtual is the virtual time of each priority.
+	virtual [chervilladder.PriorityCount]float64
+	waiting int
+	numbers uint64
 }
 
-type slots struct {
-	Capacity
-	used int
-}
+// maxIdleFlows is how many flows are remembered before idle ones are
+// forgotten.
+const maxIdleFlows = 1024
+
+// recheckLimit bounds how many tickets of a lane are looked at again after a
+// change of the evidence.
+const recheckLimit = 256
 
 // Configure sets the capacities. Slots in use stay in use until released.
 func (q *Queue) Configure(list []Capacity) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	next := make([]slots, len(list))
-	for i, c := range list {
-		next[i] = slots{Capacity: c}
-		if old := q.find(c.Upstream); old != nil {
-			next[i].used = old.used
-		}
-	}
-	for i := range q.slots {
-		if old := &q.slots[i]; old.used > 0 && !listed(list, old.Upstream) {
-			next = append(next, slots{Capacity: Capacity{Upstream: old.Upstream}, used: old.used})
-		}
+	if q.configured(list) {
+		q.recheck()
+	} else {
+		q.replace(list)
 	}
-	q.slots = next
 	q.dispatch()
 }
 
@@ -74,7 +55,10 @@
 	t.granted = make(chan chervilladder.UpstreamID, 1)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.waiting[t.Priority] = append(q.waiting[t.Priority], t)
+	q.numbers++
+	t.number = q.numbers
+	t.class = q.class(t)
+	q.push(t, time.Now())
 	q.dispatch()
 	return nil
 }
@@ -84,20 +68,30 @@
 func (q *Queue) Withdraw(t *Ticket) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	select {
-	case id := <-t.granted:
-		q.release(id)
-	default:
-		q.remove(t)
+	if t.line != nil {
+		q.drop(t)
+		return
 	}
+	q.release(t)
 	q.dispatch()
 }
 
-// Release gives a slot back.
-func (q *Queue) Release(id chervilladder.UpstreamID) {
+// Release gives the slot of a granted ticket back.
+func (q *Queue) Release(t *Ticket) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.release(id)
+	q.release(t)
+	q.dispatch()
+}
+
+// Fallback lets a read use the primary once its wait for a replica is over.
+func (q *Queue) Fallback(t *Ticket) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if t.line == nil {
+		return
+	}
+	q.move(t, time.Now())
 	q.dispatch()
 }
 
@@ -106,6 +100,7 @@
 func (q *Queue) Dispatch() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.recheck()
 	q.dispatch()
 }
 
@@ -113,88 +108,284 @@
 func (q *Queue) Waiting() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	n := 0
-	for _, list := range q.waiting {
-		n += len(list)
-	}
-	return n
+	return q.waiting
 }
 
+// dispatch fills the free slots, those of replicas first.
 func (q *Queue) dispatch() {
 	now := time.Now()
-	for p := range q.waiting {
-		kept := q.waiting[p][:0]
-		for _, t := range q.waiting[p] {
-			if s := q.choose(t, now); s != nil {
-				s.used++
-				t.granted <- s.Upstream
-				continue
-			}
-			kept = append(kept, t)
-		}
-		clear(q.waiting[p][len(kept):])
-		q.waiting[p] = kept
-	}
-}
-
-// choose returns the member with the most free slots that may run a ticket.
-func (q *Queue) choose(t *Ticket, now time.Time) *slots {
-	var best, primary *slots
-	for i := range q.slots {
-		s := &q.slots[i]
-		if s.used >= s.Slots {
+	var tried memberSet
+	for q.waiting > 0 {
+		i := q.freest(tried)
+		if i < 0 {
+			return
+		}
+		t := q.next(i, now)
+		if t == nil {
+			tried = tried.with(i)
 			continue
 		}
-		if s.Primary {
-			primary = s
+		q.grant(t, q.members[i], now)
+	}
+}
+
+// freest returns the member with the most free slots, replicas first, or -1.
+func (q *Queue) freest(except memberSet) int {
+	best := -1
+	for i, m := range q.members {
+		if m.free() <= 0 || except.has(i) {
 			continue
 		}
-		if t.Access != chervilladder.AccessRead || !t.Readable(s.Upstream) {
+		if best < 0 || m.preferred(q.members[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (m *member) preferred(other *member) bool {
+	if m.Primary != other.Primary {
+		return other.Primary
+	}
+	return m.free() > other.free()
+}
+
+// next returns the ticket that a member is to run next. A read that the
+// member may not serve any more is moved to another lane.
+func (q *Queue) next(i int, now time.Time) *Ticket {
+	for {
+		best := q.best(i)
+		if best == nil {
+			return nil
+		}
+		t := best.first
+		if q.members[i].Primary || t.Readable(q.members[i].Upstream) {
+			return t
+		}
+		q.move(t, now)
+	}
+}
+
+// best returns the line that a member serves next.
+func (q *Queue) best(i int) *line {
+	var best *line
+	for _, l := range q.lanes {
+		if !l.members.has(i) || len(l.lines) == 0 {
 			continue
 		}
-		if best == nil || s.Slots-s.used > best.Slots-best.used {
-			best = s
+		if best == nil || l.lines[0].ahead(best) {
+			best = l.lines[0]
 		}
 	}
-	if best != nil {
-		return best
+	return best
+}
+
+func (l *line) ahead(other *line) bool {
+	if l.lane.class.priority != other.lane.class.priority {
+		return l.lane.class.priority < other.lane.class.priority
 	}
-	if t.Access == chervilladder.AccessRead && now.Before(t.ReplicaOnlyUntil) {
-		return nil
+	return l.before(other)
+}
+
+// grant gives a ticket a slot and charges its flow what that is expected to
+// cost.
+func (q *Queue) grant(t *Ticket, m *member, now time.Time) {
+	f := t.line.flow
+	q.drop(t)
+	m.used++
+	f.running++
+	t.member, t.since = m, now
+	t.charged = t.class.service.estimate()
+	p := t.class.priority
+	q.virtual[p] = max(q.virtual[p], f.start)
+	f.charge(t.charged)
+	t.granted <- m.Upstream
+}
+
+// release ends the use of a slot and corrects what was charged for it.
+func (q *Queue) release(t *Ticket) {
+	if t.member == nil {
+		return
 	}
-	return primary
+	took := time.Since(t.since)
+	t.member.used--
+	t.member = nil
+	t.class.service.observe(took)
+	f := q.flow(t)
+	f.running--
+	f.charge(float64(took) - t.charged)
+	q.forgetFlows()
 }
 
-func (q *Queue) release(id chervilladder.UpstreamID) {
-	if s := q.find(id); s != nil && s.used > 0 {
-		s.used--
+// push queues a ticket where the members that may run it look.
+func (q *Queue) push(t *Ticket, now time.Time) {
+	f := q.flow(t)
+	if f.waiting == 0 {
+		f.start = max(f.start, q.virtual[t.class.priority])
 	}
+	f.waiting++
+	q.waiting++
+	f.line(q.lane(q.runners(t, now), t.class)).add(t)
 }
 
-func (q *Queue) find(id chervilladder.UpstreamID) *slots {
-	for i := range q.slots {
-		if q.slots[i].Upstream == id {
-			return &q.slots[i]
+// drop takes a waiting ticket out.
+func (q *Queue) drop(t *Ticket) {
+	t.line.flow.waiting--
+	q.waiting--
+	t.line.drop(t)
+}
+
+// move queues a ticket again after a change of who may run it.
+func (q *Queue) move(t *Ticket, now time.Time) {
+	if q.runners(t, now) == t.line.lane.members {
+		return
+	}
+	q.drop(t)
+	q.push(t, now)
+}
+
+// runners returns the members that may run a ticket now.
+func (q *Queue) runners(t *Ticket, now time.Time) memberSet {
+	var set memberSet
+	onReplica := t.Access == chervilladder.AccessRead
+	onPrimary := !onReplica || !now.Before(t.ReplicaOnlyUntil)
+	for i, m := range q.members {
+		if m.Primary && onPrimary || !m.Primary && onReplica && t.Readable(m.Upstream) {
+			set = set.with(i)
 		}
 	}
-	return nil
+	return set
 }
 
-func (q *Queue) remove(t *Ticket) {
-	list := q.waiting[t.Priority]
-	for i, other := range list {
-		if other == t {
-			q.waiting[t.Priority] = append(list[:i], list[i+1:]...)
-			return
+// recheck looks again at reads that some replica with a free slot might now
+// serve.
+func (q *Queue) recheck() {
+	now := time.Now()
+	var free memberSet
+	for i, m := range q.members {
+		if !m.Primary && m.free() > 0 {
+			free = free.with(i)
+		}
+	}
+	for _, l := range slices.Clone(q.lanes) {
+		if free&^l.members != 0 && len(l.lines) > 0 && l.reads() {
+			q.recheckLane(l, now)
+		}
+	}
+}
+
+func (l *lane) reads() bool {
+	return l.lines[0].first.Access == chervilladder.AccessRead
+}
+
+func (q *Queue) recheckLane(l *lane, now time.Time) {
+	left := recheckLimit
+	for _, line := range slices.Clone(l.lines) {
+		for t := line.first; t != nil && left > 0; left-- {
+			next := t.next
+			q.move(t, now)
+			t = next
+		}
+	}
+}
+
+func (q *Queue) configured(list []Capacity) bool {
+	return slices.EqualFunc(q.members, list, func(m *member, c Capacity) bool { return m.Capacity == c })
+}
+
+// replace takes over a changed list of members and queues all work again.
+func (q *Queue) replace(list []Capacity) {
+	next := make([]*member, 0, len(list))
+	for _, c := range list[:min(len(list), maxMembers)] {
+		next = append(next, q.member(c))
+	}
+	for _, m := range q.members {
+		if m.used > 0 && !slices.Contains(next, m) && len(next) < maxMembers {
+			m.Slots = 0
+			next = append(next, m)
+		}
+	}
+	waiting := q.takeAll()
+	q.members, q.lanes = next, nil
+	for _, f := range q.flows {
+		f.lines = nil
+	}
+	now := time.Now()
+	for _, t := range waiting {
+		q.push(t, now)
+	}
+}
+
+// member returns the member of a capacity with its new values.
+func (q *Queue) member(c Capacity) *member {
+	for _, m := range q.members {
+		if m.Upstream == c.Upstream {
+			m.Capacity = c
+			return m
+		}
+	}
+	return &member{Capacity: c}
+}
+
+// takeAll takes all waiting tickets out, in order of arrival.
+func (q *Queue) takeAll() []*Ticket {
+	list := make([]*Ticket, 0, q.waiting)
+	for _, l := range q.lanes {
+		for len(l.lines) > 0 {
+			t := l.lines[0].first
+			q.drop(t)
+			list = append(list, t)
+		}
+	}
+	slices.SortFunc(list, func(a, b *Ticket) int { return cmp.Compare(a.number, b.number) })
+	return list
+}
+
+func (q *Queue) lane(members memberSet, c *class) *lane {
+	for _, l := range q.lanes {
+		if l.members == members && l.class == c {
+			return l
 		}
 	}
+	l := &lane{members: members, class: c}
+	q.lanes = append(q.lanes, l)
+	return l
+}
+
+func (q *Queue) class(t *Ticket) *class {
+	if c := q.classes[t.Class]; c != nil {
+		c.priority = t.Priority
+		return c
+	}
+	if q.classes == nil {
+		q.classes = make(map[chervilladder.ClassID]*class)
+	}
+	c := &class{id: t.Class, priority: t.Priority}
+	q.classes[t.Class] = c
+	return c
 }
 
-func listed(list []Capacity, id chervilladder.UpstreamID) bool {
-	for _, c := range list {
-		if c.Upstream == id {
-			return true
+func (q *Queue) flow(t *Ticket) *flow {
+	key := t.flowKey()
+	if f := q.flows[key]; f != nil {
+		return f
+	}
+	if q.flows == nil {
+		q.flows = make(map[flowKey]*flow)
+	}
+	f := &flow{key: key, start: q.virtual[t.class.priority]}
+	q.flows[key] = f
+	return f
+}
+
+// forgetFlows bounds the flows that are kept though they have no work.
+func (q *Queue) forgetFlows() {
+	if len(q.flows) <= maxIdleFlows {
+		return
+	}
+	for key, f := range q.flows {
+		if f.idle(q.virtual[q.classes[key.class].priority]) {
+			delete(q.flows, key)
 		}
 	}
-	return false
 }
--- /dev/null
+++ b/internal/decide/schedule/ticket.go
@@ -0,0 +1,76 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// Ticket is work that waits for a slot.
+type Ticket struct {
+	Priority chervilladder.Priority
+	// Class, Service and Caller say whom fair sharing within a priority is
+	// for. The class is also what service times are observed by.
+	Class    chervilladder.ClassID
+	Service  chervilladder.ServiceID
+	Caller   string
+	Deadline time.Time
+	// Access says whether a replica may run the work.
+	Access chervilladder.Access
+	// Readable reports whether a replica may serve the work now. It must
+	// not block.
+	Readable func(chervilladder.UpstreamID) bool
+	// ReplicaOnlyUntil is until when the work waits for a replica before
+	// it falls back to the primary.
+	ReplicaOnlyUntil time.Time
+
+	granted chan chervilladder.UpstreamID
+	number  uint64
+	class   *class
+	// line is where the ticket waits; nil once it was granted or withdrawn.
+	line       *line
+	prev, next *Ticket
+	// member holds the ticket's slot, since a point in time.
+	member  *member
+	since   time.Time
+	charged float64
+}
+
+// Granted receives the upstream at which the ticket holds a slot.
+func (t *Ticket) Granted() <-chan chervilladder.UpstreamID {
+	return t.granted
+}
+
+// flowKey returns whom the ticket's slot time is charged to.
+func (t *Ticket) flowKey() flowKey {
+	return flowKey{class: t.Class, service: t.Service, caller: t.Caller}
+}
+
+// tickets is a list in order of arrival.
+type tickets struct {
+	first, last *Ticket
+}
+
+func (l *tickets) push(t *Ticket) {
+	t.prev, t.next = l.last, nil
+	if l.last == nil {
+		l.first = t
+	} else {
+		l.last.next = t
+	}
+	l.last = t
+}
+
+func (l *tickets) remove(t *Ticket) {
+	if t.prev == nil {
+		l.first = t.next
+	} else {
+		t.prev.next = t.next
+	}
+	if t.next == nil {
+		l.last = t.prev
+	} else {
+		t.next.prev = t.prev
+	}
+	t.prev, t.next = nil, nil
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -171,7 +171,7 @@
 			x.waiting = false
 			return nil
 		case <-fallback.C:
-			x.state.Queue.Dispatch()
+			x.state.Queue.Fallback(x.ticket)
 		case <-ctx.Done():
 			x.stopWaiting()
 			return x.notRun(x.waitReason(), context.Cause(ctx))
@@ -248,7 +248,7 @@
 	} else {
 		conn.Close()
 	}
-	x.state.Queue.Release(x.member)
+	x.state.Queue.Release(x.ticket)
 	x.member = ""
 }
 
@@ -260,7 +260,7 @@
 		conn.Close()
 	}
 	if x.member != "" {
-		x.state.Queue.Release(x.member)
+		x.state.Queue.Release(x.ticket)
 		x.member = ""
 	}
 }
--- a/internal/upstream/executor.go
+++ b/internal/upstream/executor.go
@@ -85,6 +85,9 @@
 	floor.Written = floor.Written.Later(x.work.Seen)
 	x.ticket = &schedule.Ticket{
 		Priority: x.class.Priority,
+		Class:    x.class.ID,
+		Service:  x.work.Service,
+		Caller:   x.work.Caller,
 		Deadline: x.work.Deadline,
 		Access:   x.work.Access,
 		Readable: func(id chervilladder.UpstreamID) bool {
