Keep one slot of a primary free from long work

Ruled out, tried and taken back: keeping a slot free from all lower work.

Change: a class counts as long while the mean of its slot times plus four mean deviations is above 50 ms, or fewer than 4 were observed. Long work takes at most all but one of a primary's slots.

--- a/internal/decide/schedule/class.go
+++ b/internal/decide/schedule/class.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math"
 	"time"
 
 	"github.com/chervilladder/chervilladder"
@@ -13,10 +14,28 @@
 	service  serviceTime
 }
 
+// longService is from what slot time on work counts as long.
+const longService = 50 * time.Millisecond
+
+// minSamples is how many samples make evidence.
+const minSamples = 4
+
+// long reports whether work of the class may hold a slot for long. Work of
+// the most urgent priority is never held back; a class of which little was
+// observed counts as long.
+func (c *class) long() bool {
+	if c.priority == chervilladder.PriorityUrgent {
+		return false
+	}
+	return c.service.samples < minSamples || c.service.upper() > float64(longService)
+}
+
 // serviceTime is the moving mean of how long a class holds a slot.
 type serviceTime struct {
-	mean    float64
-	samples int
+	mean float64
+	// deviation is the moving mean of how far samples are from the mean.
+	deviation float64
+	samples   int
 }
 
 // unknownService stands for a service time that was not observed yet.
@@ -28,7 +47,17 @@
 func (s *serviceTime) observe(d time.Duration) {
 	s.samples++
 	weight := max(serviceWeight, 1/float64(s.samples))
+	off := math.Abs(float64(d) - s.mean)
 	s.mean += (float64(d) - s.mean) * weight
+	if s.samples > 1 {
+		s.deviation += (off - s.deviation) * weight
+	}
+}
+
+// upper returns what few samples exceed, by the rule of TCP's retransmission
+// timer.
+func (s *serviceTime) upper() float64 {
+	return s.mean + 4*s.deviation
 }
 
 // estimate returns the slot time that one ticket is expected to take.
--- a/internal/decide/schedule/queue.go
+++ b/internal/decide/schedule/queue.go
@@ -170,7 +170,7 @@
 func (q *Queue) best(i int) *line {
 	var best *line
 	for _, l := range q.lanes {
-		if !l.members.has(i) || len(l.lines) == 0 {
+		if !l.members.has(i) || len(l.lines) == 0 || !q.members[i].admits(l.class) {
 			continue
 		}
 		if best == nil || l.lines[0].ahead(best) {
@@ -192,9 +192,9 @@
 func (q *Queue) grant(t *Ticket, m *member, now time.Time) {
 	f := t.line.flow
 	q.drop(t)
-	m.used++
+	m.take(t)
 	f.running++
-	t.member, t.since = m, now
+	t.since = now
 	t.charged = t.class.service.estimate()
 	p := t.class.priority
 	q.virtual[p] = max(q.virtual[p], f.start)
@@ -208,8 +208,7 @@
 		return
 	}
 	took := time.Since(t.since)
-	t.member.used--
-	t.member = nil
+	t.member.giveBack(t)
 	t.class.service.observe(took)
 	f := q.flow(t)
 	f.running--
--- a/internal/decide/schedule/ticket.go
+++ b/internal/decide/schedule/ticket.go
@@ -34,6 +34,7 @@
 	member  *member
 	since   time.Time
 	charged float64
+	long    bool
 }
 
 // Granted receives the upstream at which the ticket holds a slot.
