Refuse at once what cannot be answered by its deadline

Cause: under a flood, work waited for seconds and then expired; nothing bounded what waited, by count or by bytes.

Ruled out: a fixed length of the queue as the only bound (300 tickets are a second of short work and minutes of long transactions).

Change: Submit estimates the wait from what waits ahead, the observed slot times, the slots that more urgent work has lately used and the floors; work that cannot make its deadline is refused with the time after which a retry makes sense. Evidence older than a second refuses nothing, so that a slow spell does not outlive itself. Waiting work is bounded by count and bytes, by priority and by caller. Work that became hopeless is refused at the grant.

--- a/internal/decide/schedule/bench_test.go
+++ b/internal/decide/schedule/bench_test.go
@@ -4,35 +4,61 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/chervilladder/chervilladder"
 )
 
-// BenchmarkSubmitRelease measures one submit and one release while other
-// tickets wait.
+// BenchmarkSubmitRelease measures one submit and one release of the most
+// urgent priority while other tickets wait.
 func BenchmarkSubmitRelease(b *testing.B) {
-	for _, waiting := range []int{10, 1_000, 10_000} {
+	for _, waiting := range []int{10, 1_000, 4_000} {
 		b.Run(fmt.Sprintf("waiting-%d", waiting), func(b *testing.B) {
-			p := newProduct(capacities(threeUpstreams(3), 3))
-			l := stream(background, write, 0, short)
-			l.class.Deadline = time.Hour
-			var line []*Ticket
-			submit := func() {
-				t := l.ticket(time.Now())
-				if err := p.Submit(t); err != nil {
-					b.Fatal(err)
-				}
-				line = append(line, t)
-			}
-			for range waiting + 2 {
-				submit()
+			q := fullQueue(b, waiting)
+			first := stream(urgent, write, 0, short)
+			t := first.ticket(time.Now())
+			if err := q.Submit(t); err != nil {
+				b.Fatal(err)
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				t := line[0]
-				line = line[1:]
-				id := <-t.granted
-				submit()
-				p.finish(t, id)
+				next := first.ticket(time.Now())
+				if err := q.Submit(next); err != nil {
+					b.Fatal(err)
+				}
+				q.Release(t)
+				<-next.granted
+				t = next
 			}
 		})
 	}
 }
+
+// BenchmarkRefusal measures a submit that is refused by its caller's bound.
+func BenchmarkRefusal(b *testing.B) {
+	q := fullQueue(b, 2*4*maxFlowWaiting)
+	l := stream(background, write, 0, short)
+	l.caller = "caller-0"
+	t := l.ticket(time.Now())
+	for b.Loop() {
+		if q.Submit(t) == nil {
+			b.Fatal("not refused")
+		}
+	}
+}
+
+// fullQueue returns a queue with one free slot of the primary, and work of
+// many callers that waits for it.
+func fullQueue(b *testing.B, waiting int) *Queue {
+	q := &Queue{}
+	q.Configure(capacities(threeUpstreams(3), 0))
+	for i := range waiting {
+		l := stream([]chervilladder.Class{normal, background}[i%2], write, 0, short)
+		l.class.Deadline, l.class.FloorPercent = time.Hour, 0
+		l.caller = fmt.Sprint("caller-", i/2%4)
+		if err := q.Submit(l.ticket(time.Now())); err != nil {
+			b.Fatal(err)
+		}
+	}
+	q.members[0].Slots = 1
+	return q
+}
--- a/internal/decide/schedule/class.go
+++ b/internal/decide/schedule/class.go
@@ -44,6 +44,7 @@
 	// deviation is the moving mean of how far samples are from the mean.
 	deviation float64
 	samples   int
+	last      time.Time
 }
 
 // unknownService stands for a service time that was not observed yet.
@@ -54,6 +55,7 @@
 
 func (s *serviceTime) observe(d time.Duration) {
 	s.samples++
+	s.last = time.Now()
 	weight := max(serviceWeight, 1/float64(s.samples))
 	off := math.Abs(float64(d) - s.mean)
 	s.mean += (float64(d) - s.mean) * weight
@@ -75,3 +77,16 @@
 	}
 	return s.mean
 }
+
+// evidenceAge is how long a service time is relied on to refuse work. Without
+// an end, work that is refused for a slow service would never show that the
+// service is fast again.
+const evidenceAge = time.Second
+
+// evidence returns the mean of recent samples, or zero if there are too few.
+func (s *serviceTime) evidence(now time.Time) time.Duration {
+	if s.samples < minSamples || now.Sub(s.last) > evidenceAge {
+		return 0
+	}
+	return time.Duration(s.mean)
+}
--- a/internal/decide/schedule/floor.go
+++ b/internal/decide/schedule/floor.go
@@ -32,8 +32,13 @@
 	// only while as urgent work of another class waits too: at other
 	// times the order by priority leaves the class what it needs.
 	credit float64
+	// use is the moving mean of the slots that the class runs on.
+	use float64
 }
 
+// useWindow is over what time the use of slots is averaged.
+const useWindow = float64(time.Second)
+
 // demand is how many tickets wait for a pool, by priority.
 type demand [poolCount][chervilladder.PriorityCount]int
 
@@ -64,6 +69,7 @@
 
 func (c *class) accrue(p pool, slots, passed float64, contended bool) {
 	s := &c.shares[p]
+	s.use += (float64(s.running) - s.use) * passed / (useWindow + passed)
 	if s.waiting == 0 {
 		s.credit = min(s.credit, 0)
 	}
--- a/internal/decide/schedule/flow.go
+++ b/internal/decide/schedule/flow.go
@@ -23,6 +23,7 @@
 	priority chervilladder.Priority
 	waiting  int
 	running  int
+	held     int
 	lines    []*line
 }
 
--- a/internal/decide/schedule/property_test.go
+++ b/internal/decide/schedule/property_test.go
@@ -55,7 +55,15 @@
 		Deadline: time.Now().Add(time.Hour),
 		Readable: func(id chervilladder.UpstreamID) bool { return m.readable[id] },
 	}
-	if err := m.q.Submit(t); err != nil {
+	late := rapid.IntRange(0, 4).Draw(r, "late") == 0
+	if late {
+		t.Deadline = time.Now().Add(-time.Second)
+	}
+	err := m.q.Submit(t)
+	if late != (err != nil) {
+		r.Fatalf("deadline passed: %v, refused: %v", late, err)
+	}
+	if err != nil {
 		m.refused = append(m.refused, t)
 		return
 	}
--- a/internal/decide/schedule/queue.go
+++ b/internal/decide/schedule/queue.go
@@ -28,6 +28,11 @@
 	virtual [chervilladder.PriorityCount]float64
 	waiting int
 	demand  demand
+	// lengths, active and held count, by priority, the tickets that wait,
+	// the flows that they are of, and the bytes that they hold.
+	lengths [chervilladder.PriorityCount]int
+	active  [chervilladder.PriorityCount]int
+	held    [chervilladder.PriorityCount]int
 	numbers uint64
 	// accounted is up to when the credits of floors are brought up.
 	accounted time.Time
@@ -64,6 +69,9 @@
 	t.class = q.class(t)
 	now := time.Now()
 	q.account(now)
+	if err := q.admit(t, now); err != nil {
+		return err
+	}
 	q.push(t, now)
 	q.dispatch()
 	return nil
@@ -168,6 +176,10 @@
 			return nil
 		}
 		t := best.first
+		if t.hopeless(now) {
+			q.refuse(t, chervilladder.ReasonDeadline)
+			continue
+		}
 		if q.members[i].Primary || t.Readable(q.members[i].Upstream) {
 			return t
 		}
@@ -235,11 +247,16 @@
 // push queues a ticket where the members that may run it look.
 func (q *Queue) push(t *Ticket, now time.Time) {
 	f := q.flow(t)
+	p := f.priority
 	if f.waiting == 0 {
-		f.start = max(f.start, q.virtual[t.class.priority])
+		q.active[p]++
+		f.start = max(f.start, q.virtual[p])
 	}
 	f.waiting++
+	f.held += t.held
 	q.waiting++
+	q.lengths[p]++
+	q.held[p] += t.held
 	l := q.lane(q.runners(t, now), t.class)
 	q.count(l, 1)
 	f.line(l).add(t)
@@ -247,8 +264,16 @@
 
 // drop takes a waiting ticket out.
 func (q *Queue) drop(t *Ticket) {
-	t.line.flow.waiting--
+	f := t.line.flow
+	p := f.priority
+	f.waiting--
+	f.held -= t.held
 	q.waiting--
+	q.lengths[p]--
+	q.held[p] -= t.held
+	if f.waiting == 0 {
+		q.active[p]--
+	}
 	q.count(t.line.lane, -1)
 	t.line.drop(t)
 }
--- a/internal/decide/schedule/ticket.go
+++ b/internal/decide/schedule/ticket.go
@@ -8,6 +8,7 @@
 
 // Ticket is work that waits for a slot.
 type Ticket struct {
+	Database chervilladder.DatabaseID
 	Priority chervilladder.Priority
 	// Class, Service and Caller say whom fair sharing within a priority is
 	// for. The class is also what service times are observed by.
@@ -28,6 +29,7 @@
 	ReplicaOnlyUntil time.Time
 
 	granted chan chervilladder.UpstreamID
+	refused error
 	number  uint64
 	class   *class
 	// line is where the ticket waits; nil once it was granted or withdrawn.
@@ -37,15 +39,22 @@
 	member  *member
 	since   time.Time
 	charged float64
+	held    int
 	long    bool
 	pool    pool
 }
 
-// Granted receives the upstream at which the ticket holds a slot.
+// Granted receives the upstream at which the ticket holds a slot. It is closed
+// if the work is refused instead; Refused then tells why.
 func (t *Ticket) Granted() <-chan chervilladder.UpstreamID {
 	return t.granted
 }
 
+// Refused returns why a ticket whose Granted channel was closed is not run.
+func (t *Ticket) Refused() error {
+	return t.refused
+}
+
 // flowKey returns whom the ticket's slot time is charged to.
 func (t *Ticket) flowKey() flowKey {
 	return flowKey{class: t.Class, service: t.Service, caller: t.Caller}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -51,7 +51,7 @@
 	x.batch = b
 	x.sent, x.begun, x.failed = false, false, false
 	if x.conn == nil {
-		return nil
+		return x.hold(b)
 	}
 	x.sent = true
 	x.conn.setDeadline(x.deadline())
@@ -61,6 +61,16 @@
 	return nil
 }
 
+// hold counts what a batch that waits for its slot keeps in memory.
+func (x *exchange) hold(b chervilladder.Batch) error {
+	if !x.waiting {
+		return nil
+	}
+	err := x.state.Queue.Hold(x.ticket, len(b.Payload))
+	x.waiting = err == nil
+	return err
+}
+
 // Recv returns the next part of the answer.
 func (x *exchange) Recv() (chervilladder.Reply, error) {
 	for {
@@ -73,7 +83,7 @@
 		}
 		x.abandon()
 		if err := x.queue(); err != nil {
-			return chervilladder.Reply{}, err
+			return chervilladder.Reply{}, x.fail(err)
 		}
 	}
 }
@@ -167,8 +177,12 @@
 	defer fallback.Stop()
 	for {
 		select {
-		case x.member = <-x.ticket.Granted():
+		case member, granted := <-x.ticket.Granted():
 			x.waiting = false
+			if !granted {
+				return x.ticket.Refused()
+			}
+			x.member = member
 			return nil
 		case <-fallback.C:
 			x.state.Queue.Fallback(x.ticket)
--- a/internal/upstream/executor.go
+++ b/internal/upstream/executor.go
@@ -100,7 +100,7 @@
 		x.waiting = false
 		return err
 	}
-	return nil
+	return x.hold(x.batch)
 }
 
 // pool returns the pool of an upstream at its address in the configuration in
--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -112,16 +112,19 @@
 	return x.work.Access == chervilladder.AccessRead || x.class.Idempotent
 }
 
-// fail ends the exchange and says honestly what is known of the batch.
+// fail ends the exchange and says honestly what is known of the batch. A write
+// that an earlier attempt has sent is not reported as not run, though the last
+// attempt was refused before it sent anything.
 func (x *exchange) fail(err error) error {
 	wasOpen := x.open
 	x.abandon()
+	read := x.work.Access == chervilladder.AccessRead
 	var notRun *chervilladder.NotRunError
-	if errors.As(err, &notRun) {
+	if errors.As(err, &notRun) && (read || !x.sent) {
 		return err
 	}
 	switch {
-	case x.work.Access == chervilladder.AccessRead:
+	case read:
 		return x.notRun(chervilladder.ReasonNoProof, err)
 	case !x.sent:
 		return x.notRun(chervilladder.ReasonNoPrimary, err)
