--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -55,7 +55,7 @@
 	x.batch = b
 	x.sent, x.begun, x.failed, x.cancelled = false, false, false, false
 	if x.conn == nil {
-		return nil
+		return x.hold(b)
 	}
 	if err := x.transmit(); err != nil {
 		return x.fail(err)
@@ -98,6 +98,16 @@
 	}
 }
 
+// hold counts what a batch that waits for its slot keeps in memory.
+func (x *exchange) hold(b chervilladder.Batch) error {
+	if !x.waiting {
+		return nil
+	}
+	err := x.state.Queue.Hold(x.ticket, len(b.Payload))
+	x.waiting = err == nil
+	return err
+}
+
 // Recv returns the next part of the answer.
 func (x *exchange) Recv() (chervilladder.Reply, error) {
 	for {
@@ -113,7 +123,7 @@
 			x.awaitChange()
 		}
 		if err := x.queue(); err != nil {
-			return chervilladder.Reply{}, err
+			return chervilladder.Reply{}, x.fail(err)
 		}
 	}
 }
@@ -271,11 +281,15 @@
 	defer fallback.Stop()
 	for {
 		select {
-		case x.member = <-x.ticket.Granted():
+		case member, granted := <-x.ticket.Granted():
 			x.waiting = false
+			if !granted {
+				return x.ticket.Refused()
+			}
+			x.member = member
 			return nil
 		case <-fallback.C:
-			x.state.Queue.Dispatch()
+			x.state.Queue.Fallback(x.ticket)
 		case <-ctx.Done():
 			x.stopWaiting()
 			return x.notRun(x.waitReason(), context.Cause(ctx))
@@ -369,7 +383,7 @@
 	} else {
 		conn.Close()
 	}
-	x.state.Queue.Release(x.member)
+	x.state.Queue.Release(x.ticket)
 	x.member = ""
 }
 
@@ -381,7 +395,7 @@
 		conn.Close()
 	}
 	if x.member != "" {
-		x.state.Queue.Release(x.member)
+		x.state.Queue.Release(x.ticket)
 		x.member = ""
 	}
 }
