Measure the slopes that the capacity page works with

The other end of a connection runs in a process of its own, so that processor time and memory are those of the part that is measured.

--- /dev/null
+++ b/internal/capacity/evidence_test.go
@@ -0,0 +1,106 @@
+package capacity_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/control/group"
+	"github.com/chervilladder/chervilladder/internal/decide/proof"
+)
+
+// idleTime is how long databases that nobody uses are watched.
+const idleTime = 5 * time.Second
+
+// settleTime lets a database that has just been claimed come to rest.
+const settleTime = 4 * time.Second
+
+// BenchmarkIdle measures what an owned database costs while nobody uses it.
+func BenchmarkIdle(b *testing.B) {
+	for _, n := range []int{1, 4, 16, 64} {
+		b.Run(fmt.Sprintf("members=fake/databases=%d", n), func(b *testing.B) {
+			benchmarkIdle(b, upstreamsOf(n), dialFake, nil, n)
+		})
+	}
+	for _, n := range []int{1, 4, 16} {
+		b.Run(fmt.Sprintf("members=loopback/databases=%d", n), func(b *testing.B) {
+			c := startChild(b, roleUpstreams, n)
+			benchmarkIdle(b, c.Upstreams, dialUpstream, c, n)
+		})
+	}
+}
+
+func benchmarkIdle(b *testing.B, upstreams []chervilladder.Upstream, dial group.Dialer, c *child, n int) {
+	empty := measure()
+	o := newOwner(b, upstreams, dial)
+	time.Sleep(settleTime)
+	before, statuses := measure(), o.statuses.Load()
+	var remote usage
+	if c != nil {
+		remote = c.usage(b)
+	}
+	var elapsed time.Duration
+	for b.Loop() {
+		time.Sleep(idleTime)
+		elapsed += idleTime
+	}
+	processor := processorTime() - before.Processor
+	count := float64(o.statuses.Load() - statuses)
+	perDatabase := func(x float64) float64 { return x / float64(n) }
+	perSecond := func(x float64) float64 { return x / elapsed.Seconds() }
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(perDatabase(perSecond(count)), "statuses/s/database")
+	b.ReportMetric(perDatabase(perSecond(float64(processor.Microseconds()))), "cpu-us/s/database")
+	b.ReportMetric(float64(processor.Microseconds())/count, "cpu-us/status")
+	b.ReportMetric(perDatabase(float64(before.Goroutines-empty.Goroutines)), "goroutines/database")
+	b.ReportMetric(perDatabase(float64(before.memory())-float64(empty.memory())), "B/database")
+	if c != nil {
+		now := c.usage(b)
+		b.ReportMetric(float64(now.BytesIn-remote.BytesIn)/count, "B-sent/status")
+		b.ReportMetric(float64(now.BytesOut-remote.BytesOut)/count, "B-received/status")
+	}
+}
+
+// BenchmarkProof measures a proof: all members are asked for a status, and the
+// one who asked waits for a majority. Parallel askers share statuses.
+func BenchmarkProof(b *testing.B) {
+	for _, askers := range []int{1, 16, 128} {
+		b.Run(fmt.Sprintf("members=fake/askers=%d", askers), func(b *testing.B) {
+			benchmarkProof(b, newOwner(b, upstreamsOf(1), dialFake), nil, askers)
+		})
+		b.Run(fmt.Sprintf("members=loopback/askers=%d", askers), func(b *testing.B) {
+			c := startChild(b, roleUpstreams, 1)
+			benchmarkProof(b, newOwner(b, c.Upstreams, dialUpstream), c, askers)
+		})
+	}
+}
+
+func benchmarkProof(b *testing.B, o *owner, c *child, askers int) {
+	state := o.board.Databases.Get(databaseID(0))
+	g := state.Group.Load()
+	var remote usage
+	if c != nil {
+		remote = c.usage(b)
+	}
+	b.ReportAllocs()
+	statuses, processor := o.statuses.Load(), processorTime()
+	inParallel(b, askers, func() error {
+		t := state.Evidence.Ask()
+		_, err := state.Await(b.Context(), func(now blackboard.Group) bool {
+			return proof.Current(now, g.Term, g.Claim, t) == proof.Holds
+		})
+		return err
+	})
+	processor = processorTime() - processor
+	count := float64(o.statuses.Load() - statuses)
+	b.ReportMetric(float64(processor.Nanoseconds())/1e3/float64(b.N), "cpu-us/op")
+	b.ReportMetric(count/float64(b.N), "statuses/op")
+	b.ReportMetric(float64(processor.Nanoseconds())/1e3/count, "cpu-us/status")
+	if c != nil {
+		now := c.usage(b)
+		b.ReportMetric(float64(now.BytesIn-remote.BytesIn)/count, "B-sent/status")
+		b.ReportMetric(float64(now.BytesOut-remote.BytesOut)/count, "B-received/status")
+	}
+}
--- /dev/null
+++ b/internal/capacity/main_test.go
@@ -0,0 +1,177 @@
+// Package capacity_test measures the slopes from which docs/CAPACITY.md works
+// out the size of the system, and the path's cost of docs/MEASURES-path.md.
+// What stands at the other end of a connection runs in a process of its own,
+// so that processor time and memory are those of the part that is measured.
+package capacity_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"runtime"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// The environment that makes this program the other end of a benchmark.
+const (
+	roleVariable  = "CHERVILLADDER_CAPACITY_ROLE"
+	countVariable = "CHERVILLADDER_CAPACITY_COUNT"
+)
+
+// role is what the other end of a benchmark runs.
+type role string
+
+const (
+	roleUpstreams role = "upstreams"
+	roleCallers   role = "callers"
+	rolePeer      role = "peer"
+)
+
+// greeting is the first line that a child writes.
+type greeting struct {
+	Upstreams []chervilladder.Upstream
+	Address   chervilladder.Address
+}
+
+// usage is what a process has used so far.
+type usage struct {
+	Processor  time.Duration
+	HeapBytes  uint64
+	StackBytes uint64
+	Goroutines int
+	// BytesIn and BytesOut went over the connections that the process
+	// accepted, in Reads and Writes.
+	BytesIn, BytesOut, Reads, Writes uint64
+}
+
+func TestMain(m *testing.M) {
+	if r := role(os.Getenv(roleVariable)); r != "" {
+		if err := serveRole(r); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func serveRole(r role) error {
+	count, err := strconv.Atoi(os.Getenv(countVariable))
+	if err != nil {
+		return err
+	}
+	hello, err := roles()[r](count)
+	if err != nil {
+		return err
+	}
+	out := json.NewEncoder(os.Stdout)
+	if err := out.Encode(hello); err != nil {
+		return err
+	}
+	for in := bufio.NewScanner(os.Stdin); in.Scan(); {
+		if err := out.Encode(measure()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func roles() map[role]func(int) (greeting, error) {
+	return map[role]func(int) (greeting, error){
+		roleUpstreams: serveUpstreams,
+		roleCallers:   serveCallers,
+		rolePeer:      servePeer,
+	}
+}
+
+// measure returns what this process has used, after a garbage collection.
+func measure() usage {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return usage{
+		Processor:  processorTime(),
+		HeapBytes:  m.HeapAlloc,
+		StackBytes: m.StackInuse,
+		Goroutines: runtime.NumGoroutine(),
+		BytesIn:    traffic.bytesIn.Load(),
+		BytesOut:   traffic.bytesOut.Load(),
+		Reads:      traffic.reads.Load(),
+		Writes:     traffic.writes.Load(),
+	}
+}
+
+func (u usage) memory() uint64 {
+	return u.HeapBytes + u.StackBytes
+}
+
+// processorTime returns the user and system time of this process.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// child is the other end of a benchmark.
+type child struct {
+	greeting
+	in  io.Writer
+	out *json.Decoder
+}
+
+// startChild starts a process that serves a role until the benchmark ends.
+func startChild(b *testing.B, r role, count int) *child {
+	b.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), roleVariable+"="+string(r), countVariable+"="+strconv.Itoa(count))
+	cmd.Stderr = os.Stderr
+	in, err := cmd.StdinPipe()
+	check(b, err)
+	out, err := cmd.StdoutPipe()
+	check(b, err)
+	check(b, cmd.Start())
+	b.Cleanup(func() {
+		in.Close()
+		_ = cmd.Wait()
+	})
+	c := &child{in: in, out: json.NewDecoder(out)}
+	check(b, c.out.Decode(&c.greeting))
+	return c
+}
+
+// usage asks the child what it has used.
+func (c *child) usage(b *testing.B) usage {
+	b.Helper()
+	_, err := io.WriteString(c.in, "\n")
+	check(b, err)
+	var u usage
+	check(b, c.out.Decode(&u))
+	return u
+}
+
+func check(b *testing.B, err error) {
+	b.Helper()
+	if err != nil {
+		b.Fatal(err)
+	}
+}
+
+func quiet() *logrus.Logger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	l.SetLevel(logrus.PanicLevel)
+	return l
+}
--- /dev/null
+++ b/internal/capacity/memory_test.go
@@ -0,0 +1,119 @@
+package capacity_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/peer"
+)
+
+// BenchmarkIdleCallers measures the memory of callers that are signed in and
+// idle, as a slope between two counts.
+func BenchmarkIdleCallers(b *testing.B) {
+	c := startChild(b, roleCallers, 0)
+	const few, many = 500, 4500
+	for b.Loop() {
+		open := signInAll(b, c.Address, few)
+		before := c.usage(b)
+		open = append(open, signInAll(b, c.Address, many-few)...)
+		after := c.usage(b)
+		perCaller := func(x, y uint64) float64 { return (float64(y) - float64(x)) / (many - few) }
+		b.ReportMetric(perCaller(before.HeapBytes, after.HeapBytes), "heap-B/caller")
+		b.ReportMetric(perCaller(before.StackBytes, after.StackBytes), "stack-B/caller")
+		b.ReportMetric(perCaller(before.memory(), after.memory()), "B/caller")
+		b.ReportMetric(perCaller(uint64(before.Goroutines), uint64(after.Goroutines)), "goroutines/caller")
+		b.ReportMetric(0, "ns/op")
+		for _, conn := range open {
+			conn.Close()
+		}
+	}
+}
+
+func signInAll(b *testing.B, a chervilladder.Address, n int) []net.Conn {
+	b.Helper()
+	start := pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters:      map[string]string{"user": "clerk", "database": string(databaseID(0))},
+	}
+	message, err := start.Encode(nil)
+	check(b, err)
+	open := make([]net.Conn, n)
+	for i := range open {
+		open[i], err = net.Dial("tcp", string(a))
+		check(b, err)
+		_, err = open[i].Write(message)
+		check(b, err)
+		check(b, awaitReady(open[i]))
+	}
+	return open
+}
+
+// awaitReady reads until a ready message.
+func awaitReady(c net.Conn) error {
+	var header [5]byte
+	for header[0] != 'Z' {
+		if _, err := io.ReadFull(c, header[:]); err != nil {
+			return err
+		}
+		if header[0] == 'E' {
+			return fmt.Errorf("sign-in was refused")
+		}
+		body := make([]byte, binary.BigEndian.Uint32(header[1:])-4)
+		if _, err := io.ReadFull(c, body); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// BenchmarkPeerConnections measures the memory of idle connections between
+// peers at both ends, as a slope between two counts.
+func BenchmarkPeerConnections(b *testing.B) {
+	c := startChild(b, rolePeer, 0)
+	const few, many = 50, 450
+	board := blackboard.New(chervilladder.VM{ID: "vm-entry"})
+	pull := func(n int) {
+		for range n {
+			p := peer.NewClient(board)
+			b.Cleanup(func() { _ = p.Close() })
+			_, err := p.Pull(b.Context(), c.Address, 0)
+			check(b, err)
+		}
+	}
+	for b.Loop() {
+		pull(few)
+		server, client := c.usage(b), measure()
+		pull(many - few)
+		server2, client2 := c.usage(b), measure()
+		slope := func(x, y uint64) float64 { return (float64(y) - float64(x)) / (many - few) }
+		b.ReportMetric(slope(client.memory(), client2.memory()), "client-B/connection")
+		b.ReportMetric(slope(server.memory(), server2.memory()), "server-B/connection")
+		b.ReportMetric(slope(uint64(client.Goroutines), uint64(client2.Goroutines)), "client-goroutines/connection")
+		b.ReportMetric(slope(uint64(server.Goroutines), uint64(server2.Goroutines)), "server-goroutines/connection")
+		b.ReportMetric(0, "ns/op")
+	}
+}
+
+// BenchmarkSessionFloors measures the memory of what an owner remembers of
+// each session.
+func BenchmarkSessionFloors(b *testing.B) {
+	const sessions = 50_000
+	for b.Loop() {
+		before := measure()
+		var f blackboard.Floors
+		for i := range sessions {
+			f.Wrote(chervilladder.SessionID(fmt.Sprintf("session-%032d", i)), chervilladder.Mark{Term: 1, Position: 1})
+		}
+		after := measure()
+		b.ReportMetric((float64(after.HeapBytes)-float64(before.HeapBytes))/sessions, "B/session")
+		b.ReportMetric(0, "ns/op")
+		f.Reset(chervilladder.Mark{})
+	}
+}
--- /dev/null
+++ b/internal/capacity/parallel_test.go
@@ -0,0 +1,37 @@
+package capacity_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+// inParallel runs b.N steps on so many goroutines and times them.
+func inParallel(b *testing.B, workers int, step func() error) {
+	b.Helper()
+	steps := make([]func() error, workers)
+	for i := range steps {
+		steps[i] = step
+	}
+	eachInParallel(b, steps)
+}
+
+// eachInParallel runs b.N steps, each of the functions on a goroutine.
+func eachInParallel(b *testing.B, steps []func() error) {
+	b.Helper()
+	var next atomic.Int64
+	var wait sync.WaitGroup
+	b.ResetTimer()
+	for _, step := range steps {
+		wait.Go(func() {
+			for next.Add(1) <= int64(b.N) {
+				if err := step(); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
+	}
+	wait.Wait()
+	b.StopTimer()
+}
