Find dead VMs by probes among the VMs

Cause: membership followed the platform's list, which lags and has outages. A dead VM kept its databases until the list dropped it.

Ruled out: a lease of each VM at the platform (1,300 renewals a second against several hundred writes), and each VM probing every other (load grows with the fleet).

Change: internal/decide/membership is a state machine after SWIM: probes in rounds, help of three VMs, suspicion with incarnations, updates that ride on probes 2*log2(n) times, and a whole list when digests differ. internal/peer carries it by UDP on the peers' address, authenticated by a key. The members section is written from it; the platform's list only seeds the search and says who leaves. Three VMs read the list for all. Ownership decides again only when candidates or catalogue change.

--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -20,6 +20,9 @@
 	// Members is what is known of the system's VMs. Written by
 	// control/membership.
 	Members Section[Membership]
+	// Hint says where the newest configuration that was heard of is in
+	// force. Written by control/membership.
+	Hint Section[Hint]
 	// Owners says which VM owns each database. Written by
 	// control/ownership.
 	Owners Section[Owners]
@@ -51,42 +54,10 @@
 	Draining bool
 }
 
-// MemberState is what is believed of a VM.
-type MemberState uint8
-
-// The states of a VM, from best to worst.
-const (
-	MemberAlive MemberState = iota
-	MemberSuspect
-	MemberDraining
-	MemberDead
-)
-
-// String returns the name that status pages use.
-func (m MemberState) String() string {
-	switch m {
-	case MemberAlive:
-		return "alive"
-	case MemberSuspect:
-		return "suspect"
-	case MemberDraining:
-		return "draining"
-	default:
-		return "dead"
-	}
-}
-
-// Member is one VM of the system as this VM sees it.
-type Member struct {
-	VM          chervilladder.VM
-	State       MemberState
-	Incarnation uint64
-	Heard       time.Time
-}
-
-// Membership is what is known of the system's VMs.
-type Membership struct {
-	Members map[chervilladder.VMID]Member
+// Hint says at which peer a revision of the configuration is in force.
+type Hint struct {
+	Revision chervilladder.Revision
+	Peer     chervilladder.Address
 }
 
 // Owners maps each database to the VM that is to own it.
--- a/internal/control/membership/membership.go
+++ b/internal/control/membership/membership.go
@@ -1,71 +1,197 @@
 // Package membership keeps track of the system's VMs. It writes the members
-// section of the blackboard.
+// and the hint section of the blackboard.
 package membership
 
 import (
 	"context"
-	"reflect"
+	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/membership"
 )
 
 // Config says what a Controller works with.
 type Config struct {
 	Board    *blackboard.Board
 	Platform chervilladder.Platform
+	Gossip   chervilladder.Gossip
 	Log      *logrus.Logger
-	// Every is the time between looks at the platform's list.
-	Every time.Duration
+	// Join lists peers to ask when the platform is down.
+	Join []chervilladder.Address
+	// Random is the source of all choices; nil means a random seed.
+	Random *rand.Rand
+	// Lookups is the time between looks at the platform's list.
+	Lookups Lookups
 }
 
-// Controller follows the platform's list of VMs.
+// Controller keeps the members by the evidence of probes. The platform's list
+// is used to find peers, and to learn which VMs leave.
 type Controller struct {
 	Config
+	machine *membership.Machine
+	states  map[chervilladder.VMID]blackboard.MemberState
+}
+
+// received is a message with its sender's address.
+type received struct {
+	from    chervilladder.Address
+	message chervilladder.GossipMessage
 }
 
 // New returns a controller.
-func New(c Config) *Controller {
-	if c.Every == 0 {
-		c.Every = time.Second
+func New(c Config) (*Controller, error) {
+	if c.Board == nil || c.Platform == nil || c.Gossip == nil || c.Log == nil {
+		return nil, errors.New("membership: board, platform, gossip and log are required")
 	}
-	return &Controller{Config: c}
+	if c.Random == nil {
+		c.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	c.Lookups.setDefaults()
+	return &Controller{Config: c, states: make(map[chervilladder.VMID]blackboard.MemberState)}, nil
 }
 
-// Run follows the list until the context ends.
+// Run probes and is probed until the context ends. It then tells others that
+// this VM stops.
 func (c *Controller) Run(ctx context.Context) error {
-	tick := time.NewTicker(c.Every)
-	defer tick.Stop()
+	now := time.Now()
+	c.machine = membership.New(membership.Config{
+		Self:        c.Board.Self,
+		Incarnation: chervilladder.Incarnation(now.UnixMilli()),
+		Random:      c.Random,
+	}, now)
+	c.machine.SetSeeds(c.Join)
+	c.publish()
+	// Others outlast the context so that the last messages can be sent.
+	others, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	messages := make(chan received)
+	failed := make(chan error, 1)
+	go func() { failed <- c.receive(others, messages) }()
+	lists := make(chan []chervilladder.VM)
+	go c.lookUp(others, lists)
+	err := c.loop(ctx, messages, lists, failed)
+	c.send(c.machine.Leave())
+	return err
+}
+
+func (c *Controller) loop(ctx context.Context, messages <-chan received, lists <-chan []chervilladder.VM, failed <-chan error) error {
+	timer := time.NewTimer(time.Until(c.machine.Next()))
+	defer timer.Stop()
+	for {
+		local, localChanged := c.Board.Local.Watch()
+		published, publishedChanged := c.Board.Published.Watch()
+		if local.Draining {
+			c.machine.SetLeaving(c.Board.Self.ID, time.Now())
+		}
+		c.send(c.machine.SetRevision(published.Revision))
+		c.publish()
+		timer.Reset(time.Until(c.machine.Next()))
+		select {
+		case m := <-messages:
+			c.send(c.machine.Receive(m.from, m.message, time.Now()))
+		case list := <-lists:
+			c.adopt(list)
+		case <-timer.C:
+			c.send(c.machine.Tick(time.Now()))
+		case <-localChanged:
+		case <-publishedChanged:
+		case err := <-failed:
+			return err
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (c *Controller) receive(ctx context.Context, messages chan<- received) error {
 	for {
-		vms, err := c.Platform.VMs(ctx)
-		if err == nil {
-			c.adopt(vms)
+		from, m, err := c.Gossip.Receive(ctx)
+		if err != nil {
+			return err
 		}
 		select {
-		case <-tick.C:
+		case messages <- received{from, m}:
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
-func (c *Controller) adopt(vms []chervilladder.VM) {
-	members := map[chervilladder.VMID]blackboard.Member{
-		c.Board.Self.ID: {VM: c.Board.Self},
+func (c *Controller) send(envelopes []membership.Envelope) {
+	for _, e := range envelopes {
+		if err := c.Gossip.Send(e.To, e.Message); err != nil {
+			c.Log.WithField("peer", e.To).WithError(err).Warn("membership: message not sent")
+		}
 	}
-	for _, vm := range vms {
-		m := blackboard.Member{VM: vm}
+}
+
+// adopt takes over what the platform's list says of peers and of leaving VMs.
+func (c *Controller) adopt(list []chervilladder.VM) {
+	seeds := append([]chervilladder.Address(nil), c.Join...)
+	for _, vm := range list {
+		seeds = append(seeds, vm.Peer)
 		if vm.Leaving {
-			m.State = blackboard.MemberDraining
+			c.machine.SetLeaving(vm.ID, time.Now())
 		}
-		members[vm.ID] = m
 	}
-	if reflect.DeepEqual(members, c.Board.Members.Load().Members) {
+	c.machine.SetSeeds(seeds)
+}
+
+// publish writes what the machine believes to the blackboard if it changed.
+func (c *Controller) publish() {
+	if h := c.machine.Newest(); h.Revision > c.Board.Hint.Load().Revision {
+		c.Board.Hint.Store(blackboard.Hint{Revision: h.Revision, Peer: h.Peer})
+	}
+	if !c.machine.Changed() {
 		return
 	}
+	list := c.machine.Members()
+	members := make(map[chervilladder.VMID]blackboard.Member, len(list))
+	for _, m := range list {
+		members[m.VM.ID] = blackboard.Member{
+			VM:          m.VM,
+			State:       stateOf(m.MemberUpdate),
+			Incarnation: m.Incarnation,
+			Heard:       m.Heard,
+		}
+	}
+	c.logChanges(members)
 	c.Board.Members.Store(blackboard.Membership{Members: members})
-	c.Log.WithField("members", len(members)).Info("membership: list changed")
+}
+
+// stateOf returns the state that counts: a VM that drains is not given work
+// again because it is suspected as well.
+func stateOf(u chervilladder.MemberUpdate) blackboard.MemberState {
+	switch {
+	case u.Health == chervilladder.HealthDead:
+		return blackboard.MemberDead
+	case u.VM.Leaving:
+		return blackboard.MemberDraining
+	case u.Health == chervilladder.HealthSuspect:
+		return blackboard.MemberSuspect
+	default:
+		return blackboard.MemberAlive
+	}
+}
+
+func (c *Controller) logChanges(members map[chervilladder.VMID]blackboard.Member) {
+	for id, m := range members {
+		if old, known := c.states[id]; known && old == m.State {
+			continue
+		}
+		c.states[id] = m.State
+		if m.State != blackboard.MemberSuspect {
+			c.Log.WithFields(logrus.Fields{"vm": id, "state": m.State.String()}).Info("membership: VM changed")
+		}
+	}
+	for id := range c.states {
+		if _, known := members[id]; !known {
+			delete(c.states, id)
+		}
+	}
 }
--- /dev/null
+++ b/internal/control/membership/network_test.go
@@ -0,0 +1,342 @@
+package membership_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/control/membership"
+	"github.com/chervilladder/chervilladder/internal/peer"
+)
+
+// packetHeaderBytes is what IP and UDP add to a datagram.
+const packetHeaderBytes = 28
+
+const oneWayDelay = 500 * time.Microsecond
+
+// network carries datagrams between the VMs of a test.
+type network struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	loss   float64
+	inbox  map[chervilladder.Address]chan datagram
+	side   map[chervilladder.Address]int
+	// paused holds a channel for each paused VM that is closed when it
+	// goes on.
+	paused map[chervilladder.Address]chan struct{}
+	bytes  int64
+}
+
+type datagram struct {
+	from chervilladder.Address
+	data []byte
+}
+
+// port is one VM's end of the network.
+type port struct {
+	net     *network
+	address chervilladder.Address
+}
+
+const testKey peer.Key = "a key"
+
+func newNetwork() *network {
+	return &network{
+		random: rand.New(rand.NewPCG(1, 2)),
+		inbox:  make(map[chervilladder.Address]chan datagram),
+		side:   make(map[chervilladder.Address]int),
+		paused: make(map[chervilladder.Address]chan struct{}),
+	}
+}
+
+func (n *network) open(a chervilladder.Address) *port {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.inbox[a] = make(chan datagram, 1024)
+	return &port{net: n, address: a}
+}
+
+func (p *port) Send(to chervilladder.Address, m chervilladder.GossipMessage) error {
+	data, err := peer.EncodeDatagram(testKey, m)
+	if err != nil {
+		return err
+	}
+	n := p.net
+	n.awaitResume(p.address)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.bytes += int64(len(data) + packetHeaderBytes)
+	if n.random.Float64() < n.loss || n.side[p.address] != n.side[to] || n.side[to] == cutOff {
+		return nil
+	}
+	time.AfterFunc(oneWayDelay, func() { n.deliver(to, datagram{p.address, data}) })
+	return nil
+}
+
+// awaitResume holds up a VM that is paused.
+func (n *network) awaitResume(a chervilladder.Address) {
+	n.mu.Lock()
+	resumed := n.paused[a]
+	n.mu.Unlock()
+	if resumed != nil {
+		<-resumed
+	}
+}
+
+func (n *network) deliver(to chervilladder.Address, d datagram) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	select {
+	case n.inbox[to] <- d:
+	default:
+	}
+}
+
+func (p *port) Receive(ctx context.Context) (chervilladder.Address, chervilladder.GossipMessage, error) {
+	p.net.mu.Lock()
+	inbox := p.net.inbox[p.address]
+	p.net.mu.Unlock()
+	select {
+	case d := <-inbox:
+		m, err := peer.DecodeDatagram(testKey, d.data)
+		return d.from, m, err
+	case <-ctx.Done():
+		return "", chervilladder.GossipMessage{}, ctx.Err()
+	}
+}
+
+// list is a platform that holds the list of VMs.
+type list struct {
+	chervilladder.Platform
+	mu    sync.Mutex
+	vms   []chervilladder.VM
+	down  bool
+	calls int
+}
+
+var errDown = errors.New("down")
+
+func (l *list) VMs(context.Context) ([]chervilladder.VM, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+	if l.down {
+		return nil, errDown
+	}
+	return append([]chervilladder.VM(nil), l.vms...), nil
+}
+
+// fleet runs the controllers of a number of VMs.
+type fleet struct {
+	t        *testing.T
+	net      *network
+	platform *list
+	vms      []*vm
+}
+
+type vm struct {
+	board *blackboard.Board
+	stop  context.CancelFunc
+	done  chan struct{}
+}
+
+func newFleet(t *testing.T, size int) *fleet {
+	f := &fleet{t: t, net: newNetwork(), platform: &list{}}
+	for i := range size {
+		f.platform.vms = append(f.platform.vms, identity(i))
+	}
+	for i := range size {
+		f.start(i)
+	}
+	t.Cleanup(f.stopAll)
+	return f
+}
+
+func identity(i int) chervilladder.VM {
+	return chervilladder.VM{
+		ID:         chervilladder.VMID(fmt.Sprintf("entry-%04d", i)),
+		DataCentre: "cr-central-a",
+		Peer:       chervilladder.Address(fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250+1)),
+	}
+}
+
+// start starts a VM, or starts it anew.
+func (f *fleet) start(i int, join ...chervilladder.Address) *vm {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	self := identity(i)
+	f.net.mu.Lock()
+	f.net.side[self.Peer] = 0
+	f.net.mu.Unlock()
+	v := &vm{board: blackboard.New(self), done: make(chan struct{})}
+	c, err := membership.New(membership.Config{
+		Board:    v.board,
+		Platform: f.platform,
+		Gossip:   f.net.open(self.Peer),
+		Log:      log,
+		Join:     join,
+		Random:   rand.New(rand.NewPCG(uint64(i), 7)),
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	v.stop = stop
+	go func() {
+		defer close(v.done)
+		if err := c.Run(ctx); err != nil {
+			f.t.Error(err)
+		}
+	}()
+	if i < len(f.vms) {
+		f.vms[i] = v
+	} else {
+		f.vms = append(f.vms, v)
+	}
+	return v
+}
+
+// cutOff is the side of VMs that reach nobody.
+const cutOff = -1
+
+// kill ends a VM without a word.
+func (f *fleet) kill(i int) {
+	f.net.mu.Lock()
+	f.net.side[identity(i).Peer] = cutOff
+	f.net.mu.Unlock()
+	f.vms[i].end()
+}
+
+// pause stops a VM at its next step. What is sent to it meanwhile waits for
+// it, as far as its buffer holds it.
+func (f *fleet) pause(i int) {
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	f.net.paused[identity(i).Peer] = make(chan struct{})
+}
+
+func (f *fleet) resume(i int) {
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	close(f.net.paused[identity(i).Peer])
+	delete(f.net.paused, identity(i).Peer)
+}
+
+// split puts the VMs from one on apart from those before it.
+func (f *fleet) split(from int) {
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	for i := range f.vms {
+		side := 0
+		if i >= from {
+			side = 1
+		}
+		f.net.side[identity(i).Peer] = side
+	}
+}
+
+func (v *vm) end() {
+	v.stop()
+	<-v.done
+}
+
+func (f *fleet) stopAll() {
+	for _, v := range f.vms {
+		v.end()
+	}
+}
+
+// state returns what one VM believes of another.
+func (f *fleet) state(at, of int) blackboard.MemberState {
+	m, ok := f.vms[at].board.Members.Load().Members[identity(of).ID]
+	if !ok {
+		return blackboard.MemberDead
+	}
+	return m.State
+}
+
+// agree counts the VMs, the one itself aside, that believe a state of it.
+func (f *fleet) agree(of int, s blackboard.MemberState) int {
+	n := 0
+	for at := range f.vms {
+		if at != of && f.state(at, of) == s {
+			n++
+		}
+	}
+	return n
+}
+
+// await waits until all others believe a state of a VM.
+func (f *fleet) await(of int, s blackboard.MemberState, limit time.Duration) time.Duration {
+	f.t.Helper()
+	start := time.Now()
+	for f.agree(of, s) < len(f.vms)-1 {
+		if time.Since(start) > limit {
+			f.t.Fatalf("after %s %d of %d VMs believe that VM %d is %s", limit, f.agree(of, s), len(f.vms)-1, of, s)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// awaitAll waits until every VM knows every other as alive.
+func (f *fleet) awaitAll(limit time.Duration) time.Duration {
+	f.t.Helper()
+	start := time.Now()
+	for !f.allAlive() {
+		if time.Since(start) > limit {
+			f.t.Fatalf("after %s not every VM knows every other", limit)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// mistaken counts the beliefs that a VM of the fleet is dead.
+func (f *fleet) mistaken() int {
+	n := 0
+	for _, v := range f.vms {
+		for _, m := range v.board.Members.Load().Members {
+			if m.State == blackboard.MemberDead {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (f *fleet) allAlive() bool {
+	for _, v := range f.vms {
+		alive := 0
+		for _, m := range v.board.Members.Load().Members {
+			if m.State == blackboard.MemberAlive {
+				alive++
+			}
+		}
+		if alive != len(f.vms) {
+			return false
+		}
+	}
+	return true
+}
+
+// bytesPerSecond returns what each VM sends and receives together over a
+// time.
+func (f *fleet) bytesPerSecond(d time.Duration) float64 {
+	f.net.mu.Lock()
+	f.net.bytes = 0
+	f.net.mu.Unlock()
+	time.Sleep(d)
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	return 2 * float64(f.net.bytes) / float64(len(f.vms)) / d.Seconds()
+}
--- a/internal/control/ownership/ownership.go
+++ b/internal/control/ownership/ownership.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 
 	"github.com/sirupsen/logrus"
 
@@ -24,6 +25,9 @@
 // decides.
 type Controller struct {
 	Config
+	// What the owners were last decided by.
+	catalogue  *chervilladder.Catalogue
+	candidates []chervilladder.VMID
 }
 
 // New returns a controller.
@@ -50,7 +54,11 @@
 	if catalogue == nil {
 		return
 	}
-	candidates := candidates(members)
+	candidates := members.Candidates()
+	if catalogue == c.catalogue && slices.Equal(candidates, c.candidates) {
+		return
+	}
+	c.catalogue, c.candidates = catalogue, candidates
 	next := make(map[chervilladder.DatabaseID]chervilladder.VMID, len(catalogue.Databases))
 	for db := range catalogue.Databases {
 		next[db] = rendezvous.Owner(db, candidates)
@@ -71,15 +79,3 @@
 	}
 	return n
 }
-
-// candidates returns the VMs that may own databases: those that are alive or
-// merely suspected, so that a lost message moves nothing.
-func candidates(m blackboard.Membership) []chervilladder.VMID {
-	var list []chervilladder.VMID
-	for id, v := range m.Members {
-		if v.State == blackboard.MemberAlive || v.State == blackboard.MemberSuspect {
-			list = append(list, id)
-		}
-	}
-	return list
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -80,6 +80,14 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	gossip, err := peer.NewGossip(peer.GossipConfig{Address: c.Settings.Peers})
+	if err != nil {
+		return nil, nil, err
+	}
+	members, err := membership.New(membership.Config{Board: board, Platform: store, Gossip: gossip, Log: c.Log})
+	if err != nil {
+		return nil, nil, err
+	}
 	local := upstream.New(upstream.Config{Board: board})
 	remote := peer.NewClient(board)
 	groups, err := group.New(group.Config{Board: board, Platform: store, Dial: dialMember, Log: c.Log})
@@ -98,7 +106,7 @@
 	return front, []actor{
 		peer.NewServer(peer.ServerConfig{Board: board, Executor: local, Listener: peers}),
 		configuration.New(configuration.Config{Board: board, Platform: store, Log: c.Log}),
-		membership.New(membership.Config{Board: board, Platform: store, Log: c.Log}),
+		members,
 		ownership.New(ownership.Config{Board: board, Log: c.Log}),
 		groups,
 	}, nil
--- a/internal/decide/rendezvous/rendezvous.go
+++ b/internal/decide/rendezvous/rendezvous.go
@@ -15,7 +15,7 @@
 	var best chervilladder.VMID
 	var bestWeight uint64
 	for _, vm := range vms {
-		w := weight(db, vm)
+		w := weight(string(db), vm)
 		if best == "" || w > bestWeight || (w == bestWeight && vm < best) {
 			best, bestWeight = vm, w
 		}
@@ -23,10 +23,30 @@
 	return best
 }
 
-func weight(db chervilladder.DatabaseID, vm chervilladder.VMID) uint64 {
+// Task names a duty of the system's own that a few VMs have.
+type Task string
+
+// Chosen reports whether a VM is among the n with the highest weights for a
+// task. A VM that is not among the candidates is not chosen.
+func Chosen(t Task, vm chervilladder.VMID, vms []chervilladder.VMID, n int) bool {
+	own := weight(string(t), vm)
+	higher, present := 0, false
+	for _, other := range vms {
+		if other == vm {
+			present = true
+			continue
+		}
+		if w := weight(string(t), other); w > own || (w == own && other < vm) {
+			higher++
+		}
+	}
+	return present && higher < n
+}
+
+func weight(key string, vm chervilladder.VMID) uint64 {
 	var d xxhash.Digest
 	d.Reset()
-	_, _ = d.WriteString(string(db))
+	_, _ = d.WriteString(key)
 	_, _ = d.Write([]byte{0})
 	_, _ = d.WriteString(string(vm))
 	return d.Sum64()
