Relay configurations from peer to peer

Cause: each VM watched the index at the platform, so 1,300 watches and thousands of reads for each change; a VM that started while the platform was down had no configuration.

Change: gossip carries the revision in force. Gossip also carries how long ago the platform confirmed the revision, so that the age of the knowledge is known at every VM.

--- a/gossip.go
+++ b/gossip.go
@@ -1,6 +1,9 @@
 package chervilladder
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Incarnation orders what is said of one VM. A VM starts with one taken from
 // its clock and raises it to contradict what others say of it.
@@ -31,8 +34,11 @@
 	From VMID
 	// Revision is the configuration that is in force at the sender.
 	Revision Revision
-	Updates  []MemberUpdate
-	Body     GossipBody
+	// Confirmed is how long ago the platform last confirmed that there is
+	// nothing newer; negative while it never has.
+	Confirmed time.Duration
+	Updates   []MemberUpdate
+	Body      GossipBody
 }
 
 // GossipBody is one of Ping, IndirectPing, Ack, Sync, MemberList and Notice.
@@ -80,9 +86,17 @@
 	Receive(ctx context.Context) (Address, GossipMessage, error)
 }
 
+// Relayed is a published configuration as peers pass it on.
+type Relayed struct {
+	// Encoded is empty if the peer has nothing newer.
+	Encoded []byte
+	// Delta is set if Encoded only tells the difference from the revision
+	// that was named.
+	Delta bool
+}
+
 // Relay fetches published configurations from peers.
 type Relay interface {
-	// Pull asks a peer for a configuration newer than a revision. It
-	// returns nil if the peer has none.
-	Pull(ctx context.Context, peer Address, newerThan Revision) ([]byte, error)
+	// Pull asks a peer for a configuration newer than a revision.
+	Pull(ctx context.Context, peer Address, newerThan Revision) (Relayed, error)
 }
--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -43,11 +43,32 @@
 	Revision chervilladder.Revision
 	// Encoded is the bundle that peers pass on unchanged.
 	Encoded []byte
-	// Confirmed is when the platform or a peer last confirmed that there
-	// is nothing newer.
+	// Since holds the bundle as the difference from earlier revisions.
+	Since []Delta
+	// Confirmed is when the platform last confirmed, to this VM or to a
+	// peer, that there is nothing newer; zero while it never has.
 	Confirmed time.Time
 }
 
+// Delta is a bundle as the difference from an earlier revision.
+type Delta struct {
+	Base    chervilladder.Revision
+	Encoded []byte
+}
+
+// For returns what to pass on to a peer that has a revision.
+func (p Published) For(have chervilladder.Revision) chervilladder.Relayed {
+	if p.Revision <= have {
+		return chervilladder.Relayed{}
+	}
+	for _, d := range p.Since {
+		if d.Base == have {
+			return chervilladder.Relayed{Encoded: d.Encoded, Delta: true}
+		}
+	}
+	return chervilladder.Relayed{Encoded: p.Encoded}
+}
+
 // Local is the state of this VM.
 type Local struct {
 	// Draining is set once the VM takes no new callers and owns nothing.
@@ -58,6 +79,9 @@
 type Hint struct {
 	Revision chervilladder.Revision
 	Peer     chervilladder.Address
+	// Confirmed is when the platform last confirmed to any VM that was
+	// heard of that there is nothing newer.
+	Confirmed time.Time
 }
 
 // Owners maps each database to the VM that is to own it.
--- a/internal/control/membership/membership.go
+++ b/internal/control/membership/membership.go
@@ -88,7 +88,7 @@
 		if local.Draining {
 			c.machine.SetLeaving(c.Board.Self.ID, time.Now())
 		}
-		c.send(c.machine.SetRevision(published.Revision))
+		c.send(c.machine.SetRevision(published.Revision, published.Confirmed))
 		c.publish()
 		timer.Reset(time.Until(c.machine.Next()))
 		select {
@@ -144,9 +144,7 @@
 
 // publish writes what the machine believes to the blackboard if it changed.
 func (c *Controller) publish() {
-	if h := c.machine.Newest(); h.Revision > c.Board.Hint.Load().Revision {
-		c.Board.Hint.Store(blackboard.Hint{Revision: h.Revision, Peer: h.Peer})
-	}
+	c.publishHint()
 	if !c.machine.Changed() {
 		return
 	}
@@ -164,6 +162,17 @@
 	c.Board.Members.Store(blackboard.Membership{Members: members})
 }
 
+// confirmedStep is by how much a confirmation has to be later to be written.
+const confirmedStep = time.Second
+
+func (c *Controller) publishHint() {
+	h, old := c.machine.Newest(), c.Board.Hint.Load()
+	if h.Revision == old.Revision && h.Confirmed.Sub(old.Confirmed) < confirmedStep {
+		return
+	}
+	c.Board.Hint.Store(blackboard.Hint{Revision: h.Revision, Peer: h.Peer, Confirmed: h.Confirmed})
+}
+
 // stateOf returns the state that counts: a VM that drains is not given work
 // again because it is suspected as well.
 func stateOf(u chervilladder.MemberUpdate) blackboard.MemberState {
--- a/internal/control/membership/membership_test.go
+++ b/internal/control/membership/membership_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/platformtest"
 )
 
 // virtual runs a test of a fleet in virtual time. The fleet is ended before
@@ -90,9 +91,7 @@
 
 func TestJoinWhileThePlatformIsDown(t *testing.T) {
 	virtual(t, 5, func(is *is.I, f *fleet) {
-		f.platform.mu.Lock()
-		f.platform.down = true
-		f.platform.mu.Unlock()
+		f.platform.SetFaults(platformtest.Faults{Down: true})
 		f.start(5, identity(3).Peer)
 		f.awaitAll(2 * time.Second)
 	})
@@ -113,9 +112,9 @@
 	virtual(t, 5, func(_ *is.I, f *fleet) {
 		f.vms[1].board.Local.Store(blackboard.Local{Draining: true})
 		f.await(1, blackboard.MemberDraining, time.Second)
-		f.platform.mu.Lock()
-		f.platform.vms[3].Leaving = true
-		f.platform.mu.Unlock()
+		list := identities(5)
+		list[3].Leaving = true
+		f.platform.SetVMs(list...)
 		f.await(3, blackboard.MemberDraining, 3*time.Second)
 		if f.state(3, 3) != blackboard.MemberDraining {
 			t.Error("a VM that the platform's list calls leaving doesn't know it")
@@ -157,9 +156,9 @@
 		}
 		virtual(t, size, func(is *is.I, f *fleet) {
 			storm := f.bytesPerSecond(settle)
-			calls := f.platform.count()
+			calls := f.platform.listCalls.Load()
 			quiet := f.bytesPerSecond(30 * time.Second)
-			calls = f.platform.count() - calls
+			calls = f.platform.listCalls.Load() - calls
 			f.kill(size - 1)
 			detection := f.await(size-1, blackboard.MemberDead, 20*time.Second)
 			t.Logf("%d VMs: %.0f bytes/s each after a start of all, %.0f when quiet, dead for all after %s, %.2f calls of the list/s",
@@ -168,9 +167,3 @@
 		})
 	}
 }
-
-func (l *list) count() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.calls
-}
--- a/internal/control/membership/network_test.go
+++ b/internal/control/membership/network_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +16,7 @@
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/control/membership"
 	"github.com/chervilladder/chervilladder/internal/peer"
+	"github.com/chervilladder/chervilladder/internal/platformtest"
 )
 
 // packetHeaderBytes is what IP and UDP add to a datagram.
@@ -34,6 +35,9 @@
 	// goes on.
 	paused map[chervilladder.Address]chan struct{}
 	bytes  int64
+	// pulled counts the bytes of configurations.
+	pulled int64
+	vms    map[chervilladder.Address]*vm
 }
 
 type datagram struct {
@@ -51,6 +55,7 @@
 
 func newNetwork() *network {
 	return &network{
+		vms:    make(map[chervilladder.Address]*vm),
 		random: rand.New(rand.NewPCG(1, 2)),
 		inbox:  make(map[chervilladder.Address]chan datagram),
 		side:   make(map[chervilladder.Address]int),
@@ -114,32 +119,28 @@
 	}
 }
 
-// list is a platform that holds the list of VMs.
-type list struct {
-	chervilladder.Platform
-	mu    sync.Mutex
-	vms   []chervilladder.VM
-	down  bool
-	calls int
+// platform is a stand-in for the platform.
+type platform struct {
+	*platformtest.Store
+	listCalls atomic.Int64
 }
 
-var errDown = errors.New("down")
+func (p *platform) VMs(ctx context.Context) ([]chervilladder.VM, error) {
+	p.listCalls.Add(1)
+	return p.Store.VMs(ctx)
+}
 
-func (l *list) VMs(context.Context) ([]chervilladder.VM, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.calls++
-	if l.down {
-		return nil, errDown
-	}
-	return append([]chervilladder.VM(nil), l.vms...), nil
+func (n *network) countPulled() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.pulled
 }
 
 // fleet runs the controllers of a number of VMs.
 type fleet struct {
 	t        *testing.T
 	net      *network
-	platform *list
+	platform *platform
 	vms      []*vm
 }
 
@@ -150,10 +151,8 @@
 }
 
 func newFleet(t *testing.T, size int) *fleet {
-	f := &fleet{t: t, net: newNetwork(), platform: &list{}}
-	for i := range size {
-		f.platform.vms = append(f.platform.vms, identity(i))
-	}
+	f := &fleet{t: t, net: newNetwork(), platform: &platform{Store: platformtest.New()}}
+	f.platform.SetVMs(identities(size)...)
 	for i := range size {
 		f.start(i)
 	}
@@ -161,6 +160,14 @@
 	return f
 }
 
+func identities(n int) []chervilladder.VM {
+	var list []chervilladder.VM
+	for i := range n {
+		list = append(list, identity(i))
+	}
+	return list
+}
+
 func identity(i int) chervilladder.VM {
 	return chervilladder.VM{
 		ID:         chervilladder.VMID(fmt.Sprintf("entry-%04d", i)),
@@ -171,8 +178,6 @@
 
 // start starts a VM, or starts it anew.
 func (f *fleet) start(i int, join ...chervilladder.Address) *vm {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	self := identity(i)
 	f.net.mu.Lock()
 	f.net.side[self.Peer] = 0
@@ -182,17 +187,24 @@
 		Board:    v.board,
 		Platform: f.platform,
 		Gossip:   f.net.open(self.Peer),
-		Log:      log,
+		Log:      silent(),
 		Join:     join,
 		Random:   rand.New(rand.NewPCG(uint64(i), 7)),
 	})
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	f.net.mu.Lock()
+	f.net.vms[self.Peer] = v
+	f.net.mu.Unlock()
 	ctx, stop := context.WithCancel(context.Background())
 	v.stop = stop
+	configure := f.configure(ctx, v)
 	go func() {
 		defer close(v.done)
+		var parts sync.WaitGroup
+		defer parts.Wait()
+		parts.Go(configure)
 		if err := c.Run(ctx); err != nil {
 			f.t.Error(err)
 		}
@@ -205,6 +217,12 @@
 	return v
 }
 
+func silent() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
 // cutOff is the side of VMs that reach nobody.
 const cutOff = -1
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -84,12 +84,16 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	remote := peer.NewClient(board)
+	services, err := configuration.New(configuration.Config{Board: board, Platform: store, Relay: remote, Log: c.Log})
+	if err != nil {
+		return nil, nil, err
+	}
 	members, err := membership.New(membership.Config{Board: board, Platform: store, Gossip: gossip, Log: c.Log})
 	if err != nil {
 		return nil, nil, err
 	}
 	local := upstream.New(upstream.Config{Board: board})
-	remote := peer.NewClient(board)
 	groups, err := group.New(group.Config{Board: board, Platform: store, Dial: dialMember, Log: c.Log})
 	if err != nil {
 		return nil, nil, err
@@ -105,7 +109,7 @@
 	}
 	return front, []actor{
 		peer.NewServer(peer.ServerConfig{Board: board, Executor: local, Listener: peers}),
-		configuration.New(configuration.Config{Board: board, Platform: store, Log: c.Log}),
+		services,
 		members,
 		ownership.New(ownership.Config{Board: board, Log: c.Log}),
 		groups,
--- a/internal/decide/membership/machine.go
+++ b/internal/decide/membership/machine.go
@@ -82,6 +82,7 @@
 	nextAnswer time.Time // when a list of members may be sent again
 	lastTick   time.Time
 	revision   chervilladder.Revision
+	confirmed  time.Time
 	newest     Hint
 	changed    bool
 	out        []Envelope
@@ -91,6 +92,8 @@
 type Hint struct {
 	Revision chervilladder.Revision
 	Peer     chervilladder.Address
+	// Confirmed is when the platform last confirmed the revision.
+	Confirmed time.Time
 }
 
 // New returns a machine that knows only itself. Values that are zero get
@@ -212,9 +215,10 @@
 	}
 }
 
-// SetRevision tells the revision in force here, and tells a few others at once
-// if it is a new one.
-func (m *Machine) SetRevision(r chervilladder.Revision) []Envelope {
+// SetRevision tells the revision in force here and when the platform confirmed
+// it, and tells a few others at once if it is a new one.
+func (m *Machine) SetRevision(r chervilladder.Revision, confirmed time.Time) []Envelope {
+	m.confirmed = confirmed
 	if r <= m.revision {
 		return nil
 	}
--- a/internal/decide/membership/rumours.go
+++ b/internal/decide/membership/rumours.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/chervilladder/chervilladder"
 )
@@ -60,10 +61,15 @@
 }
 
 func (m *Machine) post(to chervilladder.Address, body chervilladder.GossipBody, updates []chervilladder.MemberUpdate) {
+	age := time.Duration(-1)
+	if !m.confirmed.IsZero() {
+		age = time.Since(m.confirmed)
+	}
 	m.out = append(m.out, Envelope{To: to, Message: chervilladder.GossipMessage{
-		From:     m.self.VM.ID,
-		Revision: m.revision,
-		Updates:  updates,
-		Body:     body,
+		From:      m.self.VM.ID,
+		Revision:  m.revision,
+		Confirmed: age,
+		Updates:   updates,
+		Body:      body,
 	}})
 }
--- a/internal/decide/membership/update.go
+++ b/internal/decide/membership/update.go
@@ -15,9 +15,7 @@
 	for _, u := range msg.Updates {
 		m.apply(u, now)
 	}
-	if msg.Revision > m.newest.Revision {
-		m.newest = Hint{Revision: msg.Revision, Peer: from}
-	}
+	m.hearRevision(from, msg, now)
 	_, known := m.members[msg.From]
 	switch b := msg.Body.(type) {
 	case chervilladder.Ping:
@@ -38,6 +36,18 @@
 	return m.take()
 }
 
+func (m *Machine) hearRevision(from chervilladder.Address, msg chervilladder.GossipMessage, now time.Time) {
+	if msg.Revision > m.newest.Revision {
+		m.newest = Hint{Revision: msg.Revision, Peer: from}
+	}
+	if msg.Revision < m.newest.Revision || msg.Confirmed < 0 {
+		return
+	}
+	if at := now.Add(-msg.Confirmed); at.After(m.newest.Confirmed) {
+		m.newest.Confirmed = at
+	}
+}
+
 // acknowledge answers a ping. A doubt that came with it is contradicted at
 // once.
 func (m *Machine) acknowledge(to chervilladder.Address, id chervilladder.VMID, s chervilladder.ProbeSequence, doubted bool) {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -75,18 +75,17 @@
 	return &exchange{database: w.Database, read: w.Access == chervilladder.AccessRead, stream: stream, stop: cancel}, nil
 }
 
-// Pull asks a peer for a configuration newer than a revision. It returns a
-// nil bundle if the peer has none.
-func (c *Client) Pull(ctx context.Context, peer chervilladder.Address, newerThan chervilladder.Revision) ([]byte, error) {
+// Pull asks a peer for a configuration newer than a revision.
+func (c *Client) Pull(ctx context.Context, peer chervilladder.Address, newerThan chervilladder.Revision) (chervilladder.Relayed, error) {
 	client, err := c.client(peer)
 	if err != nil {
-		return nil, err
+		return chervilladder.Relayed{}, err
 	}
 	r, err := client.Pull(ctx, &peerpb.PullRequest{NewerThan: uint64(newerThan)})
 	if err != nil {
-		return nil, fmt.Errorf("peer %s: pull: %w", peer, err)
+		return chervilladder.Relayed{}, fmt.Errorf("peer %s: pull: %w", peer, err)
 	}
-	return r.GetBundle(), nil
+	return chervilladder.Relayed{Encoded: r.GetBundle(), Delta: r.GetDelta()}, nil
 }
 
 func (c *Client) client(a chervilladder.Address) (peerpb.PeerClient, error) {
--- a/internal/peer/datagram.go
+++ b/internal/peer/datagram.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -19,6 +20,9 @@
 // macBytes is how much of the SHA-256 HMAC a datagram carries.
 const macBytes = 16
 
+// maxAgeMs bounds the age that a datagram tells, in milliseconds.
+const maxAgeMs = 1 << 40
+
 // DatagramError reports a datagram that was dropped.
 type DatagramError struct {
 	From chervilladder.Address
@@ -79,6 +83,9 @@
 
 func encodeGossip(m chervilladder.GossipMessage) *peerpb.GossipMessage {
 	out := &peerpb.GossipMessage{From: string(m.From), Revision: uint64(m.Revision)}
+	if m.Confirmed >= 0 {
+		out.ConfirmedMs = proto.Uint64(uint64(m.Confirmed / time.Millisecond))
+	}
 	for _, u := range m.Updates {
 		out.Updates = append(out.Updates, &peerpb.MemberUpdate{
 			Vm:          string(u.VM.ID),
@@ -113,6 +120,10 @@
 		From:     chervilladder.VMID(m.GetFrom()),
 		Revision: chervilladder.Revision(m.GetRevision()),
 	}
+	out.Confirmed = -1
+	if m.ConfirmedMs != nil {
+		out.Confirmed = time.Duration(min(m.GetConfirmedMs(), maxAgeMs)) * time.Millisecond
+	}
 	for _, u := range m.GetUpdates() {
 		out.Updates = append(out.Updates, chervilladder.MemberUpdate{
 			VM: chervilladder.VM{
--- a/internal/peer/gossip_test.go
+++ b/internal/peer/gossip_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"flag"
+	"os"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -10,6 +13,15 @@
 	"github.com/chervilladder/chervilladder"
 )
 
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 func anyMessage(t *rapid.T) chervilladder.GossipMessage {
 	id := rapid.StringMatching("[a-z0-9-]{1,20}")
 	bodies := []chervilladder.GossipBody{
@@ -21,9 +33,10 @@
 		chervilladder.Notice{},
 	}
 	m := chervilladder.GossipMessage{
-		From:     chervilladder.VMID(id.Draw(t, "from")),
-		Revision: chervilladder.Revision(rapid.Uint64().Draw(t, "revision")),
-		Body:     rapid.SampledFrom(bodies).Draw(t, "body"),
+		From:      chervilladder.VMID(id.Draw(t, "from")),
+		Revision:  chervilladder.Revision(rapid.Uint64().Draw(t, "revision")),
+		Confirmed: rapid.SampledFrom([]time.Duration{-1, 0, 3 * time.Second}).Draw(t, "confirmed"),
+		Body:      rapid.SampledFrom(bodies).Draw(t, "body"),
 	}
 	for range rapid.IntRange(0, 3).Draw(t, "updates") {
 		m.Updates = append(m.Updates, chervilladder.MemberUpdate{
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -61,11 +61,8 @@
 // Pull returns the configuration in force if it is newer than asked for.
 func (s *service) Pull(_ context.Context, r *peerpb.PullRequest) (*peerpb.PullResponse, error) {
 	p := s.Board.Published.Load()
-	out := &peerpb.PullResponse{Revision: uint64(p.Revision)}
-	if uint64(p.Revision) > r.GetNewerThan() {
-		out.Bundle = p.Encoded
-	}
-	return out, nil
+	relayed := p.For(chervilladder.Revision(r.GetNewerThan()))
+	return &peerpb.PullResponse{Revision: uint64(p.Revision), Bundle: relayed.Encoded, Delta: relayed.Delta}, nil
 }
 
 // Run serves one exchange.
