--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -20,6 +20,9 @@
 	// Members is what is known of the system's VMs. Written by
 	// control/membership.
 	Members Section[Membership]
+	// Hint says where the newest configuration that was heard of is in
+	// force. Written by control/membership.
+	Hint Section[Hint]
 	// Owners says which VM owns each database. Written by
 	// control/ownership.
 	Owners Section[Owners]
@@ -40,53 +43,45 @@
 	Revision chervilladder.Revision
 	// Encoded is the bundle that peers pass on unchanged.
 	Encoded []byte
-	// Confirmed is when the platform or a peer last confirmed that there
-	// is nothing newer.
+	// Since holds the bundle as the difference from earlier revisions.
+	Since []Delta
+	// Confirmed is when the platform last confirmed, to this VM or to a
+	// peer, that there is nothing newer; zero while it never has.
 	Confirmed time.Time
 }
 
-// Local is the state of this VM.
-type Local struct {
-	// Draining is set once the VM takes no new callers and owns nothing.
-	Draining bool
+// Delta is a bundle as the difference from an earlier revision.
+type Delta struct {
+	Base    chervilladder.Revision
+	Encoded []byte
 }
 
-// MemberState is what is believed of a VM.
-type MemberState uint8
-
-// The states of a VM, from best to worst.
-const (
-	MemberAlive MemberState = iota
-	MemberSuspect
-	MemberDraining
-	MemberDead
-)
-
-// String returns the name that status pages use.
-func (m MemberState) String() string {
-	switch m {
-	case MemberAlive:
-		return "alive"
-	case MemberSuspect:
-		return "suspect"
-	case MemberDraining:
-		return "draining"
-	default:
-		return "dead"
+// For returns what to pass on to a peer that has a revision.
+func (p Published) For(have chervilladder.Revision) chervilladder.Relayed {
+	if p.Revision <= have {
+		return chervilladder.Relayed{}
 	}
+	for _, d := range p.Since {
+		if d.Base == have {
+			return chervilladder.Relayed{Encoded: d.Encoded, Delta: true}
+		}
+	}
+	return chervilladder.Relayed{Encoded: p.Encoded}
 }
 
-// Member is one VM of the system as this VM sees it.
-type Member struct {
-	VM          chervilladder.VM
-	State       MemberState
-	Incarnation uint64
-	Heard       time.Time
+// Local is the state of this VM.
+type Local struct {
+	// Draining is set once the VM takes no new callers and owns nothing.
+	Draining bool
 }
 
-// Membership is what is known of the system's VMs.
-type Membership struct {
-	Members map[chervilladder.VMID]Member
+// Hint says at which peer a revision of the configuration is in force.
+type Hint struct {
+	Revision chervilladder.Revision
+	Peer     chervilladder.Address
+	// Confirmed is when the platform last confirmed to any VM that was
+	// heard of that there is nothing newer.
+	Confirmed time.Time
 }
 
 // Owners maps each database to the VM that is to own it.
