--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -47,6 +47,7 @@
 	keeper  *group.Keeper
 	wire    *wire.Server
 	control *control.Server
+	log     logrus.FieldLogger
 }
 
 // New returns a member that holds no data.
@@ -78,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Upstream{keeper: keeper, wire: server, control: ctl}, nil
+	return &Upstream{keeper: keeper, wire: server, control: ctl, log: log}, nil
 }
 
 func check(c Config) error {
@@ -102,6 +103,7 @@
 func (u *Upstream) Run(ctx context.Context, l Listeners) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	u.log.Infof("upstream: Listens. callers=%s group=%s control=%s", l.Callers.Addr(), l.Group.Addr(), l.Control.Addr())
 	parts := []func(context.Context) error{
 		u.keeper.Run,
 		func(ctx context.Context) error { return u.keeper.Serve(ctx, l.Group) },
--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -28,7 +28,7 @@
 
 // member is one member that runs within the test.
 type member struct {
-	t         *testing.T
+	t         testing.TB
 	name      chervilladder.UpstreamID
 	config    upstream.Config
 	listeners upstream.Listeners
@@ -64,7 +64,7 @@
 }
 
 // newMember starts one member that is a group of its own.
-func newMember(t *testing.T, s state.Settings) *member {
+func newMember(t testing.TB, s state.Settings) *member {
 	t.Helper()
 	m := &member{t: t, name: "a", listeners: upstream.Listeners{Callers: listen(t), Group: listen(t), Control: listen(t)}}
 	m.config = upstream.Config{Name: "a", Primary: "a", Settings: s, Log: quiet(), Die: func() {}}
@@ -80,7 +80,7 @@
 	return l
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -92,7 +92,7 @@
 
 // again returns a listener at the same port, which stays taken when the one
 // that is returned is closed, so that a member can start anew there.
-func again(t *testing.T, l net.Listener) net.Listener {
+func again(t testing.TB, l net.Listener) net.Listener {
 	t.Helper()
 	f, err := l.(*net.TCPListener).File()
 	if err != nil {
@@ -268,7 +268,7 @@
 }
 
 // one returns the one value that a query yields.
-func one[T any](t *testing.T, c *pgx.Conn, sql string, args ...any) T {
+func one[T any](t testing.TB, c *pgx.Conn, sql string, args ...any) T {
 	t.Helper()
 	var v T
 	if err := c.QueryRow(background, sql, args...).Scan(&v); err != nil {
