Bound retries by a budget for each database, with jitter

Cause: work that failed was sent again at once, up to three times, so that an outage of an upstream raised its load by half; work that waited for a new owner asked the lost one every 100 ms, all requests together.

Ruled out: no retry while the budget is spent, at the route: an owner that learns late of its ownership would leave work waiting until its deadline though a refused move costs the upstreams nothing.

Change: internal/decide/retry holds a budget in one atomic: full with 10 tokens, a retry costs one, a success earns a tenth. What may be repeated is decided as before (nothing was run, or it is a read or idempotent); the budget comes after that. Delays are drawn from a bound that doubles. The route moves work to another owner at once; the same one is asked again by jittered polls, and only at every second one while the budget is spent.

--- a/internal/blackboard/database.go
+++ b/internal/blackboard/database.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/decide/retry"
 	"github.com/chervilladder/chervilladder/internal/decide/schedule"
 )
 
@@ -23,6 +24,9 @@
 	// Queue holds the work that waits for a slot. Work is written by the
 	// path of a request, capacities by control/group.
 	Queue schedule.Queue
+	// Retries bounds how often work is sent again. Written by the path of
+	// a request.
+	Retries retry.Budget
 }
 
 // Await waits until the group satisfies a condition, and returns the group
--- /dev/null
+++ b/internal/decide/retry/budget_test.go
@@ -0,0 +1,105 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilladder/chervilladder/internal/decide/retry"
+	"github.com/chervilladder/chervilladder/internal/decide/schedule"
+)
+
+// outage is a second in which all work fails, in the third of six.
+type outage struct {
+	queue    schedule.Queue
+	budget   *retry.Budget
+	mu       sync.Mutex
+	began    time.Time
+	attempts [8]int
+	offered  [8]int
+}
+
+func (o *outage) second() int { return min(7, int(time.Since(o.began)/time.Second)) }
+
+// attempt runs work in a slot and reports whether it succeeded.
+func (o *outage) attempt() bool {
+	t := &schedule.Ticket{Class: "normal", Deadline: time.Now().Add(10 * time.Second)}
+	if o.queue.Submit(t) != nil {
+		return true
+	}
+	<-t.Granted()
+	defer o.queue.Release(t)
+	o.mu.Lock()
+	o.attempts[o.second()]++
+	o.mu.Unlock()
+	failing := o.second() == 2
+	time.Sleep(4 * time.Millisecond)
+	return !failing
+}
+
+func (o *outage) job() {
+	for i := 1; !o.attempt(); i++ {
+		if i == 3 || o.budget != nil && !o.budget.Spend() {
+			return
+		}
+		if o.budget != nil {
+			time.Sleep(retry.Delay(i))
+		}
+	}
+	if o.budget != nil {
+		o.budget.Succeeded()
+	}
+}
+
+func (o *outage) run(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		o.began = time.Now()
+		o.queue.Configure([]schedule.Capacity{{Upstream: "a", Slots: 3, Primary: true}})
+		r := rand.New(rand.NewPCG(18, 0))
+		var jobs sync.WaitGroup
+		for o.second() < 6 {
+			o.mu.Lock()
+			o.offered[o.second()]++
+			o.mu.Unlock()
+			jobs.Go(o.job)
+			time.Sleep(time.Duration(r.ExpFloat64() * float64(2*time.Millisecond)))
+		}
+		jobs.Wait()
+	})
+}
+
+// TestRetriesStayWithinBudget measures the load during an outage and after
+// it, without a budget and with one.
+func TestRetriesStayWithinBudget(t *testing.T) {
+	free, bound := &outage{}, &outage{budget: &retry.Budget{}}
+	t.Run("free", free.run)
+	t.Run("bound", bound.run)
+	t.Log("offered a second:      ", free.offered)
+	t.Log("attempts, no budget:   ", free.attempts)
+	t.Log("attempts, with budget: ", bound.attempts)
+	extra := 0
+	for i := range bound.attempts {
+		extra += bound.attempts[i] - bound.offered[i]
+	}
+	is.New(t).True(extra <= 10+bound.offered[1]/10) // a full budget and a share of successes
+}
+
+// TestBudgetEarnsFromSuccess checks that ten successes pay for one retry.
+func TestBudgetEarnsFromSuccess(t *testing.T) {
+	is := is.New(t)
+	var b retry.Budget
+	for range 10 {
+		is.True(b.Spend())
+	}
+	is.True(!b.Spend()) // empty
+	for range 10 {
+		b.Succeeded()
+	}
+	is.True(b.Spend())
+	is.True(!b.Spend())
+	is.True(retry.Delay(50) < 320*time.Millisecond+1)
+}
--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -15,6 +15,8 @@
 	ctx      context.Context
 	work     chervilladder.Work
 	batch    chervilladder.Batch
+	// owner is the VM that the work was last passed to.
+	owner chervilladder.VMID
 
 	mu    sync.Mutex // guards inner against Cancel
 	inner chervilladder.Exchange
@@ -40,6 +42,9 @@
 		r, err := x.inner.Recv()
 		if err == nil {
 			x.begun = true
+			if r.Last {
+				x.executor.budgets.Get(x.work.Database).Succeeded()
+			}
 			return r, nil
 		}
 		if err := x.move(err); err != nil {
@@ -56,7 +61,7 @@
 			return err
 		}
 		x.end()
-		if waitErr := x.executor.awaitOwner(x.ctx, x.work.Deadline); waitErr != nil {
+		if waitErr := x.executor.awaitMove(x.ctx, x.work, x.owner); waitErr != nil {
 			return err
 		}
 		err = x.start()
@@ -65,7 +70,8 @@
 }
 
 func (x *exchange) start() error {
-	inner, err := x.executor.open(x.ctx, x.work)
+	x.owner = x.executor.owner(x.work.Database)
+	inner, err := x.executor.open(x.ctx, x.work, x.owner)
 	if err != nil {
 		return err
 	}
--- a/internal/route/executor.go
+++ b/internal/route/executor.go
@@ -8,6 +8,7 @@
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/retry"
 )
 
 // Remote opens exchanges at other VMs.
@@ -27,6 +28,8 @@
 // passed to the new owner until its deadline.
 type Executor struct {
 	Config
+	// budgets bounds how often work is passed to the same owner again.
+	budgets blackboard.Table[chervilladder.DatabaseID, retry.Budget]
 }
 
 // New returns an executor.
@@ -42,8 +45,12 @@
 	return &exchange{executor: e, ctx: ctx, work: w}, nil
 }
 
-func (e *Executor) open(ctx context.Context, w chervilladder.Work) (chervilladder.Exchange, error) {
-	switch owner := e.Board.Owners.Load().ByDatabase[w.Database]; owner {
+func (e *Executor) owner(db chervilladder.DatabaseID) chervilladder.VMID {
+	return e.Board.Owners.Load().ByDatabase[db]
+}
+
+func (e *Executor) open(ctx context.Context, w chervilladder.Work, owner chervilladder.VMID) (chervilladder.Exchange, error) {
+	switch owner {
 	case "":
 		return nil, &chervilladder.NotRunError{Database: w.Database, Reason: chervilladder.ReasonNoOwner}
 	case e.Board.Self.ID:
@@ -53,13 +60,14 @@
 	}
 }
 
-// ownerPoll bounds the wait for a new owner when nothing announces one.
+// ownerPoll is about how long to wait for a new owner when nothing announces
+// one.
 const ownerPoll = 100 * time.Millisecond
 
 // awaitOwner waits until ownership may have changed.
 func (e *Executor) awaitOwner(ctx context.Context, deadline time.Time) error {
 	_, changed := e.Board.Owners.Watch()
-	wait := time.NewTimer(min(ownerPoll, time.Until(deadline)))
+	wait := time.NewTimer(min(retry.Spread(ownerPoll), time.Until(deadline)))
 	defer wait.Stop()
 	select {
 	case <-changed:
@@ -71,6 +79,35 @@
 	}
 }
 
+// slowPolls is after how many waits work is passed to the same owner again
+// though the budget is spent. An owner that was told of its ownership late
+// would otherwise leave work waiting until its deadline.
+const slowPolls = 2
+
+// awaitMove waits until work may be sent once more after the owner that it
+// was sent to did not run it: at once to another owner, to the same one after
+// a wait that is longer while the budget of retries is spent.
+func (e *Executor) awaitMove(ctx context.Context, w chervilladder.Work, from chervilladder.VMID) error {
+	budget := e.budgets.Get(w.Database)
+	for polls := 1; ; polls++ {
+		if to := e.owner(w.Database); to != "" && to != from {
+			return nil
+		}
+		if err := e.awaitOwner(ctx, w.Deadline); err != nil {
+			return err
+		}
+		if !time.Now().Before(w.Deadline) {
+			return context.DeadlineExceeded
+		}
+		if e.owner(w.Database) != from || from == "" {
+			continue
+		}
+		if polls%slowPolls == 0 || budget.Spend() {
+			return nil
+		}
+	}
+}
+
 // movable reports whether an error says that the work did not run and that
 // another owner may run it.
 func movable(err error) bool {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/retry"
 	"github.com/chervilladder/chervilladder/internal/decide/schedule"
 )
 
@@ -82,12 +83,25 @@
 			return chervilladder.Reply{}, x.fail(err)
 		}
 		x.abandon()
-		if err := x.queue(); err != nil {
+		if err := x.requeue(); err != nil {
 			return chervilladder.Reply{}, x.fail(err)
 		}
 	}
 }
 
+// requeue puts the work in line again after a delay that spreads the load of
+// work which failed together.
+func (x *exchange) requeue() error {
+	delay := time.NewTimer(retry.Delay(x.attempts))
+	defer delay.Stop()
+	select {
+	case <-delay.C:
+		return x.queue()
+	case <-x.ctx.Done():
+		return x.notRun(chervilladder.ReasonCancelled, context.Cause(x.ctx))
+	}
+}
+
 func (x *exchange) attempt() (chervilladder.Reply, error) {
 	if x.conn == nil {
 		if err := x.start(); err != nil {
@@ -219,6 +233,7 @@
 			return chervilladder.Reply{}, err
 		}
 		seen = seen.Later(mark)
+		x.state.Retries.Succeeded()
 	}
 	return chervilladder.Reply{
 		Payload:  append(k.payload, k.fenced...),
--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -96,8 +96,14 @@
 	return m
 }
 
-// mayRetry reports whether a batch may be sent again after an error.
+// mayRetry reports whether a batch is to be sent again after an error: it must
+// be harmless, and the database's budget must allow it.
 func (x *exchange) mayRetry(err error) bool {
+	return x.harmless(err) && x.state.Retries.Spend()
+}
+
+// harmless reports whether a batch may be sent again after an error.
+func (x *exchange) harmless(err error) bool {
 	x.attempts++
 	if x.open || x.begun || x.attempts >= maxReadAttempts || time.Now().After(x.work.Deadline) {
 		return false
