End the wait for a slot on a cancel request

Cause: Cancel said that it gives up the wait for a slot, but did nothing while no connection was held; the caller waited until its deadline.

Ruled out: cancelling the exchange's context, which would also end the wait for a proof and turn an answer into an unknown outcome.

Change: a channel that only the wait for a slot looks at. The new test first failed to build against the old exchange, which had nothing to wait on.

Figure: the wait ends at the cancel request, in virtual time, as not run with reason "cancelled", and nothing is left in the queue.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -38,6 +38,9 @@
 
 	mu   sync.Mutex // guards conn against Cancel
 	conn *Conn
+	// cancelled is closed when Cancel finds nothing running.
+	cancelled chan struct{}
+	giveUp    sync.Once
 
 	waiting  bool // the ticket is in the queue
 	open     bool // a transaction block is open
@@ -200,6 +203,9 @@
 			return nil
 		case <-fallback.C:
 			x.state.Queue.Fallback(x.ticket)
+		case <-x.cancelled:
+			x.stopWaiting()
+			return x.notRun(chervilladder.ReasonCancelled, nil)
 		case <-ctx.Done():
 			x.stopWaiting()
 			return x.notRun(x.waitReason(), context.Cause(ctx))
@@ -251,6 +257,7 @@
 	conn := x.conn
 	x.mu.Unlock()
 	if conn == nil {
+		x.giveUp.Do(func() { close(x.cancelled) })
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), dialTimeout)
--- a/internal/upstream/outcome_test.go
+++ b/internal/upstream/outcome_test.go
@@ -3,10 +3,13 @@
 import (
 	"errors"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
 )
 
 // TestRefusalAfterSendingIsUnknown checks that a write whose second attempt is
@@ -20,3 +23,24 @@
 	x = &exchange{class: &chervilladder.Class{}}
 	is.Equal(x.fail(refused), error(refused)) // never sent
 }
+
+// TestCancelEndsTheWait checks that a cancel request ends the wait for a slot
+// and that the work is reported as not run.
+func TestCancelEndsTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		x := &exchange{
+			ctx: t.Context(), state: &blackboard.Database{}, cancelled: make(chan struct{}),
+			work:  chervilladder.Work{Deadline: time.Now().Add(time.Minute)},
+			class: &chervilladder.Class{ID: "booking"},
+		}
+		is.NoErr(x.queue())
+		began := time.Now()
+		time.AfterFunc(time.Second, x.Cancel)
+		var refused *chervilladder.NotRunError
+		is.True(errors.As(x.awaitSlot(), &refused))
+		is.Equal(refused.Reason, chervilladder.ReasonCancelled)
+		is.Equal(time.Since(began), time.Second)
+		is.Equal(x.state.Queue.Waiting(), 0) // nothing is left in the queue
+	})
+}
