Let reads of the bench fall back, and count the work at the primary

Cause: the bench's reads waited for replicas only, unlike the executor's, and nothing showed whether a takeover overloads the primary.

A benchmark covers a change of the evidence while 2,000 reads wait.

--- a/internal/decide/schedule/baseline_test.go
+++ b/internal/decide/schedule/baseline_test.go
@@ -50,6 +50,9 @@
 	f.dispatch()
 }
 
+// Fallback does nothing: the baseline reads from replicas only.
+func (f *firstCome) Fallback(*Ticket) {}
+
 // dispatch serves the oldest work that each free slot may run.
 func (f *firstCome) dispatch() {
 	for _, s := range f.slots {
--- a/internal/decide/schedule/bench_test.go
+++ b/internal/decide/schedule/bench_test.go
@@ -62,3 +62,24 @@
 	q.members[0].Slots = 1
 	return q
 }
+
+// BenchmarkRecheck measures a change of the evidence while 2,000 reads wait
+// for replicas that have not replayed far enough.
+func BenchmarkRecheck(b *testing.B) {
+	q := &Queue{}
+	q.Configure(capacities(threeUpstreams(3), 3))
+	l := stream(normal, read, 0, short)
+	l.class.Deadline, l.class.Target = 2*time.Hour, 2*time.Hour
+	for i := range 2_000 {
+		l.caller = fmt.Sprint("caller-", i%4)
+		t := l.ticket(time.Now())
+		t.Readable = func(chervilladder.UpstreamID) bool { return false }
+		if err := q.Submit(t); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Dispatch()
+	}
+}
--- a/internal/decide/schedule/world_test.go
+++ b/internal/decide/schedule/world_test.go
@@ -17,6 +17,7 @@
 	Submit(t *Ticket) error
 	Withdraw(t *Ticket)
 	finish(t *Ticket, at chervilladder.UpstreamID)
+	Fallback(t *Ticket)
 }
 
 // load is one stream of work with exponential gaps between arrivals.
@@ -41,6 +42,9 @@
 	Capacity
 	running chan struct{}
 	slow    func(since time.Duration) float64
+	// present counts the work that runs or waits for a slot at the
+	// upstream, peak is its highest count.
+	present, peak int
 }
 
 // world is one run of a scenario in virtual time.
@@ -165,8 +169,10 @@
 			w.count(func() { r.refused++ })
 			return
 		}
+		fallback := time.AfterFunc(time.Until(t.ReplicaOnlyUntil), func() { q.Fallback(t) })
 		select {
 		case id, ok := <-t.granted:
+			fallback.Stop()
 			w.idle.change(l, -1, 0)
 			if !ok {
 				w.count(func() { r.refused++ })
@@ -177,8 +183,10 @@
 			w.finished(l, r, time.Since(began))
 			return
 		case <-gone:
+			fallback.Stop()
 			w.idle.change(l, -1, 0)
 		case <-ctx.Done():
+			fallback.Stop()
 			w.idle.change(l, -1, 0)
 			q.Withdraw(t)
 			w.count(func() { r.expired++ })
@@ -202,6 +210,10 @@
 	if u.slow != nil {
 		service = time.Duration(float64(service) * u.slow(since))
 	}
+	w.count(func() {
+		u.present++
+		u.peak = max(u.peak, u.present)
+	})
 	u.running <- struct{}{}
 	if u.Primary {
 		w.idle.change(l, 0, 1)
@@ -212,6 +224,7 @@
 		w.idle.change(l, 0, -1)
 	}
 	w.count(func() {
+		u.present--
 		if time.Since(w.began) > w.length {
 			return
 		}
@@ -280,5 +293,6 @@
 			100*float64(r.inTarget)/float64(max(1, r.offered)), r.percentile(0.5), r.percentile(0.99), r.refused, r.expired,
 			100*r.primaryTime.Seconds()/whole, 100*r.replicaTime.Seconds()/(whole*float64(max(1, len(w.members)-1))))
 	}
-	t.Logf("%-24s idle primary slot time while writes wait: %v", w.name, w.idle.total.Round(time.Microsecond))
+	t.Logf("%-24s idle primary slot time while writes wait: %v; most work at the primary at once: %d",
+		w.name, w.idle.total.Round(time.Microsecond), w.members[0].peak)
 }
