Remember long work of a class that is mostly short

Cause: where a class mixes many short statements with a few long transactions, the moving mean and deviation forgot the long ones, and long transactions held every slot of the primary again.

Ruled out: a slower moving mean (a class that has become short would stay long for hundreds of samples, however fast they come).

Change: one long piece of work makes its class long for 10 s; running work counts as long once it has held its slot for 50 ms, also if it was expected to be short. A flow follows its class to a priority that was published anew.

--- a/internal/decide/schedule/admission.go
+++ b/internal/decide/schedule/admission.go
@@ -22,10 +22,11 @@
 	if t.line == nil {
 		return nil
 	}
+	now := time.Now()
 	f := t.line.flow
 	if q.held[f.priority]+bytes > maxHeldBytes || f.held+bytes > maxFlowBytes {
-		err := t.refusal(chervilladder.ReasonOverload, q.expectedWait(t, t.line.lane.members, f))
-		q.account(time.Now())
+		err := t.refusal(chervilladder.ReasonOverload, q.expectedWait(t, t.line.lane.members, f, now))
+		q.account(now)
 		q.drop(t)
 		return err
 	}
@@ -40,7 +41,7 @@
 	f := q.flow(t)
 	p := t.class.priority
 	set := q.runners(t, now)
-	wait := q.expectedWait(t, set, f)
+	wait := q.expectedWait(t, set, f, now)
 	if f.waiting >= maxFlowWaiting || q.lengths[p] >= maxWaiting {
 		return t.refusal(chervilladder.ReasonOverload, wait)
 	}
@@ -86,8 +87,8 @@
 // expectedWait estimates how long a ticket waits, from what waits ahead of it
 // and from the slot time that its priority has lately been left with. It is
 // zero while nothing is known of who may run the ticket.
-func (q *Queue) expectedWait(t *Ticket, set memberSet, f *flow) time.Duration {
-	if set == 0 || q.startsNow(t, set) {
+func (q *Queue) expectedWait(t *Ticket, set memberSet, f *flow, now time.Time) time.Duration {
+	if set == 0 || q.startsNow(t, set, now) {
 		return 0
 	}
 	p := q.poolOf(set)
@@ -95,7 +96,7 @@
 	if slots == 0 {
 		return 0
 	}
-	wait := q.ahead(t.class, f, p) / max(q.leftFor(t.class, p, slots), slots/100)
+	wait := q.ahead(t.class, f, p) / max(q.leftFor(t.class, p, slots, now), slots/100)
 	if floor := slots * float64(t.class.floorPercent) / 100; floor > 0 {
 		own := float64(t.class.shares[p].waiting+1) * t.class.service.estimate()
 		wait = min(wait, own/floor)
@@ -113,9 +114,9 @@
 }
 
 // startsNow reports whether a member has a free slot for a ticket.
-func (q *Queue) startsNow(t *Ticket, set memberSet) bool {
+func (q *Queue) startsNow(t *Ticket, set memberSet, now time.Time) bool {
 	for i, m := range q.members {
-		if set.has(i) && m.admits(t.class) && !m.slow {
+		if set.has(i) && m.admits(t.class, now) && !m.slow {
 			return true
 		}
 	}
@@ -141,7 +142,7 @@
 
 // leftFor returns the slots that the floors of lower classes and the use by
 // more urgent ones leave to a class.
-func (q *Queue) leftFor(own *class, p pool, slots float64) float64 {
+func (q *Queue) leftFor(own *class, p pool, slots float64, now time.Time) float64 {
 	left := slots
 	for _, c := range q.classes {
 		s := &c.shares[p]
@@ -152,7 +153,7 @@
 			left -= slots * float64(c.floorPercent) / 100
 		}
 	}
-	if p == poolPrimary && own.long() && slots > keptFree {
+	if p == poolPrimary && own.long(now) && slots > keptFree {
 		left -= keptFree
 	}
 	return left
--- a/internal/decide/schedule/class.go
+++ b/internal/decide/schedule/class.go
@@ -12,6 +12,8 @@
 	id       chervilladder.ClassID
 	priority chervilladder.Priority
 	service  serviceTime
+	// lastLong is when work of the class last held a slot for long.
+	lastLong time.Time
 	// floorPercent is the share of a pool's slot time that the class keeps.
 	floorPercent int
 	shares       [poolCount]share
@@ -28,14 +30,27 @@
 // minSamples is how many samples make evidence.
 const minSamples = 4
 
+// longMemory is for how long a single long piece of work makes its class long.
+const longMemory = 10 * time.Second
+
 // long reports whether work of the class may hold a slot for long. Work of
 // the most urgent priority is never held back; a class of which little was
 // observed counts as long.
-func (c *class) long() bool {
+func (c *class) long(now time.Time) bool {
 	if c.priority == chervilladder.PriorityUrgent {
 		return false
 	}
-	return c.service.samples < minSamples || c.service.upper() > float64(longService)
+	if c.service.samples < minSamples || c.service.upper() > float64(longService) {
+		return true
+	}
+	return !c.lastLong.IsZero() && now.Sub(c.lastLong) < longMemory
+}
+
+// noteLong records that work of the class has held a slot for long.
+func (c *class) noteLong(held time.Duration, now time.Time) {
+	if held > longService {
+		c.lastLong = now
+	}
 }
 
 // serviceTime is the moving mean of how long a class holds a slot.
--- a/internal/decide/schedule/configure.go
+++ b/internal/decide/schedule/configure.go
@@ -71,7 +71,7 @@
 		next = append(next, q.member(c))
 	}
 	for _, m := range q.members {
-		if m.used > 0 && !slices.Contains(next, m) && len(next) < maxMembers {
+		if len(m.running) > 0 && !slices.Contains(next, m) && len(next) < maxMembers {
 			m.Slots = 0
 			next = append(next, m)
 		}
--- a/internal/decide/schedule/flow.go
+++ b/internal/decide/schedule/flow.go
@@ -126,3 +126,11 @@
 func (f *flow) idle(virtual float64) bool {
 	return f.waiting == 0 && f.running == 0 && f.start <= virtual
 }
+
+// follow moves a flow with nothing waiting to a priority that its class was
+// given anew.
+func (f *flow) follow(p chervilladder.Priority, virtual float64) {
+	if f.waiting == 0 && f.priority != p {
+		f.priority, f.start = p, virtual
+	}
+}
--- a/internal/decide/schedule/measure_test.go
+++ b/internal/decide/schedule/measure_test.go
@@ -49,6 +49,7 @@
 	lowest := append(append([]load(nil), calm[:3]...), stream(background, write, 3000, short))
 	most := append([]load{stream(urgent, write, 3000, short)}, stream(normal, read, 100, short), stream(normal, write, 100, short), stream(background, write, 100, short))
 	long := append(append([]load(nil), calm[:3]...), stream(background, write, 20, 2*time.Second))
+	mixed := append(append([]load(nil), calm[:3]...), stream(background, write, 100, short), stream(background, write, 3, 2*time.Second))
 	reads := []load{stream(urgent, read, 60, short), stream(normal, read, 200, short), stream(background, read, 3000, short)}
 	callers := []load{stream(normal, write, 20, short), stream(normal, write, 60, short), stream(normal, write, 3000, short)}
 	for i, name := range []string{"-a", "-b", "-floods"} {
@@ -70,6 +71,7 @@
 		{name: "owner-lost-1.5s", slots: 3, loads: lowest, loseAt: 5 * time.Second, takeover: 1500 * time.Millisecond},
 		{name: "long-transactions", slots: 3, loads: long},
 		{name: "long-transactions-2", slots: 2, loads: long},
+		{name: "mixed-transactions", slots: 3, loads: mixed},
 		{name: "caller-floods", slots: 3, loads: callers},
 		{name: "replica-slows", slots: 3, loads: reads, slow: slows},
 	}
--- a/internal/decide/schedule/member.go
+++ b/internal/decide/schedule/member.go
@@ -1,6 +1,11 @@
 package schedule
 
-import "github.com/chervilladder/chervilladder"
+import (
+	"slices"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+)
 
 // Capacity is the slots of one upstream as the queue may use them.
 type Capacity struct {
@@ -12,11 +17,9 @@
 // member is one upstream and the slots of it that are in use.
 type member struct {
 	Capacity
-	used int
-	// long is how many of the used slots hold work that is expected to
-	// hold them for long.
-	long int
-	pace pace
+	// running is the tickets that hold the used slots.
+	running []*Ticket
+	pace    pace
 	// slow is set while the member is slow beside its peers.
 	slow bool
 }
@@ -26,36 +29,52 @@
 const keptFree = 1
 
 // admits reports whether a member has a slot for work of a class.
-func (m *member) admits(c *class) bool {
-	if !m.Primary || m.Slots <= keptFree || !c.long() {
-		return m.free() > 0
+func (m *member) admits(c *class, now time.Time) bool {
+	if m.free() <= 0 {
+		return false
+	}
+	if !m.Primary || m.Slots <= keptFree || !c.long(now) {
+		return true
 	}
-	return m.free() > 0 && m.long < m.Slots-keptFree
+	return m.long(now) < m.Slots-keptFree
+}
+
+// long counts the running work that was expected to be long, or has shown to
+// be, below the most urgent priority.
+func (m *member) long(now time.Time) int {
+	n := 0
+	for _, t := range m.running {
+		if t.class.priority == chervilladder.PriorityUrgent {
+			continue
+		}
+		held := now.Sub(t.since)
+		t.class.noteLong(held, now)
+		if t.long || held > longService {
+			n++
+		}
+	}
+	return n
 }
 
 func (m *member) free() int {
-	return m.Slots - m.used
+	return m.Slots - len(m.running)
 }
 
 // take gives a ticket a slot.
-func (m *member) take(t *Ticket) {
-	m.used++
-	t.member, t.long = m, t.class.long()
-	t.class.shares[m.pool()].running++
-	t.pool = m.pool()
-	if t.long {
-		m.long++
-	}
+func (m *member) take(t *Ticket, now time.Time) {
+	m.running = append(m.running, t)
+	t.member, t.since, t.pool = m, now, m.pool()
+	t.long = t.class.long(now)
+	t.class.shares[t.pool].running++
 }
 
 // giveBack ends a ticket's use of its slot.
-func (m *member) giveBack(t *Ticket) {
-	m.used--
+func (m *member) giveBack(t *Ticket, now time.Time) {
+	i := slices.Index(m.running, t)
+	m.running = slices.Delete(m.running, i, i+1)
 	t.member = nil
 	t.class.shares[t.pool].running--
-	if t.long {
-		m.long--
-	}
+	t.class.noteLong(now.Sub(t.since), now)
 }
 
 // memberSet is a set of members by their index in the queue.
--- a/internal/decide/schedule/pace.go
+++ b/internal/decide/schedule/pace.go
@@ -59,7 +59,7 @@
 		return false
 	}
 	if l.class.priority > chervilladder.PriorityUrgent {
-		return m.used >= slowSlots
+		return len(m.running) >= slowSlots
 	}
 	for i, other := range q.members {
 		if l.members.has(i) && !other.Primary && !other.slow && other.Slots > 0 {
--- a/internal/decide/schedule/property_test.go
+++ b/internal/decide/schedule/property_test.go
@@ -171,11 +171,11 @@
 func (m *model) checkUse(r *rapid.T) {
 	held := m.held()
 	for _, member := range m.q.members {
-		if member.used != held[member.Upstream] {
-			r.Fatalf("%s: %d slots in use, %d held", member.Upstream, member.used, held[member.Upstream])
+		if len(member.running) != held[member.Upstream] {
+			r.Fatalf("%s: %d slots in use, %d held", member.Upstream, len(member.running), held[member.Upstream])
 		}
 		for _, t := range m.waiting {
-			if member.Primary && t.Access == chervilladder.AccessWrite && member.admits(t.class) {
+			if member.Primary && t.Access == chervilladder.AccessWrite && member.admits(t.class, time.Now()) {
 				r.Fatalf("%s has free slots while a write of priority %v waits", member.Upstream, t.Priority)
 			}
 		}
--- a/internal/decide/schedule/queue.go
+++ b/internal/decide/schedule/queue.go
@@ -153,7 +153,7 @@
 // member may not serve any more is moved to another lane.
 func (q *Queue) next(i int, now time.Time) *Ticket {
 	for {
-		best := q.best(i)
+		best := q.best(i, now)
 		if best == nil {
 			return nil
 		}
@@ -170,11 +170,11 @@
 }
 
 // best returns the line that a member serves next.
-func (q *Queue) best(i int) *line {
+func (q *Queue) best(i int, now time.Time) *line {
 	m := q.members[i]
 	var best *line
 	for _, l := range q.lanes {
-		if !l.members.has(i) || len(l.lines) == 0 || !m.admits(l.class) || q.spared(m, l) {
+		if !l.members.has(i) || len(l.lines) == 0 || !m.admits(l.class, now) || q.spared(m, l) {
 			continue
 		}
 		if best == nil || l.lines[0].ahead(best, m.pool()) {
@@ -202,9 +202,8 @@
 func (q *Queue) grant(t *Ticket, m *member, now time.Time) {
 	f := t.line.flow
 	q.drop(t)
-	m.take(t)
+	m.take(t, now)
 	f.running++
-	t.since = now
 	t.charged = t.class.service.estimate()
 	p := t.class.priority
 	q.virtual[p] = max(q.virtual[p], f.start)
@@ -217,10 +216,10 @@
 	if t.member == nil {
 		return
 	}
-	took := time.Since(t.since)
 	now := time.Now()
+	took := now.Sub(t.since)
 	t.member.pace.observe(took, t.class.service.mean, now)
-	t.member.giveBack(t)
+	t.member.giveBack(t, now)
 	t.class.service.observe(took)
 	q.judge(now)
 	f := q.flow(t)
@@ -315,6 +314,7 @@
 func (q *Queue) flow(t *Ticket) *flow {
 	key := t.flowKey()
 	if f := q.flows[key]; f != nil {
+		f.follow(t.class.priority, q.virtual[t.class.priority])
 		return f
 	}
 	if q.flows == nil {
