Remember long work in proportion to its slot time

Cause: one answer of 51 ms among thousands of short ones made its class long for 10 s and kept a third of the primary idle for that time.

Ruled out: a higher threshold for the memory alone, since the time that is lost should follow the harm that is feared.

Change: a long piece of work makes its class long for five times its slot time. A scenario shares the primary among callers that offer 300, 1,000 and 3,000 writes a second.

Tried and taken back: counting a caller's wait to the end of its round.

--- a/internal/decide/schedule/class.go
+++ b/internal/decide/schedule/class.go
@@ -12,8 +12,8 @@
 	id       chervilladder.ClassID
 	priority chervilladder.Priority
 	service  serviceTime
-	// lastLong is when work of the class last held a slot for long.
-	lastLong time.Time
+	// longUntil is until when a long piece of work makes the class long.
+	longUntil time.Time
 	// floorPercent is the share of a pool's slot time that the class keeps.
 	floorPercent int
 	shares       [poolCount]share
@@ -30,8 +30,9 @@
 // minSamples is how many samples make evidence.
 const minSamples = 4
 
-// longMemory is for how long a single long piece of work makes its class long.
-const longMemory = 10 * time.Second
+// longMemory is for how many times the slot time of a single long piece of
+// work its class stays long.
+const longMemory = 5
 
 // long reports whether work of the class may hold a slot for long. Work of
 // the most urgent priority is never held back; a class of which little was
@@ -43,16 +44,23 @@
 	if c.service.samples < minSamples || c.service.upper() > float64(longService) {
 		return true
 	}
-	return !c.lastLong.IsZero() && now.Sub(c.lastLong) < longMemory
+	return now.Before(c.longUntil)
 }
 
 // noteLong records that work of the class has held a slot for long.
 func (c *class) noteLong(held time.Duration, now time.Time) {
 	if held > longService {
-		c.lastLong = now
+		c.longUntil = later(c.longUntil, now.Add(longMemory*held))
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // serviceTime is the moving mean of how long a class holds a slot.
 type serviceTime struct {
 	mean float64
--- a/internal/decide/schedule/measure_test.go
+++ b/internal/decide/schedule/measure_test.go
@@ -55,6 +55,10 @@
 	for i, name := range []string{"-a", "-b", "-floods"} {
 		callers[i].caller = name
 	}
+	equal := []load{stream(normal, write, 300, short), stream(normal, write, 1000, short), stream(normal, write, 3000, short)}
+	for i, name := range []string{"-1x", "-3x", "-10x"} {
+		equal[i].caller = name
+	}
 	slows := func(since time.Duration) float64 {
 		if since < 2*time.Second {
 			return 1
@@ -73,6 +77,7 @@
 		{name: "long-transactions-2", slots: 2, loads: long},
 		{name: "mixed-transactions", slots: 3, loads: mixed},
 		{name: "caller-floods", slots: 3, loads: callers},
+		{name: "callers-share", slots: 3, loads: equal},
 		{name: "replica-slows", slots: 3, loads: reads, slow: slows},
 	}
 }
