End work of the bench at its deadline, and play a silent replica

Cause: the bench let work run past its deadline, which the executor ends, and had no upstream that stops answering.

Change: work that is not answered by its deadline ends there and counts as expired. In the scenario replica-silent a replica stops answering after two seconds.

--- a/internal/decide/schedule/measure_test.go
+++ b/internal/decide/schedule/measure_test.go
@@ -62,11 +62,13 @@
 	for i, name := range []string{"-1x", "-3x", "-10x"} {
 		equal[i].caller = name
 	}
-	slows := func(since time.Duration) float64 {
-		if since < 2*time.Second {
-			return 1
+	slows := func(factor float64) func(time.Duration) float64 {
+		return func(since time.Duration) float64 {
+			if since < 2*time.Second {
+				return 1
+			}
+			return factor
 		}
-		return 10
 	}
 	return []scenario{
 		{name: "unloaded", slots: 3, loads: calm[:1]},
@@ -81,7 +83,8 @@
 		{name: "mixed-transactions", slots: 3, loads: mixed},
 		{name: "caller-floods", slots: 3, loads: callers},
 		{name: "callers-share", slots: 3, loads: equal},
-		{name: "replica-slows", slots: 3, loads: reads, slow: slows},
+		{name: "replica-silent", slots: 3, loads: reads, slow: slows(1e5)},
+		{name: "replica-slows", slots: 3, loads: reads, slow: slows(10)},
 	}
 }
 
--- a/internal/decide/schedule/world_test.go
+++ b/internal/decide/schedule/world_test.go
@@ -178,9 +178,13 @@
 				w.count(func() { r.refused++ })
 				return
 			}
-			w.serve(l, r, id, service, since)
+			answered := w.serve(l, r, id, service, since, t.Deadline)
 			q.finish(t, id)
-			w.finished(l, r, time.Since(began))
+			if answered {
+				w.finished(l, r, time.Since(began))
+			} else {
+				w.count(func() { r.expired++ })
+			}
 			return
 		case <-gone:
 			fallback.Stop()
@@ -203,8 +207,9 @@
 	}
 }
 
-// serve runs work at an upstream, which queues what exceeds its slots.
-func (w *world) serve(l *load, r *result, id chervilladder.UpstreamID, service, since time.Duration) {
+// serve runs work at an upstream, which queues what exceeds its slots, and
+// reports whether it was answered by its deadline.
+func (w *world) serve(l *load, r *result, id chervilladder.UpstreamID, service, since time.Duration, deadline time.Time) bool {
 	i := slices.IndexFunc(w.members, func(u *upstream) bool { return u.Upstream == id })
 	u := w.members[i]
 	if u.slow != nil {
@@ -218,6 +223,8 @@
 	if u.Primary {
 		w.idle.change(l, 0, 1)
 	}
+	answered := time.Until(deadline) >= service
+	service = max(0, min(service, time.Until(deadline)))
 	time.Sleep(service)
 	<-u.running
 	if u.Primary {
@@ -234,6 +241,7 @@
 			r.replicaTime += service
 		}
 	})
+	return answered
 }
 
 func (w *world) finished(l *load, r *result, took time.Duration) {
