Start service times anew after a pause

Cause: after a slow spell and a pause, the moving mean still held the slow times, and fast work was refused for an expected wait that was long past.

Change: after 10 s without a sample the mean starts anew. A benchmark covers the queue with all processors competing for it.

--- a/internal/decide/schedule/bench_test.go
+++ b/internal/decide/schedule/bench_test.go
@@ -83,3 +83,22 @@
 		q.Dispatch()
 	}
 }
+
+// BenchmarkParallel measures a submit, a grant and a release while all
+// processors compete for the queue.
+func BenchmarkParallel(b *testing.B) {
+	q := &Queue{}
+	q.Configure(capacities(threeUpstreams(3), 64))
+	l := stream(urgent, write, 0, short)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			t := l.ticket(time.Now())
+			if err := q.Submit(t); err != nil {
+				b.Error(err)
+				return
+			}
+			<-t.granted
+			q.Release(t)
+		}
+	})
+}
--- a/internal/decide/schedule/class.go
+++ b/internal/decide/schedule/class.go
@@ -77,8 +77,12 @@
 const serviceWeight = 1.0 / 16
 
 func (s *serviceTime) observe(d time.Duration) {
+	now := time.Now()
+	if now.Sub(s.last) > forgetAfter {
+		*s = serviceTime{}
+	}
 	s.samples++
-	s.last = time.Now()
+	s.last = now
 	weight := max(serviceWeight, 1/float64(s.samples))
 	off := math.Abs(float64(d) - s.mean)
 	s.mean += (float64(d) - s.mean) * weight
@@ -106,6 +110,9 @@
 // service is fast again.
 const evidenceAge = time.Second
 
+// forgetAfter is after how long without samples the mean starts anew.
+const forgetAfter = 10 * time.Second
+
 // evidence returns the mean of recent samples, or zero if there are too few.
 func (s *serviceTime) evidence(now time.Time) time.Duration {
 	if s.samples < minSamples || now.Sub(s.last) > evidenceAge {
