--- a/internal/decide/schedule/class.go
+++ b/internal/decide/schedule/class.go
@@ -12,6 +12,8 @@
 	id       chervilladder.ClassID
 	priority chervilladder.Priority
 	service  serviceTime
+	// longUntil is until when a long piece of work makes the class long.
+	longUntil time.Time
 	// floorPercent is the share of a pool's slot time that the class keeps.
 	floorPercent int
 	shares       [poolCount]share
@@ -28,14 +30,35 @@
 // minSamples is how many samples make evidence.
 const minSamples = 4
 
+// longMemory is for how many times the slot time of a single long piece of
+// work its class stays long.
+const longMemory = 5
+
 // long reports whether work of the class may hold a slot for long. Work of
 // the most urgent priority is never held back; a class of which little was
 // observed counts as long.
-func (c *class) long() bool {
+func (c *class) long(now time.Time) bool {
 	if c.priority == chervilladder.PriorityUrgent {
 		return false
 	}
-	return c.service.samples < minSamples || c.service.upper() > float64(longService)
+	if c.service.samples < minSamples || c.service.upper() > float64(longService) {
+		return true
+	}
+	return now.Before(c.longUntil)
+}
+
+// noteLong records that work of the class has held a slot for long.
+func (c *class) noteLong(held time.Duration, now time.Time) {
+	if held > longService {
+		c.longUntil = later(c.longUntil, now.Add(longMemory*held))
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // serviceTime is the moving mean of how long a class holds a slot.
@@ -54,8 +77,12 @@
 const serviceWeight = 1.0 / 16
 
 func (s *serviceTime) observe(d time.Duration) {
+	now := time.Now()
+	if now.Sub(s.last) > forgetAfter {
+		*s = serviceTime{}
+	}
 	s.samples++
-	s.last = time.Now()
+	s.last = now
 	weight := max(serviceWeight, 1/float64(s.samples))
 	off := math.Abs(float64(d) - s.mean)
 	s.mean += (float64(d) - s.mean) * weight
@@ -83,6 +110,9 @@
 // service is fast again.
 const evidenceAge = time.Second
 
+// forgetAfter is after how long without samples the mean starts anew.
+const forgetAfter = 10 * time.Second
+
 // evidence returns the mean of recent samples, or zero if there are too few.
 func (s *serviceTime) evidence(now time.Time) time.Duration {
 	if s.samples < minSamples || now.Sub(s.last) > evidenceAge {
--- a/internal/decide/schedule/configure.go
+++ b/internal/decide/schedule/configure.go
@@ -16,7 +16,9 @@
 func (q *Queue) Configure(list []Capacity) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.account(time.Now())
+	now := time.Now()
+	q.account(now)
+	q.judge(now)
 	if q.configured(list) {
 		q.recheck()
 	} else {
@@ -69,7 +71,7 @@
 		next = append(next, q.member(c))
 	}
 	for _, m := range q.members {
-		if m.used > 0 && !slices.Contains(next, m) && len(next) < maxMembers {
+		if len(m.running) > 0 && !slices.Contains(next, m) && len(next) < maxMembers {
 			m.Slots = 0
 			next = append(next, m)
 		}
--- a/internal/decide/schedule/measure_test.go
+++ b/internal/decide/schedule/measure_test.go
@@ -12,8 +12,11 @@
 	"github.com/chervilladder/chervilladder"
 )
 
-// measureSeed fixes the arrivals and service times of every measurement.
-const measureSeed = 18
+var (
+	measure = flag.Bool("measure", false, "play the scenarios at full length, with the baselines")
+	// measureSeed fixes the arrivals and service times of a measurement.
+	measureSeed = flag.Uint64("measure-seed", 18, "seed of the scenarios")
+)
 
 // proxyCount is how many proxies the baseline spreads callers over.
 const proxyCount = 5
@@ -49,16 +52,23 @@
 	lowest := append(append([]load(nil), calm[:3]...), stream(background, write, 3000, short))
 	most := append([]load{stream(urgent, write, 3000, short)}, stream(normal, read, 100, short), stream(normal, write, 100, short), stream(background, write, 100, short))
 	long := append(append([]load(nil), calm[:3]...), stream(background, write, 20, 2*time.Second))
+	mixed := append(append([]load(nil), calm[:3]...), stream(background, write, 100, short), stream(background, write, 3, 2*time.Second))
 	reads := []load{stream(urgent, read, 60, short), stream(normal, read, 200, short), stream(background, read, 3000, short)}
 	callers := []load{stream(normal, write, 20, short), stream(normal, write, 60, short), stream(normal, write, 3000, short)}
 	for i, name := range []string{"-a", "-b", "-floods"} {
 		callers[i].caller = name
 	}
-	slows := func(since time.Duration) float64 {
-		if since < 2*time.Second {
-			return 1
+	equal := []load{stream(normal, write, 300, short), stream(normal, write, 1000, short), stream(normal, write, 3000, short)}
+	for i, name := range []string{"-1x", "-3x", "-10x"} {
+		equal[i].caller = name
+	}
+	slows := func(factor float64) func(time.Duration) float64 {
+		return func(since time.Duration) float64 {
+			if since < 2*time.Second {
+				return 1
+			}
+			return factor
 		}
-		return 10
 	}
 	return []scenario{
 		{name: "unloaded", slots: 3, loads: calm[:1]},
@@ -66,11 +76,15 @@
 		{name: "flood-lowest", slots: 3, loads: lowest},
 		{name: "flood-lowest-2-slots", slots: 2, loads: lowest},
 		{name: "flood-urgent", slots: 3, loads: most},
-		{name: "owner-lost", slots: 3, loads: lowest, loseAt: 5 * time.Second, takeover: 1500 * time.Millisecond},
+		{name: "owner-lost-0.5s", slots: 3, loads: lowest, loseAt: 5 * time.Second, takeover: 500 * time.Millisecond},
+		{name: "owner-lost-1.5s", slots: 3, loads: lowest, loseAt: 5 * time.Second, takeover: 1500 * time.Millisecond},
 		{name: "long-transactions", slots: 3, loads: long},
 		{name: "long-transactions-2", slots: 2, loads: long},
+		{name: "mixed-transactions", slots: 3, loads: mixed},
 		{name: "caller-floods", slots: 3, loads: callers},
-		{name: "replica-slows", slots: 3, loads: reads, slow: slows},
+		{name: "callers-share", slots: 3, loads: equal},
+		{name: "replica-silent", slots: 3, loads: reads, slow: slows(1e5)},
+		{name: "replica-slows", slots: 3, loads: reads, slow: slows(10)},
 	}
 }
 
@@ -108,8 +122,6 @@
 
 func (p product) finish(t *Ticket, _ chervilladder.UpstreamID) { p.Release(t) }
 
-var measure = flag.Bool("measure", false, "play the scenarios at full length, with the baselines")
-
 // TestMeasureScenarios prints the figures of docs/MEASURES.md:
 //
 //	go test -run TestMeasureScenarios -v ./internal/decide/schedule -measure
@@ -122,7 +134,7 @@
 				w.length = time.Second
 			}
 			t.Run(w.name, func(t *testing.T) {
-				w.run(t, measureSeed)
+				w.run(t, *measureSeed)
 				w.report(t)
 			})
 		}
@@ -135,7 +147,7 @@
 	i := slices.IndexFunc(scenarios(), func(s scenario) bool { return s.name == "flood-urgent" })
 	s := scenarios()[i]
 	w := s.world("ours", 1, func() scheduler { return newProduct(capacities(threeUpstreams(s.slots), s.slots)) })
-	w.run(t, measureSeed)
+	w.run(t, *measureSeed)
 	for i, l := range w.loads {
 		if l.access == read || l.class.FloorPercent == 0 {
 			continue
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/retry"
 	"github.com/chervilladder/chervilladder/internal/decide/schedule"
 )
 
@@ -38,22 +39,25 @@
 
 	mu   sync.Mutex // guards conn against Cancel
 	conn *Conn
+	// cancelled is closed when Cancel finds nothing running.
+	cancelled chan struct{}
+	giveUp    sync.Once
 
 	waiting bool // the ticket is in the queue
 	open    bool // a transaction block is open
 	sent    bool // bytes of the current batch may have left
 	begun   bool // a part of the current answer was passed on
 	failed  bool // the current answer holds an error
-	// answering is set while the answer to a batch is incomplete, cancelled
+	// answering is set while the answer to a batch is incomplete, stopped
 	// once the upstream was asked to stop its statement.
-	answering, cancelled bool
-	attempts             int
+	answering, stopped bool
+	attempts           int
 }
 
 // Send passes on a batch. The first one waits for its slot in Recv.
 func (x *exchange) Send(b chervilladder.Batch) error {
 	x.batch = b
-	x.sent, x.begun, x.failed, x.cancelled = false, false, false, false
+	x.sent, x.begun, x.failed, x.stopped = false, false, false, false
 	if x.conn == nil {
 		return x.hold(b)
 	}
@@ -122,7 +126,7 @@
 		if errors.Is(err, errNoProof) {
 			x.awaitChange()
 		}
-		if err := x.queue(); err != nil {
+		if err := x.requeue(); err != nil {
 			return chervilladder.Reply{}, x.fail(err)
 		}
 	}
@@ -139,6 +143,19 @@
 	})
 }
 
+// requeue puts the work in line again after a delay that spreads the load of
+// work which failed together.
+func (x *exchange) requeue() error {
+	delay := time.NewTimer(retry.Delay(x.attempts))
+	defer delay.Stop()
+	select {
+	case <-delay.C:
+		return x.queue()
+	case <-x.ctx.Done():
+		return x.notRun(chervilladder.ReasonCancelled, context.Cause(x.ctx))
+	}
+}
+
 func (x *exchange) attempt() (chervilladder.Reply, error) {
 	if x.conn == nil {
 		if err := x.start(); err != nil {
@@ -184,10 +201,10 @@
 	if stalled(err) {
 		x.dropIdle()
 	}
-	if err == nil || !stalled(err) || x.cancelled || x.conn.transaction != "" {
+	if err == nil || !stalled(err) || x.stopped || x.conn.transaction != "" {
 		return k, err
 	}
-	x.cancelled = true
+	x.stopped = true
 	x.conn.setDeadline(time.Now().Add(x.grace()))
 	go x.Cancel()
 	return x.conn.next(x.failed)
@@ -290,6 +307,9 @@
 			return nil
 		case <-fallback.C:
 			x.state.Queue.Fallback(x.ticket)
+		case <-x.cancelled:
+			x.stopWaiting()
+			return x.notRun(chervilladder.ReasonCancelled, nil)
 		case <-ctx.Done():
 			x.stopWaiting()
 			return x.notRun(x.waitReason(), context.Cause(ctx))
@@ -324,6 +344,7 @@
 			return chervilladder.Reply{}, err
 		}
 		seen = seen.Later(mark)
+		x.state.Retries.Succeeded()
 	}
 	return chervilladder.Reply{
 		Payload:  append(k.payload, k.fenced...),
@@ -337,13 +358,14 @@
 // Cancel asks the upstream to stop the running statement, or gives up the
 // wait for a slot.
 func (x *exchange) Cancel() {
-	x.cancelConn(x.markCancelled())
+	if conn := x.markCancelled(); conn != nil {
+		x.cancelConn(conn)
+		return
+	}
+	x.giveUp.Do(func() { close(x.cancelled) })
 }
 
 func (x *exchange) cancelConn(conn *Conn) {
-	if conn == nil {
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), dialTimeout)
 	defer cancel()
 	_ = conn.cancelRunning(ctx)
