--- a/internal/control/ownership/ownership.go
+++ b/internal/control/ownership/ownership.go
@@ -25,9 +25,8 @@
 // decides.
 type Controller struct {
 	Config
-	// What the owners were last decided by.
-	catalogue  *chervilladder.Catalogue
-	candidates []chervilladder.VMID
+	// candidates are the VMs among which the owners were last chosen.
+	candidates map[chervilladder.VMID]bool
 }
 
 // New returns a controller.
@@ -54,15 +53,7 @@
 	if catalogue == nil {
 		return
 	}
-	candidates := members.Candidates()
-	if catalogue == c.catalogue && slices.Equal(candidates, c.candidates) {
-		return
-	}
-	c.catalogue, c.candidates = catalogue, candidates
-	next := make(map[chervilladder.DatabaseID]chervilladder.VMID, len(catalogue.Databases))
-	for db := range catalogue.Databases {
-		next[db] = rendezvous.Owner(db, candidates)
-	}
+	next := c.assign(catalogue, candidates(members))
 	if maps.Equal(next, c.Board.Owners.Load().ByDatabase) {
 		return
 	}
@@ -70,6 +61,29 @@
 	c.Log.WithField("owned", c.owned(next)).Info("ownership: owners changed")
 }
 
+// assign returns the owner of each database. A change of the candidates moves
+// only the databases of those that left and those that a newcomer wins, so
+// only these are weighed again.
+func (c *Controller) assign(catalogue *chervilladder.Catalogue, now map[chervilladder.VMID]bool) map[chervilladder.DatabaseID]chervilladder.VMID {
+	all := slices.Collect(maps.Keys(now))
+	joined := slices.DeleteFunc(slices.Clone(all), func(vm chervilladder.VMID) bool { return c.candidates[vm] })
+	owners := c.Board.Owners.Load().ByDatabase
+	next := make(map[chervilladder.DatabaseID]chervilladder.VMID, len(catalogue.Databases))
+	for db := range catalogue.Databases {
+		owner, known := owners[db]
+		switch {
+		case !known || !now[owner]:
+			next[db] = rendezvous.Owner(db, all)
+		case len(joined) > 0:
+			next[db] = rendezvous.Owner(db, append(joined, owner))
+		default:
+			next[db] = owner
+		}
+	}
+	c.candidates = now
+	return next
+}
+
 func (c *Controller) owned(owners map[chervilladder.DatabaseID]chervilladder.VMID) int {
 	n := 0
 	for _, vm := range owners {
@@ -79,3 +93,12 @@
 	}
 	return n
 }
+
+// candidates returns the set of the VMs that may own databases.
+func candidates(m blackboard.Membership) map[chervilladder.VMID]bool {
+	set := make(map[chervilladder.VMID]bool, len(m.Members))
+	for _, id := range m.Candidates() {
+		set[id] = true
+	}
+	return set
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -67,51 +67,6 @@
 	return nil
 }
 
-// transmit sends the batch on the connection. If the transaction's id can't be
-// had first, the connection has most likely gone silent, and its fellows with
-// it: nothing was sent, and fresh ones are used.
-func (x *exchange) transmit() error {
-	x.conn.setDeadline(time.Now().Add(min(x.grace(), time.Until(x.deadline()))))
-	err := x.conn.probe()
-	if err == nil {
-		err = x.conn.ask(x.trace())
-	}
-	if err != nil {
-		x.dropIdle()
-		return x.notRun(x.unsentReason(), err)
-	}
-	x.conn.setDeadline(x.deadline().Add(-x.grace()))
-	x.sent, x.answering = true, true
-	return x.conn.send(x.batch)
-}
-
-// unsentReason says why a batch was not sent: the transaction that it belongs
-// to, if any, is rolled back with its connection.
-func (x *exchange) unsentReason() chervilladder.Reason {
-	if x.open {
-		return chervilladder.ReasonRolledBack
-	}
-	return chervilladder.ReasonNoPrimary
-}
-
-// dropIdle closes the idle connections that are as old as the lost one.
-func (x *exchange) dropIdle() {
-	readOnly := x.work.Access == chervilladder.AccessRead && x.conn.claim != 0
-	if pool := x.executor.pool(x.work.Database, x.member, readOnly); pool != nil {
-		pool.Drop()
-	}
-}
-
-// hold counts what a batch that waits for its slot keeps in memory.
-func (x *exchange) hold(b chervilladder.Batch) error {
-	if !x.waiting {
-		return nil
-	}
-	err := x.state.Queue.Hold(x.ticket, len(b.Payload))
-	x.waiting = err == nil
-	return err
-}
-
 // Recv returns the next part of the answer.
 func (x *exchange) Recv() (chervilladder.Reply, error) {
 	for {
@@ -255,34 +210,6 @@
 	return x.transmit()
 }
 
-// awaitUsableSlot waits for a slot that still suits the group, and returns
-// the claim to which its connection must be bound; zero on a replica.
-func (x *exchange) awaitUsableSlot() (chervilladder.Claim, error) {
-	for {
-		if err := x.awaitSlot(); err != nil {
-			return 0, err
-		}
-		g := x.state.Group.Load()
-		onPrimary := x.member == g.Primary
-		read := x.work.Access == chervilladder.AccessRead
-		switch {
-		case read && g.Term == x.term && g.Claim == x.claim:
-		case !read && onPrimary:
-			x.term, x.claim = g.Term, g.Claim
-		default:
-			x.abandon()
-			if err := x.queue(); err != nil {
-				return 0, err
-			}
-			continue
-		}
-		if onPrimary {
-			return g.Claim, nil
-		}
-		return 0, nil
-	}
-}
-
 func (x *exchange) settings(readOnly bool) []chervilladder.Setting {
 	if !readOnly {
 		return x.work.Settings
@@ -291,44 +218,6 @@
 	return append(s, chervilladder.Setting{Name: "default_transaction_read_only", Value: "on"})
 }
 
-func (x *exchange) awaitSlot() error {
-	ctx, cancel := context.WithDeadline(x.ctx, x.work.Deadline)
-	defer cancel()
-	fallback := time.NewTimer(time.Until(x.ticket.ReplicaOnlyUntil))
-	defer fallback.Stop()
-	for {
-		select {
-		case member, granted := <-x.ticket.Granted():
-			x.waiting = false
-			if !granted {
-				return x.ticket.Refused()
-			}
-			x.member = member
-			return nil
-		case <-fallback.C:
-			x.state.Queue.Fallback(x.ticket)
-		case <-x.cancelled:
-			x.stopWaiting()
-			return x.notRun(chervilladder.ReasonCancelled, nil)
-		case <-ctx.Done():
-			x.stopWaiting()
-			return x.notRun(x.waitReason(), context.Cause(ctx))
-		}
-	}
-}
-
-func (x *exchange) stopWaiting() {
-	x.waiting = false
-	x.state.Queue.Withdraw(x.ticket)
-}
-
-func (x *exchange) waitReason() chervilladder.Reason {
-	if !x.state.Group.Load().Open() {
-		return chervilladder.ReasonNoPrimary
-	}
-	return chervilladder.ReasonDeadline
-}
-
 // finish handles the messages that tell of success: they are passed on only
 // once it is proved that the term and the claim were still in force.
 func (x *exchange) finish(k chunk) (chervilladder.Reply, error) {
--- /dev/null
+++ b/internal/upstream/slot.go
@@ -0,0 +1,114 @@
+package upstream
+
+import (
+	"context"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/decide/route"
+	"github.com/chervilladder/chervilladder/internal/decide/schedule"
+)
+
+// queue puts the work in line. A read is bound to the claim under which its
+// floor was looked up.
+func (x *exchange) queue() error {
+	g := x.state.Group.Load()
+	x.term, x.claim = g.Term, g.Claim
+	x.waiting = true
+	floor := x.state.Floors.Get(x.work.Session)
+	floor.Written = floor.Written.Later(x.work.Seen)
+	x.ticket = &schedule.Ticket{
+		Priority:     x.class.Priority,
+		Class:        x.class.ID,
+		Service:      x.work.Service,
+		Caller:       x.work.Caller,
+		FloorPercent: x.class.FloorPercent,
+		Deadline:     x.work.Deadline,
+		Access:       x.work.Access,
+		Readable: func(id chervilladder.UpstreamID) bool {
+			return route.MayRead(x.state.Group.Load(), floor, id)
+		},
+		ReplicaOnlyUntil: time.Now().Add(x.class.Target / 2),
+	}
+	if err := x.state.Queue.Submit(x.ticket); err != nil {
+		x.waiting = false
+		return err
+	}
+	return x.hold(x.batch)
+}
+
+// awaitUsableSlot waits for a slot that still suits the group, and returns
+// the claim to which its connection must be bound; zero on a replica.
+func (x *exchange) awaitUsableSlot() (chervilladder.Claim, error) {
+	for {
+		if err := x.awaitSlot(); err != nil {
+			return 0, err
+		}
+		g := x.state.Group.Load()
+		onPrimary := x.member == g.Primary
+		read := x.work.Access == chervilladder.AccessRead
+		switch {
+		case read && g.Term == x.term && g.Claim == x.claim:
+		case !read && onPrimary:
+			x.term, x.claim = g.Term, g.Claim
+		default:
+			x.abandon()
+			if err := x.queue(); err != nil {
+				return 0, err
+			}
+			continue
+		}
+		if onPrimary {
+			return g.Claim, nil
+		}
+		return 0, nil
+	}
+}
+
+func (x *exchange) awaitSlot() error {
+	ctx, cancel := context.WithDeadline(x.ctx, x.work.Deadline)
+	defer cancel()
+	fallback := time.NewTimer(time.Until(x.ticket.ReplicaOnlyUntil))
+	defer fallback.Stop()
+	for {
+		select {
+		case member, granted := <-x.ticket.Granted():
+			x.waiting = false
+			if !granted {
+				return x.ticket.Refused()
+			}
+			x.member = member
+			return nil
+		case <-fallback.C:
+			x.state.Queue.Fallback(x.ticket)
+		case <-x.cancelled:
+			x.stopWaiting()
+			return x.notRun(chervilladder.ReasonCancelled, nil)
+		case <-ctx.Done():
+			x.stopWaiting()
+			return x.notRun(x.waitReason(), context.Cause(ctx))
+		}
+	}
+}
+
+func (x *exchange) stopWaiting() {
+	x.waiting = false
+	x.state.Queue.Withdraw(x.ticket)
+}
+
+func (x *exchange) waitReason() chervilladder.Reason {
+	if !x.state.Group.Load().Open() {
+		return chervilladder.ReasonNoPrimary
+	}
+	return chervilladder.ReasonDeadline
+}
+
+// hold counts what a batch that waits for its slot keeps in memory.
+func (x *exchange) hold(b chervilladder.Batch) error {
+	if !x.waiting {
+		return nil
+	}
+	err := x.state.Queue.Hold(x.ticket, len(b.Payload))
+	x.waiting = err == nil
+	return err
+}
--- a/internal/upstream/trace.go
+++ b/internal/upstream/trace.go
@@ -100,11 +100,11 @@
 	if status.Term != term || status.Role != chervilladder.RolePrimary {
 		return fateUnknown, nil
 	}
-	row, err := m.conn.queryRow(ctx, "SELECT pg_xact_status("+quote(string(c.transaction))+")")
+	r, err := m.conn.queryRow(ctx, "SELECT pg_xact_status("+quote(string(c.transaction))+")")
 	if err != nil {
 		return fateUnknown, err
 	}
-	switch row["pg_xact_status"] {
+	switch r.text("pg_xact_status") {
 	case "committed":
 		return fateCommitted, nil
 	case "aborted":
