--- a/internal/standin/upstream/wire/run.go
+++ b/internal/standin/upstream/wire/run.go
@@ -64,6 +64,19 @@
 	}
 }
 
+// countedAs returns the class that an execution is counted under: calls of the
+// group's functions and questions for the transaction are no work.
+func countedAs(class statementClass, s sql.Statement) sql.Class {
+	switch class {
+	case classGroup:
+		return "GROUP"
+	case classTrace:
+		return "TRACE"
+	default:
+		return s.Class()
+	}
+}
+
 // asksTransaction reports whether a SELECT only asks for the transaction's id.
 func asksTransaction(s *sql.Select) bool {
 	if s.From != nil || len(s.Items) != 1 {
@@ -102,7 +115,7 @@
 	}
 	if !r.started {
 		r.started = true
-		c.server.counts.note(r.parsed.Statement.Class())
+		c.server.counts.note(countedAs(class, r.parsed.Statement))
 		if err := r.start(ctx, class); err != nil {
 			return false, err
 		}
