Prove that a sleeping or dead owner leaves no stale read

stale-owner failed first: a statement that had been forwarded to the paused owner waited for its deadline, though the VM had been found dead within about a second. Cause: only gRPC's keep-alive of 10 s ended the stream. Ruled out: the new owner, which had its claim.

--- a/internal/scenario/members_test.go
+++ b/internal/scenario/members_test.go
@@ -15,6 +15,7 @@
 	Term        int    `json:"term"`
 	LogTerm     int    `json:"log-term"`
 	Received    int    `json:"received"`
+	Holder      string `json:"holder"`
 	Connections struct {
 		Statements map[string]int `json:"statements"`
 	} `json:"connections"`
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -57,6 +57,7 @@
 			"start":  cmdStart,
 			"fault":  cmdFault,
 			"status": cmdStatus,
+			"who":    cmdWho,
 			"load":   cmdLoad,
 			"acked":  cmdAcked,
 			"verify": cmdVerify,
@@ -225,8 +226,22 @@
 	return b.String(), rows.Err()
 }
 
-// signal NAME KILL|STOP|CONT|TERM sends a signal to a process. The name
-// "owner" or "primary" stands for the process that has the role.
+// who sets OWNER to the VM that owns the database, OTHER to another VM, and
+// PRIMARY to the primary.
+func cmdWho(ts *testscript.TestScript, _ bool, _ []string) {
+	w := stateOf(ts).world
+	primary := w.primary()
+	owner := w.statuses()[primary].Holder
+	ts.Setenv("PRIMARY", primary)
+	ts.Setenv("OWNER", owner)
+	for _, vm := range w.vms {
+		if vm != owner {
+			ts.Setenv("OTHER", vm)
+		}
+	}
+}
+
+// signal NAME KILL|STOP|CONT|TERM sends a signal to a process.
 func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
 	signals := map[string]syscall.Signal{
 		"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM,
