Compare a configuration with the last one, not with the members

Cause: a member that has left stays in the list while it runs work, so the list differed from every configuration, and each Configure queued all tickets again. The group's controller calls it every 50 ms and at each change.

Change: the queue remembers what was last configured.

--- a/internal/decide/schedule/bench_test.go
+++ b/internal/decide/schedule/bench_test.go
@@ -102,3 +102,16 @@
 		}
 	})
 }
+
+// BenchmarkConfigure measures a Configure that changes nothing while 4,000
+// tickets wait and a member that has left still runs work.
+func BenchmarkConfigure(b *testing.B) {
+	q := fullQueue(b, 4_000)
+	list := capacities(threeUpstreams(3), 0)
+	q.Dispatch() // one ticket takes the free slot
+	q.Configure(list[1:])
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Configure(list[1:])
+	}
+}
--- a/internal/decide/schedule/configure.go
+++ b/internal/decide/schedule/configure.go
@@ -19,7 +19,7 @@
 	now := time.Now()
 	q.account(now)
 	q.judge(now)
-	if q.configured(list) {
+	if slices.Equal(q.capacities, list) {
 		q.recheck()
 	} else {
 		q.replace(list)
@@ -59,12 +59,9 @@
 	}
 }
 
-func (q *Queue) configured(list []Capacity) bool {
-	return slices.EqualFunc(q.members, list, func(m *member, c Capacity) bool { return m.Capacity == c })
-}
-
 // replace takes over a changed list of members and queues all work again.
 func (q *Queue) replace(list []Capacity) {
+	q.capacities = slices.Clone(list)
 	waiting := q.takeAll()
 	next := make([]*member, 0, len(list))
 	for _, c := range list[:min(len(list), maxMembers)] {
--- a/internal/decide/schedule/queue.go
+++ b/internal/decide/schedule/queue.go
@@ -18,11 +18,14 @@
 //	id := <-t.Granted()
 //	defer q.Release(t)
 type Queue struct {
-	mu      sync.Mutex
-	members []*member
-	lanes   []*lane
-	classes []*class
-	flows   map[flowKey]*flow
+	mu sync.Mutex
+	// capacities is what was last configured; members holds those that have
+	// left, too, until their work has ended.
+	capacities []Capacity
+	members    []*member
+	lanes      []*lane
+	classes    []*class
+	flows      map[flowKey]*flow
 	// virtual is the virtual time of each priority.
 	virtual [chervilladder.PriorityCount]float64
 	waiting int
