--- a/internal/decide/schedule/admission.go
+++ b/internal/decide/schedule/admission.go
@@ -49,7 +49,7 @@
 		return t.refusal(chervilladder.ReasonDeadline, wait)
 	}
 	o := &f.overloads[q.poolOf(set)]
-	if t.Target > 0 && o.refuses(wait, t.waitLimit(now), t.Target, now) {
+	if t.Target > 0 && o.refuses(wait, t.waitLimit(now), now) {
 		return t.refusal(chervilladder.ReasonOverload, wait)
 	}
 	return nil
@@ -61,9 +61,9 @@
 	return max(t.Target/2, t.Target-t.class.service.evidenceUpper(now))
 }
 
-// hopeless reports whether a ticket can't be answered by its deadline even if
+// tooLate reports whether a ticket can't be answered by its deadline even if
 // it starts now.
-func (t *Ticket) hopeless(now time.Time) bool {
+func (t *Ticket) tooLate(now time.Time) bool {
 	return now.Add(t.class.service.evidence(now)).After(t.Deadline)
 }
 
--- a/internal/decide/schedule/measure_test.go
+++ b/internal/decide/schedule/measure_test.go
@@ -62,6 +62,8 @@
 	for i, name := range []string{"-1x", "-3x", "-10x"} {
 		equal[i].caller = name
 	}
+	tight := urgent
+	tight.Target = 30 * time.Millisecond
 	slows := func(factor float64) func(time.Duration) float64 {
 		return func(since time.Duration) float64 {
 			if since < 2*time.Second {
@@ -82,6 +84,7 @@
 		{name: "long-transactions-2", slots: 2, loads: long},
 		{name: "mixed-transactions", slots: 3, loads: mixed},
 		{name: "caller-floods", slots: 3, loads: callers},
+		{name: "busy-tight-target", slots: 3, loads: []load{stream(tight, write, 270, short)}},
 		{name: "callers-share", slots: 3, loads: equal},
 		{name: "replica-silent", slots: 3, loads: reads, slow: slows(1e5)},
 		{name: "replica-slows", slots: 3, loads: reads, slow: slows(10)},
--- a/internal/decide/schedule/pace.go
+++ b/internal/decide/schedule/pace.go
@@ -51,10 +51,10 @@
 	}
 }
 
-// spared reports whether a lane's work is kept off a slow member: the most
+// keptOff reports whether a lane's work is kept off a slow member: the most
 // urgent whenever another replica may run it, all other work beyond the slots
 // that a slow member keeps.
-func (q *Queue) spared(m *member, l *lane) bool {
+func (q *Queue) keptOff(m *member, l *lane) bool {
 	if !m.slow {
 		return false
 	}
--- a/internal/decide/schedule/queue.go
+++ b/internal/decide/schedule/queue.go
@@ -159,7 +159,7 @@
 			return nil
 		}
 		t := best.first
-		if t.hopeless(now) {
+		if t.tooLate(now) {
 			q.refuse(t, chervilladder.ReasonDeadline)
 			continue
 		}
@@ -175,7 +175,7 @@
 	m := q.members[i]
 	var best *line
 	for _, l := range q.lanes {
-		if !l.members.has(i) || len(l.lines) == 0 || !m.admits(l.class, now) || q.spared(m, l) {
+		if !l.members.has(i) || len(l.lines) == 0 || !m.admits(l.class, now) || q.keptOff(m, l) {
 			continue
 		}
 		if best == nil || l.lines[0].ahead(best, m.pool()) {
