--- a/internal/decide/schedule/configure.go
+++ b/internal/decide/schedule/configure.go
@@ -19,7 +19,7 @@
 	now := time.Now()
 	q.account(now)
 	q.judge(now)
-	if q.configured(list) {
+	if slices.Equal(q.capacities, list) {
 		q.recheck()
 	} else {
 		q.replace(list)
@@ -27,27 +27,24 @@
 	q.dispatch()
 }
 
-// recheck looks again at reads that some replica with a free slot might now
-// serve.
+// recheck looks again at reads that some replica could not serve, also when
+// the replica has no free slot: the slot that it frees next must go to the
+// most urgent of them.
 func (q *Queue) recheck() {
 	now := time.Now()
-	var free memberSet
+	var replicas memberSet
 	for i, m := range q.members {
-		if !m.Primary && m.free() > 0 {
-			free = free.with(i)
+		if !m.Primary {
+			replicas = replicas.with(i)
 		}
 	}
 	for _, l := range slices.Clone(q.lanes) {
-		if free&^l.members != 0 && len(l.lines) > 0 && l.reads() {
+		if replicas&^l.members != 0 && l.access == chervilladder.AccessRead {
 			q.recheckLane(l, now)
 		}
 	}
 }
 
-func (l *lane) reads() bool {
-	return l.lines[0].first.Access == chervilladder.AccessRead
-}
-
 func (q *Queue) recheckLane(l *lane, now time.Time) {
 	left := recheckLimit
 	for _, line := range slices.Clone(l.lines) {
@@ -59,12 +56,9 @@
 	}
 }
 
-func (q *Queue) configured(list []Capacity) bool {
-	return slices.EqualFunc(q.members, list, func(m *member, c Capacity) bool { return m.Capacity == c })
-}
-
 // replace takes over a changed list of members and queues all work again.
 func (q *Queue) replace(list []Capacity) {
+	q.capacities = slices.Clone(list)
 	waiting := q.takeAll()
 	next := make([]*member, 0, len(list))
 	for _, c := range list[:min(len(list), maxMembers)] {
