Mend answers, settings and deadlines at upstreams

TestConformance runs a plain pgx client through an owner and a VM that forwards. It found, or the reading for it did, and a test failed first:

- multi-statement: the client waited for a message of 1.9 MB.
A command completion was read into the spare capacity of the answer's buffer and then overwritten by the one before it.
It is cloned now.
Ruled out: the peers' side, since the owner's own callers hung too.
- TestSettingsDoNotLeak: a caller's SET stayed on the primary's connection for the next caller, which was not noticed because reads go elsewhere.
A SET or RESET that completes now marks the connection, and its settings are made anew before the next work.
- TestLongTransaction: a COMMIT later than the class's deadline after BEGIN was always of unknown outcome, because its proof was bounded by the deadline of the first batch.
Each batch now has its own.

Before: all three tests failed (the first one by the test's timeout). After: scripts/test passes.

--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -16,8 +16,10 @@
 	work     chervilladder.Work
 	batch    chervilladder.Batch
 
-	mu    sync.Mutex // guards inner against Cancel
+	mu    sync.Mutex // guards inner and cancelled against Cancel
 	inner chervilladder.Exchange
+	// cancelled is set once the running work was cancelled.
+	cancelled bool
 
 	first bool // the batch is the first one of the exchange
 	begun bool // a part of the current answer was passed on
@@ -26,6 +28,9 @@
 // Send passes on a batch.
 func (x *exchange) Send(b chervilladder.Batch) error {
 	x.batch, x.begun = b, false
+	x.mu.Lock()
+	x.cancelled = false
+	x.mu.Unlock()
 	if x.inner != nil {
 		x.first = false
 		return x.inner.Send(b)
@@ -71,7 +76,11 @@
 	}
 	x.mu.Lock()
 	x.inner = inner
+	cancelled := x.cancelled
 	x.mu.Unlock()
+	if cancelled {
+		return &chervilladder.NotRunError{Database: x.work.Database, Reason: chervilladder.ReasonCancelled}
+	}
 	return inner.Send(x.batch)
 }
 
@@ -79,6 +88,7 @@
 func (x *exchange) Cancel() {
 	x.mu.Lock()
 	inner := x.inner
+	x.cancelled = true
 	x.mu.Unlock()
 	if inner != nil {
 		inner.Cancel()
--- a/internal/upstream/batch.go
+++ b/internal/upstream/batch.go
@@ -84,8 +84,11 @@
 				continue
 			}
 		case 'C':
+			// The message may lie in the spare capacity of the payload.
+			m = bytes.Clone(m)
 			k.payload = append(k.payload, c.takeHeld()...)
-			c.held = append(c.held[:0], m...)
+			c.held = m
+			c.noteCompletion(m[headerBytes:])
 			if isCommit(m[headerBytes:]) {
 				k.fenced = bytes.Clone(c.takeHeld())
 				return k, nil
@@ -112,6 +115,14 @@
 	}
 }
 
+// noteCompletion follows which statements change the session parameters of the
+// connection.
+func (c *Conn) noteCompletion(tag []byte) {
+	if bytes.HasPrefix(tag, []byte("SET")) || bytes.HasPrefix(tag, []byte("RESET")) {
+		c.settingsChanged = true
+	}
+}
+
 // takeHeld returns the command completion that is kept back until it is known
 // whether it ends the answer.
 func (c *Conn) takeHeld() []byte {
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -45,6 +45,9 @@
 	claim    chervilladder.Claim
 	prepared map[string]bool
 	settings []chervilladder.Setting
+	// settingsChanged is set once a caller's statement has set parameters
+	// that settings does not list.
+	settingsChanged bool
 	// parsing lists the statements of our own that the running batch
 	// prepares and that are not answered yet.
 	parsing []string
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -26,6 +26,8 @@
 	// asked is the evidence tick taken when a read arrived.
 	asked blackboard.Tick
 	batch chervilladder.Batch
+	// until bounds the answer to the current batch.
+	until time.Time
 
 	// member is the upstream at which a slot is held; empty without one.
 	member chervilladder.UpstreamID
@@ -35,8 +37,11 @@
 	term  chervilladder.Term
 	claim chervilladder.Claim
 
-	mu   sync.Mutex // guards conn against Cancel
+	mu   sync.Mutex // guards conn and the closing of gaveUp against Cancel
 	conn *Conn
+	// gaveUp is closed once the work is cancelled before it has a
+	// connection.
+	gaveUp chan struct{}
 
 	waiting bool // the ticket is in the queue
 	open    bool // a transaction block is open
@@ -51,13 +56,16 @@
 
 // Send passes on a batch. The first one waits for its slot in Recv.
 func (x *exchange) Send(b chervilladder.Batch) error {
-	x.batch = b
+	x.batch, x.until = b, x.work.Deadline
+	if x.open {
+		x.until = time.Now().Add(x.class.Deadline)
+	}
 	x.sent, x.begun, x.failed, x.cancelled = false, false, false, false
 	if x.conn == nil {
 		return nil
 	}
 	x.sent, x.answering = true, true
-	x.conn.setDeadline(x.deadline().Add(-x.grace()))
+	x.conn.setDeadline(x.until.Add(-x.grace()))
 	if err := x.conn.send(b); err != nil {
 		return x.fail(err)
 	}
@@ -135,7 +143,7 @@
 	if pool == nil {
 		return x.notRun(chervilladder.ReasonNoPrimary, nil)
 	}
-	ctx, cancel := context.WithDeadline(x.ctx, x.deadline())
+	ctx, cancel := context.WithDeadline(x.ctx, x.until)
 	defer cancel()
 	conn, err := pool.Get(ctx, claim)
 	if err != nil {
@@ -145,8 +153,10 @@
 		conn.Close()
 		return x.notRun(chervilladder.ReasonNoPrimary, err)
 	}
-	x.setConn(conn)
-	conn.setDeadline(x.deadline().Add(-x.grace()))
+	if !x.takeConn(conn) {
+		return x.notRun(chervilladder.ReasonCancelled, nil)
+	}
+	conn.setDeadline(x.until.Add(-x.grace()))
 	x.sent, x.answering = true, true
 	return conn.send(x.batch)
 }
@@ -197,6 +207,9 @@
 		case x.member = <-x.ticket.Granted():
 			x.waiting = false
 			return nil
+		case <-x.gaveUp:
+			x.stopWaiting()
+			return x.notRun(chervilladder.ReasonCancelled, nil)
 		case <-fallback.C:
 			x.state.Queue.Dispatch()
 		case <-ctx.Done():
@@ -266,8 +279,29 @@
 	defer x.mu.Unlock()
 	if x.conn != nil {
 		x.conn.cancelled = true
+		return x.conn
+	}
+	if !x.isGivenUp() {
+		close(x.gaveUp)
+	}
+	return nil
+}
+
+func (x *exchange) isGivenUp() bool {
+	select {
+	case <-x.gaveUp:
+		return true
+	default:
+		return false
 	}
-	return x.conn
+}
+
+// takeConn takes a connection over, unless the work was cancelled meanwhile.
+func (x *exchange) takeConn(c *Conn) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.conn = c
+	return !x.isGivenUp()
 }
 
 // Close ends the exchange.
@@ -314,11 +348,3 @@
 	x.conn = c
 	x.mu.Unlock()
 }
-
-// deadline bounds the current batch.
-func (x *exchange) deadline() time.Time {
-	if !x.open {
-		return x.work.Deadline
-	}
-	return time.Now().Add(x.class.Deadline)
-}
--- a/internal/upstream/executor.go
+++ b/internal/upstream/executor.go
@@ -68,6 +68,7 @@
 		state:    e.board.Databases.Get(db.ID),
 		work:     w,
 		class:    class,
+		gaveUp:   make(chan struct{}),
 	}
 	if w.Access == chervilladder.AccessRead {
 		x.asked = x.state.Evidence.Ask()
--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -29,7 +29,7 @@
 	if !read || tick == 0 {
 		tick = x.state.Evidence.Ask()
 	}
-	ctx, cancel := context.WithDeadline(x.ctx, x.deadline())
+	ctx, cancel := context.WithDeadline(x.ctx, x.until)
 	defer cancel()
 	for {
 		g, err := x.awaitProof(ctx, tick)
--- a/internal/upstream/settings.go
+++ b/internal/upstream/settings.go
@@ -11,7 +11,7 @@
 // apply gives the connection the session parameters that work needs. It talks
 // to the upstream only if they differ from those of the work before.
 func (c *Conn) apply(ctx context.Context, want []chervilladder.Setting) error {
-	if slices.Equal(c.settings, want) {
+	if !c.settingsChanged && slices.Equal(c.settings, want) {
 		return nil
 	}
 	var sql strings.Builder
@@ -25,6 +25,6 @@
 	if _, err := c.queryRow(ctx, sql.String()); err != nil {
 		return err
 	}
-	c.settings = slices.Clone(want)
+	c.settings, c.settingsChanged = slices.Clone(want), false
 	return nil
 }
