--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -18,8 +18,10 @@
 	// owner is the VM that the work was last passed to.
 	owner chervilladder.VMID
 
-	mu    sync.Mutex // guards inner against Cancel
+	mu    sync.Mutex // guards inner and cancelled against Cancel
 	inner chervilladder.Exchange
+	// cancelled is set once the running work was cancelled.
+	cancelled bool
 
 	first bool // the batch is the first one of the exchange
 	begun bool // a part of the current answer was passed on
@@ -28,6 +30,9 @@
 // Send passes on a batch.
 func (x *exchange) Send(b chervilladder.Batch) error {
 	x.batch, x.begun = b, false
+	x.mu.Lock()
+	x.cancelled = false
+	x.mu.Unlock()
 	if x.inner != nil {
 		x.first = false
 		return x.inner.Send(b)
@@ -77,7 +82,11 @@
 	}
 	x.mu.Lock()
 	x.inner = inner
+	cancelled := x.cancelled
 	x.mu.Unlock()
+	if cancelled {
+		return &chervilladder.NotRunError{Database: x.work.Database, Reason: chervilladder.ReasonCancelled}
+	}
 	return inner.Send(x.batch)
 }
 
@@ -85,6 +94,7 @@
 func (x *exchange) Cancel() {
 	x.mu.Lock()
 	inner := x.inner
+	x.cancelled = true
 	x.mu.Unlock()
 	if inner != nil {
 		inner.Cancel()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -28,6 +28,8 @@
 	// asked is the evidence tick taken when a read arrived.
 	asked blackboard.Tick
 	batch chervilladder.Batch
+	// until bounds the answer to the current batch.
+	until time.Time
 
 	// member is the upstream at which a slot is held; empty without one.
 	member chervilladder.UpstreamID
@@ -37,11 +39,11 @@
 	term  chervilladder.Term
 	claim chervilladder.Claim
 
-	mu   sync.Mutex // guards conn against Cancel
+	mu   sync.Mutex // guards conn and the closing of gaveUp against Cancel
 	conn *Conn
-	// cancelled is closed when Cancel finds nothing running.
-	cancelled chan struct{}
-	giveUp    sync.Once
+	// gaveUp is closed once the work is cancelled before it has a
+	// connection.
+	gaveUp chan struct{}
 
 	waiting bool // the ticket is in the queue
 	open    bool // a transaction block is open
@@ -56,7 +58,10 @@
 
 // Send passes on a batch. The first one waits for its slot in Recv.
 func (x *exchange) Send(b chervilladder.Batch) error {
-	x.batch = b
+	x.batch, x.until = b, x.work.Deadline
+	if x.open {
+		x.until = time.Now().Add(x.class.Deadline)
+	}
 	x.sent, x.begun, x.failed, x.stopped = false, false, false, false
 	if x.conn == nil {
 		return x.hold(b)
@@ -196,7 +201,7 @@
 	if pool == nil {
 		return x.notRun(chervilladder.ReasonNoPrimary, nil)
 	}
-	ctx, cancel := context.WithDeadline(x.ctx, x.deadline())
+	ctx, cancel := context.WithDeadline(x.ctx, x.until)
 	defer cancel()
 	conn, err := pool.Get(ctx, claim)
 	if err != nil {
@@ -206,7 +211,9 @@
 		conn.Close()
 		return x.notRun(chervilladder.ReasonNoPrimary, err)
 	}
-	x.setConn(conn)
+	if !x.takeConn(conn) {
+		return x.notRun(chervilladder.ReasonCancelled, nil)
+	}
 	return x.transmit()
 }
 
@@ -249,9 +256,7 @@
 func (x *exchange) Cancel() {
 	if conn := x.markCancelled(); conn != nil {
 		x.cancelConn(conn)
-		return
 	}
-	x.giveUp.Do(func() { close(x.cancelled) })
 }
 
 func (x *exchange) cancelConn(conn *Conn) {
@@ -268,8 +273,29 @@
 	defer x.mu.Unlock()
 	if x.conn != nil {
 		x.conn.cancelled = true
+		return x.conn
+	}
+	if !x.isGivenUp() {
+		close(x.gaveUp)
+	}
+	return nil
+}
+
+func (x *exchange) isGivenUp() bool {
+	select {
+	case <-x.gaveUp:
+		return true
+	default:
+		return false
 	}
-	return x.conn
+}
+
+// takeConn takes a connection over, unless the work was cancelled meanwhile.
+func (x *exchange) takeConn(c *Conn) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.conn = c
+	return !x.isGivenUp()
 }
 
 // Close ends the exchange.
@@ -316,11 +342,3 @@
 	x.conn = c
 	x.mu.Unlock()
 }
-
-// deadline bounds the current batch.
-func (x *exchange) deadline() time.Time {
-	if !x.open {
-		return x.work.Deadline
-	}
-	return time.Now().Add(x.class.Deadline)
-}
--- a/internal/upstream/outcome_test.go
+++ b/internal/upstream/outcome_test.go
@@ -30,7 +30,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		x := &exchange{
-			ctx: t.Context(), state: &blackboard.Database{}, cancelled: make(chan struct{}),
+			ctx: t.Context(), state: &blackboard.Database{}, gaveUp: make(chan struct{}),
 			work:  chervilladder.Work{Deadline: time.Now().Add(time.Minute)},
 			class: &chervilladder.Class{ID: "booking"},
 		}
--- a/internal/upstream/slot.go
+++ b/internal/upstream/slot.go
@@ -81,7 +81,7 @@
 			return nil
 		case <-fallback.C:
 			x.state.Queue.Fallback(x.ticket)
-		case <-x.cancelled:
+		case <-x.gaveUp:
 			x.stopWaiting()
 			return x.notRun(chervilladder.ReasonCancelled, nil)
 		case <-ctx.Done():
--- a/internal/upstream/transmit.go
+++ b/internal/upstream/transmit.go
@@ -10,7 +10,7 @@
 // had first, the connection has most likely gone silent, and its fellows with
 // it: nothing was sent, and fresh ones are used.
 func (x *exchange) transmit() error {
-	x.conn.setDeadline(time.Now().Add(min(x.grace(), time.Until(x.deadline()))))
+	x.conn.setDeadline(time.Now().Add(min(x.grace(), time.Until(x.until))))
 	err := x.conn.probe()
 	if err == nil {
 		err = x.conn.ask(x.trace())
@@ -19,7 +19,7 @@
 		x.dropIdle()
 		return x.notRun(x.unsentReason(), err)
 	}
-	x.conn.setDeadline(x.deadline().Add(-x.grace()))
+	x.conn.setDeadline(x.until.Add(-x.grace()))
 	x.sent, x.answering = true, true
 	return x.conn.send(x.batch)
 }
