--- a/internal/scenario/bench_test.go
+++ b/internal/scenario/bench_test.go
@@ -118,3 +118,39 @@
 	b.Fatalf("no write after the failover of %s\n%s", old, w.logs())
 	return 0
 }
+
+// BenchmarkNoPromotion silences the open flows of the primary, and slows it,
+// under a writer. It reports how many promotions followed: there must be none.
+func BenchmarkNoPromotion(b *testing.B) {
+	for fault, path := range map[string]string{
+		"silenced": "/silence",
+		"slow":     "/statement-time?value=300ms",
+	} {
+		b.Run(fault, func(b *testing.B) {
+			w := benchWorld(b, worldConfig{vms: 2, lag: "20ms", statement: "1ms"})
+			c := mustConnect(b, w, "vm-1")
+			for b.Loop() {
+				w.trouble(b, c, path)
+			}
+			b.ReportMetric(float64(w.statuses()[w.primary()].Term-1), "promotions")
+		})
+	}
+}
+
+// trouble makes a control call to the primary, writes three times, and takes
+// the fault back.
+func (w *world) trouble(b *testing.B, c *pgx.Conn, path string) {
+	control := "http://" + w.controls[w.primary()]
+	if err := w.call("POST", control+path, ""); err != nil {
+		b.Fatal(err)
+	}
+	for range 3 {
+		id := fmt.Sprintf("n%d", time.Now().UnixNano())
+		if _, err := c.Exec(b.Context(), "INSERT INTO filings (id) VALUES ($1)", id); outcomeOf(err) == outcomeUnknown {
+			b.Fatal(err)
+		}
+	}
+	if err := w.call("POST", control+"/statement-time?value=1ms", ""); err != nil {
+		b.Fatal(err)
+	}
+}
