--- a/internal/scenario/conformance_test.go
+++ b/internal/scenario/conformance_test.go
@@ -33,6 +33,7 @@
 		{"read-only", conformReadOnly},
 		{"large", conformLarge},
 		{"pool", conformPool},
+		{"many statements", conformManyStatements},
 	}
 	for _, vm := range w.vms {
 		for _, c := range cases {
@@ -350,3 +351,24 @@
 		is.NoErr(<-done)
 	}
 }
+
+// conformManyStatements prepares more statements than a connection to an
+// upstream keeps, and gives names to other texts.
+func conformManyStatements(t *testing.T, w *world, vm string) {
+	is := is.New(t)
+	ctx := t.Context()
+	c := dial(t, w, vm, pgx.QueryExecModeCacheStatement)
+	const statements = 600
+	for _, offset := range []int{0, 1000} {
+		for i := range statements {
+			_, err := c.Prepare(ctx, fmt.Sprintf("s%d", i), fmt.Sprintf("SELECT %d", i+offset))
+			is.NoErr(err)
+		}
+		for i := range statements {
+			var n int
+			is.NoErr(c.QueryRow(ctx, fmt.Sprintf("s%d", i)).Scan(&n))
+			is.Equal(n, i+offset)
+			is.NoErr(c.Deallocate(ctx, fmt.Sprintf("s%d", i)))
+		}
+	}
+}
