Read messages of an answer into memory of their own

Fault: the answer to several statements in one simple query could hold a mangled message. A command completion was read into the spare room behind the part of the answer that was being put together; when one was kept back already, it was appended to that part first and so written over the new one. Cause of the cost: the same reading grew the part twice for each message, in small steps. Now a message is read into memory that the connection keeps, and a part is made with room for all that has arrived.

--- a/internal/capacity/path_test.go
+++ b/internal/capacity/path_test.go
@@ -166,12 +166,7 @@
 }
 
 func benchmarkExchange(b *testing.B, hop bool, access chervilladder.Access, workers int) {
-	o := newOwner(b, startChild(b, roleUpstreams, 1).Upstreams, dialUpstream)
-	open := o.executor.Open
-	if hop {
-		board, remote := openPeer(b, o)
-		open = route.New(route.Config{Board: board, Remote: remote}).Open
-	}
+	o, open := openExecutor(b, hop)
 	sql := readSQL
 	if access == chervilladder.AccessWrite {
 		sql = writeSQL
@@ -193,6 +188,18 @@
 	b.ReportMetric(float64(o.statuses.Load()-statuses)/float64(b.N), "statuses/op")
 }
 
+// openExecutor returns an owner and what opens exchanges at it, by the hop or
+// without it.
+func openExecutor(b *testing.B, hop bool) (*owner, opener) {
+	b.Helper()
+	o := newOwner(b, startChild(b, roleUpstreams, 1).Upstreams, dialUpstream)
+	if !hop {
+		return o, o.executor.Open
+	}
+	board, remote := openPeer(b, o)
+	return o, route.New(route.Config{Board: board, Remote: remote}).Open
+}
+
 func work(session chervilladder.SessionID, access chervilladder.Access) chervilladder.Work {
 	now := time.Now()
 	return chervilladder.Work{
--- /dev/null
+++ b/internal/capacity/result_test.go
@@ -0,0 +1,30 @@
+package capacity_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// BenchmarkResult measures how allocations grow with the rows of an answer,
+// without the callers' side.
+func BenchmarkResult(b *testing.B) {
+	for _, path := range []string{"owner", "hop"} {
+		for _, rows := range []int{1, 100, 10_000} {
+			b.Run(fmt.Sprintf("path=%s/rows=%d", path, rows), func(b *testing.B) {
+				_, open := openExecutor(b, path == "hop")
+				sql := fmt.Sprintf("SELECT * FROM generate_series(1, %d)", rows)
+				payload, err := (&pgproto3.Query{String: sql}).Encode(nil)
+				check(b, err)
+				batch := chervilladder.Batch{Payload: payload}
+				b.ReportAllocs()
+				for b.Loop() {
+					check(b, exchange(b.Context(), open, work("session", chervilladder.AccessRead), batch))
+				}
+			})
+		}
+	}
+}
--- a/internal/upstream/batch.go
+++ b/internal/upstream/batch.go
@@ -71,12 +71,11 @@
 func (c *Conn) next(failed bool) (chunk, error) {
 	k := chunk{failed: failed}
 	for {
-		start := len(k.payload)
-		m, err := c.readMessage(k.payload)
+		m, err := c.readMessage(c.inbox[:0])
 		if err != nil {
 			return chunk{}, c.lost(true, err)
 		}
-		k.payload = k.payload[:start]
+		c.keepInbox(m)
 		switch m[0] {
 		case '1':
 			if len(c.parsing) > 0 {
@@ -101,17 +100,36 @@
 		case 'A':
 			continue
 		}
-		held := c.takeHeld()
-		if len(held) > 0 {
-			m = append(bytes.Clone(held), m...)
-		}
-		k.payload = append(k.payload[:start], m...)
+		k.payload = c.appendMessage(k.payload, m)
 		if len(k.payload) >= chunkBytes || c.reader.Buffered() == 0 {
 			return k, nil
 		}
 	}
 }
 
+// keepInbox keeps the memory of a message for the next one, unless it is large.
+func (c *Conn) keepInbox(m []byte) {
+	c.inbox = m[:0]
+	if cap(m) > chunkBytes {
+		c.inbox = nil
+	}
+}
+
+// appendMessage appends a message, and before it what was kept back. The first
+// one of a part makes room for all that has arrived.
+func (c *Conn) appendMessage(payload, m []byte) []byte {
+	held := c.takeHeld()
+	if payload == nil {
+		room := len(held) + len(m) + c.reader.Buffered()
+		if room > readBufferBytes/2 {
+			room = max(room, chunkBytes)
+		}
+		payload = make([]byte, 0, room)
+	}
+	payload = append(payload, held...)
+	return append(payload, m...)
+}
+
 // takeHeld returns the command completion that is kept back until it is known
 // whether it ends the answer.
 func (c *Conn) takeHeld() []byte {
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -50,7 +50,9 @@
 	// held is a command completion that may turn out to end the answer.
 	held    []byte
 	scratch []byte
-	opened  time.Time
+	// inbox is the memory of the message that is read.
+	inbox  []byte
+	opened time.Time
 	// cancelled is set once a request to cancel was sent for the connection.
 	cancelled bool
 }
