--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -53,12 +53,14 @@
 	// held is a command completion that may turn out to end the answer.
 	held    []byte
 	scratch []byte
-	opened  time.Time
 	// idleSince is when the connection was last given back.
 	idleSince time.Time
 	// transaction is the id of the transaction that the running batch is
 	// to commit, if it was asked for.
 	transaction chervilladder.TransactionID
+	// inbox is the memory of the message that is read.
+	inbox  []byte
+	opened time.Time
 	// cancelled is set once a request to cancel was sent for the connection.
 	cancelled bool
 }
