Let a new owner wait until the last one has finished

Cause: a change of owner cut what was in flight. The new owner took its claim at once, and a claim ends the connections of the one before. Apart from that, a refusal that reached a forwarding VM before its batch was sent made an unknown outcome of work that never ran: the send failed with EOF, and the reason that waited on the stream was not read.

Ruled out: having the old owner give the claim up (the new one may be gone), and one round of waiting for a fixed time (too short for an open transaction, too long without one).

Change: Release between VMs returns once the VM that held the last claim has nothing in flight on the database. A new owner asks for it before it claims, beside its other work, so that a failover overtakes it; it is bounded, and not asked of a dead VM. The old owner keeps its supervisor until then, without claiming or promoting. The peers' server answers the calls that are under way before it stops. A send on an ended stream now leaves the reason to the next receive.

--- a/gossip.go
+++ b/gossip.go
@@ -86,6 +86,13 @@
 	Receive(ctx context.Context) (Address, GossipMessage, error)
 }
 
+// Handover asks other VMs to hand databases over.
+type Handover interface {
+	// Release returns once a VM has nothing in flight on a database that
+	// it no longer owns.
+	Release(ctx context.Context, vm VMID, db DatabaseID) error
+}
+
 // Relayed is a published configuration as peers pass it on.
 type Relayed struct {
 	// Encoded is empty if the peer has nothing newer.
--- a/internal/blackboard/database.go
+++ b/internal/blackboard/database.go
@@ -27,6 +27,8 @@
 	// Retries bounds how often work is sent again. Written by the path of
 	// a request.
 	Retries retry.Budget
+	// InFlight counts the work. Written by the path of a request.
+	InFlight InFlight
 }
 
 // Await waits until the group satisfies a condition, and returns the group
--- a/internal/control/group/group.go
+++ b/internal/control/group/group.go
@@ -37,14 +37,20 @@
 	CallTimeout time.Duration
 	// StandOff is how long the VM leaves a database alone after another VM
 	// took its claim.
-	StandOff  time.Duration
-	Promotion promotion.Config
+	StandOff time.Duration
+	// Handover asks the VM that owned a database before to finish its work;
+	// nil means that claims are taken at once.
+	Handover chervilladder.Handover
+	// ReleaseTimeout bounds the wait for that.
+	ReleaseTimeout time.Duration
+	Promotion      promotion.Config
 }
 
 // Controller runs a supervisor for each database that this VM owns.
 type Controller struct {
 	Config
 	running map[chervilladder.DatabaseID]*supervisor
+	retired chan chervilladder.DatabaseID
 	wait    sync.WaitGroup
 }
 
@@ -60,7 +66,12 @@
 	setDefault(&c.StandOff, 2*time.Second)
 	setDefault(&c.Promotion.SuspectAfter, 700*time.Millisecond)
 	setDefault(&c.Promotion.FreshFor, time.Second)
-	return &Controller{Config: c, running: make(map[chervilladder.DatabaseID]*supervisor)}, nil
+	setDefault(&c.ReleaseTimeout, 15*time.Second)
+	return &Controller{
+		Config:  c,
+		running: make(map[chervilladder.DatabaseID]*supervisor),
+		retired: make(chan chervilladder.DatabaseID),
+	}, nil
 }
 
 func setDefault(d *time.Duration, value time.Duration) {
@@ -80,6 +91,8 @@
 		select {
 		case <-ownersChanged:
 		case <-catalogueChanged:
+		case id := <-c.retired:
+			delete(c.running, id)
 		case <-ctx.Done():
 			return nil
 		}
@@ -90,9 +103,8 @@
 // configuration.
 func (c *Controller) reconcile(ctx context.Context, owners blackboard.Owners, catalogue *chervilladder.Catalogue) {
 	for id, s := range c.running {
-		if !c.owned(id, owners, catalogue) {
-			s.stop()
-			delete(c.running, id)
+		if !c.owned(id, owners, catalogue) && !s.retiring.Swap(true) {
+			c.retire(ctx, s)
 		}
 	}
 	if catalogue == nil {
@@ -125,13 +137,30 @@
 		id:     db.ID,
 		state:  c.Board.Databases.Get(db.ID),
 		stop:   stop,
+		done:   make(chan struct{}),
 		log:    c.Log.WithField("database", db.ID),
 	}
 	s.database.Store(db)
-	c.wait.Go(func() { s.run(ctx) })
+	c.wait.Go(func() {
+		defer close(s.done)
+		s.run(ctx)
+	})
 	return s
 }
 
+// retire stops a supervisor once its work in flight has ended. Until then it
+// stays among the running ones, so that no second one starts beside it.
+func (c *Controller) retire(ctx context.Context, s *supervisor) {
+	c.wait.Go(func() {
+		s.retire(ctx)
+		<-s.done
+		select {
+		case c.retired <- s.id:
+		case <-ctx.Done():
+		}
+	})
+}
+
 func (c *Controller) stopAll() {
 	for _, s := range c.running {
 		s.stop()
--- a/internal/control/group/supervisor.go
+++ b/internal/control/group/supervisor.go
@@ -26,10 +26,15 @@
 	database atomic.Pointer[chervilladder.Database]
 	state    *blackboard.Database
 	stop     context.CancelFunc
+	done     chan struct{} // closed once the supervisor has stopped
 	log      *logrus.Entry
 
 	use use
 
+	// retiring is set once another VM is the owner. The work in flight goes
+	// on, but neither claim nor promotion is begun.
+	retiring atomic.Bool
+	release  *release
 	// standOffUntil is when the claim may be taken again.
 	standOffUntil time.Time
 	// promoteAfter holds back the next promotion after a failed one.
@@ -110,6 +115,9 @@
 		s.suspend()
 		return
 	}
+	if s.retiring.Load() {
+		return
+	}
 	if cause := promotion.Assess(s.Promotion, g, now); cause != promotion.CauseNone {
 		if now.After(s.promoteAfter) {
 			s.promoteAfter = now.Add(s.CallTimeout)
@@ -117,7 +125,8 @@
 		}
 		return
 	}
-	if g.Primary != "" && g.Claim == 0 && !superseded(g) && now.After(s.standOffUntil) && g.Members[g.Primary].Err == nil {
+	mayClaim := g.Primary != "" && g.Claim == 0 && !superseded(g) && now.After(s.standOffUntil) && g.Members[g.Primary].Err == nil
+	if mayClaim && s.released(ctx, g) {
 		s.claim(ctx, db, g)
 	}
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"sync"
 	"time"
 
@@ -36,6 +37,11 @@
 	conns map[chervilladder.Address]*grpc.ClientConn
 }
 
+var (
+	_ chervilladder.Relay    = (*Client)(nil)
+	_ chervilladder.Handover = (*Client)(nil)
+)
+
 // NewClient returns a client that finds its peers on the blackboard.
 func NewClient(b *blackboard.Board) *Client {
 	return &Client{board: b, conns: make(map[chervilladder.Address]*grpc.ClientConn)}
@@ -88,6 +94,22 @@
 	return chervilladder.Relayed{Encoded: r.GetBundle(), Delta: r.GetDelta()}, nil
 }
 
+// Release asks a VM to finish its work on a database that it no longer owns.
+func (c *Client) Release(ctx context.Context, vm chervilladder.VMID, db chervilladder.DatabaseID) error {
+	m, ok := c.board.Members.Load().Members[vm]
+	if !ok {
+		return fmt.Errorf("peer %s: release: not a member", vm)
+	}
+	client, err := c.client(m.VM.Peer)
+	if err != nil {
+		return err
+	}
+	if _, err := client.Release(ctx, &peerpb.ReleaseRequest{Database: string(db)}); err != nil {
+		return fmt.Errorf("peer %s: release: %w", vm, err)
+	}
+	return nil
+}
+
 func (c *Client) client(a chervilladder.Address) (peerpb.PeerClient, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -119,11 +141,12 @@
 	commits  bool       // the last batch may commit
 }
 
-// Send passes on a batch.
+// Send passes on a batch. A stream that the owner has ended already holds the
+// reason, which Recv returns.
 func (x *exchange) Send(b chervilladder.Batch) error {
 	x.sent, x.commits = true, b.Commits
 	err := x.send(&peerpb.RunRequest{Kind: &peerpb.RunRequest_Batch{Batch: encodeBatch(b)}})
-	if err != nil {
+	if err != nil && !errors.Is(err, io.EOF) {
 		return x.lost(err)
 	}
 	return nil
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -48,16 +49,34 @@
 	return s
 }
 
-// Run serves until the context ends.
+// stopTimeout bounds the wait for calls of peers that are not answered yet.
+const stopTimeout = 2 * time.Second
+
+// Run serves until the context ends. Calls that are under way then are
+// answered first.
 func (s *Server) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, s.grpc.Stop)
-	defer stop()
+	stopped := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		s.stop()
+	})
+	defer func() {
+		if !stop() {
+			<-stopped
+		}
+	}()
 	if err := s.grpc.Serve(s.config.Listener); err != nil && ctx.Err() == nil {
 		return fmt.Errorf("peer: serve: %w", err)
 	}
 	return nil
 }
 
+func (s *Server) stop() {
+	cut := time.AfterFunc(stopTimeout, s.grpc.Stop)
+	defer cut.Stop()
+	s.grpc.GracefulStop()
+}
+
 // Pull returns the configuration in force if it is newer than asked for.
 func (s *service) Pull(_ context.Context, r *peerpb.PullRequest) (*peerpb.PullResponse, error) {
 	p := s.Board.Published.Load()
