Take the scenarios' ports from below the kernel's range

Cause: scenarios failed with "address already in use" now that a VM also listens for operators and by UDP. The harness looked for free ports in the range that the kernel gives to outgoing connections, so that a connection could take one before its process listened, or while it was down, and it asked about TCP alone.

Ruled out: the daemon, which names the port that was taken.

Change: ports come from 10000 to 29999, are asked for by TCP and UDP, and test processes that run at once start at different places. The scenarios themselves are unchanged.

--- a/internal/scenario/world_test.go
+++ b/internal/scenario/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -72,18 +74,47 @@
 	return w, nil
 }
 
-// freeAddresses returns loopback addresses that were free a moment ago.
+// The ports of a world's processes. They lie below those that the kernel gives
+// to outgoing connections: one of those can take a port between the look and
+// the listening, or while its process is down.
+const (
+	firstPort = 10000
+	ports     = 20000
+)
+
+// nextPort is where the look for a free port goes on. Test processes that run
+// at once start at different places.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 211) }
+
+// freeAddresses returns loopback addresses that nobody uses, by TCP or UDP.
 func freeAddresses(n int) ([]string, error) {
 	var list []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
+	for range ports {
+		a := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports)
+		if free(a) {
+			list = append(list, a)
+		}
+		if len(list) == n {
+			return list, nil
 		}
-		defer l.Close()
-		list = append(list, l.Addr().String())
 	}
-	return list, nil
+	return nil, errors.New("no port is free")
+}
+
+func free(address string) bool {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer l.Close()
+	u, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	defer u.Close()
+	return true
 }
 
 func (w *world) startPlatform(worldConfig) error {
