--- /dev/null
+++ b/internal/jsonc/decoder.go
@@ -0,0 +1,92 @@
+package jsonc
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// Decoder walks the syntax tree of one file and collects its faults:
+//
+//	d := jsonc.New("settings.json", text)
+//	if o, ok := d.File("vm", "callers"); ok {
+//		s.VM = o.Identifier("vm", true)
+//	}
+//	return s, d.Err()
+type Decoder struct {
+	name   string
+	text   []byte
+	faults []*FaultError
+}
+
+// New returns a decoder of a file's text.
+func New(name string, text []byte) *Decoder {
+	return &Decoder{name: name, text: text}
+}
+
+// Err returns a *CheckError with all faults found so far, or nil.
+func (d *Decoder) Err() error { return newCheckError(d.faults) }
+
+// File parses the text, which has to be one object with the given keys.
+func (d *Decoder) File(keys ...string) (Object, bool) {
+	v, err := hujson.Parse(d.text)
+	if err != nil {
+		d.syntaxFault(err)
+		return Object{}, false
+	}
+	return d.object(v, "the file", keys)
+}
+
+func (d *Decoder) syntaxFault(err error) {
+	f := &FaultError{File: d.name, Line: 1, Column: 1, What: err.Error(), Fix: "write JSON; comments and closing commas are allowed"}
+	const format = "hujson: line %d, column %d:"
+	if n, _ := fmt.Sscanf(err.Error(), format, &f.Line, &f.Column); n == 2 {
+		if cause := errors.Unwrap(err); cause != nil {
+			f.What = cause.Error()
+		}
+	}
+	d.faults = append(d.faults, f)
+}
+
+func (d *Decoder) fault(offset int, what, fix string) {
+	before := d.text[:min(offset, len(d.text))]
+	d.faults = append(d.faults, &FaultError{
+		File:   d.name,
+		Line:   1 + bytes.Count(before, []byte("\n")),
+		Column: len(before) - bytes.LastIndexByte(before, '\n'),
+		What:   what,
+		Fix:    fix,
+	})
+}
+
+func (d *Decoder) wrongType(v hujson.Value, what, want string) {
+	d.fault(v.StartOffset, what+" has the wrong type", "write "+want)
+}
+
+// object checks that v is an object with known keys, none of them doubled.
+func (d *Decoder) object(v hujson.Value, what string, keys []string) (Object, bool) {
+	o := Object{d: d, what: what, offset: v.StartOffset, fields: make(map[string]hujson.Value)}
+	tree, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.wrongType(v, what, "an object in braces")
+		return o, false
+	}
+	for _, m := range tree.Members {
+		key := m.Name.Value.(hujson.Literal).String()
+		_, doubled := o.fields[key]
+		switch {
+		case !slices.Contains(keys, key):
+			d.fault(m.Name.StartOffset, fmt.Sprintf("%s has no key %q", what, key),
+				"remove it, or use one of "+strings.Join(keys, ", "))
+		case doubled:
+			d.fault(m.Name.StartOffset, fmt.Sprintf("%s has the key %q twice", what, key), "remove one of them")
+		default:
+			o.fields[key] = m.Value
+		}
+	}
+	return o, true
+}
--- /dev/null
+++ b/internal/jsonc/fault.go
@@ -0,0 +1,64 @@
+// Package jsonc reads files of JSON with comments, and reports all that is
+// wrong with one at once, each fault with its place and the fix.
+package jsonc
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// FaultError is one fault in a file.
+type FaultError struct {
+	File   string
+	Line   int
+	Column int
+	// What says what is wrong.
+	What string
+	// Fix says what to do.
+	Fix string
+}
+
+// Error gives the place, the fault and the fix on one line.
+func (e *FaultError) Error() string {
+	return fmt.Sprintf("%s:%d:%d: %s; %s", e.File, e.Line, e.Column, e.What, e.Fix)
+}
+
+// CheckError holds every fault that a check has found, in order of place.
+type CheckError struct {
+	Faults []*FaultError
+}
+
+// Error lists the faults, one a line.
+func (e *CheckError) Error() string {
+	lines := make([]string, 0, len(e.Faults))
+	for _, f := range e.Faults {
+		lines = append(lines, f.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the faults, so that errors.As finds a *FaultError.
+func (e *CheckError) Unwrap() []error {
+	errs := make([]error, 0, len(e.Faults))
+	for _, f := range e.Faults {
+		errs = append(errs, f)
+	}
+	return errs
+}
+
+// newCheckError returns the faults as an error, or nil if there are none.
+func newCheckError(faults []*FaultError) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(faults, func(a, b *FaultError) int {
+		return cmp.Or(
+			cmp.Compare(a.File, b.File),
+			cmp.Compare(a.Line, b.Line),
+			cmp.Compare(a.Column, b.Column),
+		)
+	})
+	return &CheckError{Faults: faults}
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,141 @@
+// Package operator speaks HTTP to operators: status, health and counters of
+// one VM, and the order to drain it.
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+)
+
+// The bounds of a call.
+const (
+	headerTimeout   = 5 * time.Second
+	idleTimeout     = time.Minute
+	shutdownTimeout = time.Second
+)
+
+// Config says what a Server works with.
+type Config struct {
+	Board    *blackboard.Board
+	Listener net.Listener
+	Log      *logrus.Logger
+	// Token lets in parties that are not on loopback; without one, none is.
+	Token Token
+	// Drain makes the VM leave. It returns at once and may be called again.
+	Drain func()
+	// Vars holds the counters.
+	Vars *expvar.Map
+	// Burn may be nil.
+	Burn chervilladder.Burn
+}
+
+// Server answers operators.
+type Server struct {
+	Config
+	http *http.Server
+}
+
+// New returns a server; it serves once Run is called.
+func New(c Config) (*Server, error) {
+	if c.Board == nil || c.Listener == nil || c.Log == nil || c.Drain == nil || c.Vars == nil {
+		return nil, errors.New("operator: board, listener, log, drain and vars are required")
+	}
+	s := &Server{Config: c}
+	s.http = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return s, nil
+}
+
+// Run serves until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	done := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(done)
+		last, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = s.http.Shutdown(last)
+	})
+	err := s.http.Serve(s.Listener)
+	if !stop() {
+		<-done
+		return nil
+	}
+	return fmt.Errorf("operator: serve: %w", err)
+}
+
+// Handler returns what answers the calls.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/status", s.serveStatus)
+	mux.HandleFunc("GET /v1/burn", s.serveBurn)
+	mux.HandleFunc("POST /v1/drain", s.serveDrain)
+	mux.HandleFunc("GET /healthz", s.serveHealth)
+	mux.HandleFunc("GET /readyz", s.serveReady)
+	mux.HandleFunc("GET /debug/vars", s.serveVars)
+	return s.Token.guard(mux)
+}
+
+func (s *Server) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	data, err := json.Marshal(NewStatus(s.Board, time.Now()))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	writeJSON(w, data)
+}
+
+func (s *Server) serveBurn(w http.ResponseWriter, _ *http.Request) {
+	if s.Burn == nil {
+		http.Error(w, "this VM keeps no burn report", http.StatusNotFound)
+		return
+	}
+	var report bytes.Buffer
+	if err := s.Burn.WriteJSON(&report); err != nil {
+		s.Log.WithError(err).Warn("operator: burn report failed")
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	writeJSON(w, report.Bytes())
+}
+
+func (s *Server) serveDrain(w http.ResponseWriter, r *http.Request) {
+	s.Log.WithField("operator", r.RemoteAddr).Info("operator: drain ordered")
+	s.Drain()
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if s.Board.Local.Load().Draining {
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return
+	}
+	if s.Board.Catalogue.Load() == nil {
+		http.Error(w, "no configuration is in force", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (s *Server) serveVars(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, []byte(s.Vars.String()))
+}
+
+func writeJSON(w http.ResponseWriter, data []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(data, '\n'))
+}
