Drain a VM in order, and read its settings with all faults

Cause: on a signal all parts but the callers' side stopped at once, so work of other VMs was cut, and the databases of the VM stayed without an owner until it was found dead.

Ruled out: stopping by one context with delays (the order would hang on the machine's load).

Change: control/drain writes the local section, ordered by a signal, an operator or the platform's list. Each part of the daemon ends before the next is told to: drain, callers, handover, operators, peers, groups, ownership, configuration, and membership last, which tells that the VM stops.

--- a/cmd/chervilladder/main.go
+++ b/cmd/chervilladder/main.go
@@ -8,9 +8,9 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/oklog/run"
-	"github.com/sirupsen/logrus"
 
 	"github.com/chervilladder/chervilladder/internal/daemon"
+	"github.com/chervilladder/chervilladder/internal/logs"
 )
 
 // The exit codes.
@@ -45,7 +45,11 @@
 	if o.Check {
 		return exitDone
 	}
-	log := logrus.New()
+	log, err := logs.New(logs.Config{Output: os.Stderr, Format: s.LogFormat, Level: s.LogLevel})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
 	err = daemon.Run(daemon.Config{Settings: s, Log: log})
 	var signal run.SignalError
 	if err != nil && !errors.As(err, &signal) {
--- /dev/null
+++ b/internal/control/drain/drain.go
@@ -0,0 +1,69 @@
+// Package drain makes this VM leave. It writes the local section of the
+// blackboard; others read there that the VM drains, announce it, move its
+// databases and turn callers away.
+package drain
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+)
+
+// Config says what a Controller works with.
+type Config struct {
+	Board *blackboard.Board
+	Log   *logrus.Logger
+}
+
+// Controller waits for the order to drain: by Begin, by the platform's list,
+// or by the end of its context.
+type Controller struct {
+	Config
+	once  sync.Once
+	begun chan struct{}
+}
+
+// New returns a controller.
+func New(c Config) (*Controller, error) {
+	if c.Board == nil || c.Log == nil {
+		return nil, errors.New("drain: board and log are required")
+	}
+	return &Controller{Config: c, begun: make(chan struct{})}, nil
+}
+
+// Begin orders the drain. It may be called again.
+func (c *Controller) Begin() {
+	c.once.Do(func() { close(c.begun) })
+}
+
+// Run waits for the order and returns once it is on the blackboard.
+func (c *Controller) Run(ctx context.Context) error {
+	cause := c.await(ctx)
+	c.Board.Local.Update(func(l blackboard.Local) blackboard.Local {
+		l.Draining = true
+		return l
+	})
+	c.Log.WithField("cause", cause).Info("drain: begun")
+	return nil
+}
+
+// await returns who ordered the drain.
+func (c *Controller) await(ctx context.Context) string {
+	for {
+		members, changed := c.Board.Members.Watch()
+		if members.Members[c.Board.Self.ID].State == blackboard.MemberDraining {
+			return "platform"
+		}
+		select {
+		case <-changed:
+		case <-c.begun:
+			return "operator"
+		case <-ctx.Done():
+			return "stop"
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/build.go
@@ -0,0 +1,191 @@
+package daemon
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/caller"
+	"github.com/chervilladder/chervilladder/internal/control/configuration"
+	"github.com/chervilladder/chervilladder/internal/control/drain"
+	"github.com/chervilladder/chervilladder/internal/control/group"
+	"github.com/chervilladder/chervilladder/internal/control/membership"
+	"github.com/chervilladder/chervilladder/internal/control/ownership"
+	"github.com/chervilladder/chervilladder/internal/metrics"
+	"github.com/chervilladder/chervilladder/internal/operator"
+	"github.com/chervilladder/chervilladder/internal/peer"
+	"github.com/chervilladder/chervilladder/internal/platform"
+	"github.com/chervilladder/chervilladder/internal/route"
+	"github.com/chervilladder/chervilladder/internal/upstream"
+)
+
+// lingerTime is how long a VM that drains answers peers that may not have
+// heard of it.
+const lingerTime = 2 * time.Second
+
+// sockets are what a VM listens on.
+type sockets struct {
+	callers, peers, operators net.Listener
+	gossip                    *peer.Gossip
+}
+
+// build returns the parts in the order in which they are to stop.
+func build(c Config, board *blackboard.Board) ([]actor, error) {
+	store, err := platform.New(platform.Config{Address: string(c.Settings.Platform)})
+	if err != nil {
+		return nil, err
+	}
+	s, err := open(c)
+	if err != nil {
+		return nil, err
+	}
+	vars := newVars(board, store, s.gossip)
+	remote := peer.NewClient(board)
+	local := route.NewLocal(route.LocalConfig{Board: board, Executor: upstream.New(upstream.Config{Board: board})})
+	front, err := buildFront(c, board, s, vars, local, remote)
+	if err != nil {
+		return nil, err
+	}
+	back, err := buildBack(c, board, s, store, local, remote)
+	if err != nil {
+		return nil, err
+	}
+	return append(front, back...), nil
+}
+
+// buildFront returns what stops first: the drain, the callers' side, and the
+// handover of databases.
+func buildFront(c Config, board *blackboard.Board, s sockets, vars *vars, local chervilladder.Executor, remote *peer.Client) ([]actor, error) {
+	leave, err := drain.New(drain.Config{Board: board, Log: c.Log})
+	if err != nil {
+		return nil, err
+	}
+	callers, err := caller.New(caller.Config{
+		Board:                  board,
+		Executor:               metrics.Work{Executor: route.New(route.Config{Board: board, Local: local, Remote: remote}), Outcomes: &vars.outcomes},
+		Listener:               metrics.Callers{Listener: s.callers, Connected: &vars.callers},
+		Log:                    c.Log,
+		StartTimeout:           c.Settings.StartTimeout,
+		IdleTransactionTimeout: c.Settings.IdleTransactionTimeout,
+		DrainTimeout:           c.Settings.DrainTimeout,
+	})
+	if err != nil {
+		return nil, err
+	}
+	handover, err := drain.NewHandover(drain.HandoverConfig{
+		Board: board, Log: c.Log, Linger: lingerTime, Timeout: c.Settings.DrainTimeout,
+	})
+	if err != nil {
+		return nil, err
+	}
+	operators, err := operator.New(operator.Config{
+		Board: board, Listener: s.operators, Log: c.Log, Token: c.Settings.OperatorsToken,
+		Drain: leave.Begin, Vars: &vars.all, Burn: c.Burn,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return []actor{leave, callers, handover, operators}, nil
+}
+
+// buildBack returns what has to run until all work is done. Membership stops
+// last, so that the VM isn't suspected before it has said that it stops.
+func buildBack(c Config, board *blackboard.Board, s sockets, store *platform.Client, local chervilladder.Executor, remote *peer.Client) ([]actor, error) {
+	groups, err := group.New(group.Config{
+		Board: board, Platform: store, Dial: dialMember, Log: c.Log,
+		Handover: remote, ReleaseTimeout: c.Settings.DrainTimeout,
+	})
+	if err != nil {
+		return nil, err
+	}
+	services, err := configuration.New(configuration.Config{Board: board, Platform: store, Relay: remote, Log: c.Log})
+	if err != nil {
+		return nil, err
+	}
+	members, err := membership.New(membership.Config{
+		Board: board, Platform: store, Gossip: s.gossip, Log: c.Log, Join: c.Settings.Join,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return []actor{
+		peer.NewServer(peer.ServerConfig{Board: board, Executor: local, Listener: s.peers}),
+		groups,
+		remote,
+		ownership.New(ownership.Config{Board: board, Log: c.Log}),
+		services,
+		members,
+	}, nil
+}
+
+func dialMember(ctx context.Context, u chervilladder.Upstream) (chervilladder.Member, error) {
+	return upstream.DialMember(ctx, u)
+}
+
+func open(c Config) (sockets, error) {
+	var s sockets
+	var err error
+	if s.callers, err = listen(c.Settings.Callers); err != nil {
+		return s, err
+	}
+	if s.peers, err = listen(c.Settings.Peers); err != nil {
+		return s, err
+	}
+	if s.operators, err = listen(c.Settings.Operators); err != nil {
+		return s, err
+	}
+	s.gossip, err = peer.NewGossip(peer.GossipConfig{
+		Address: c.Settings.Peers,
+		Key:     c.Settings.PeerKey,
+		Dropped: func(err error) { c.Log.WithError(err).Warn("peer: datagram dropped") },
+	})
+	return s, err
+}
+
+func listen(a chervilladder.Address) (net.Listener, error) {
+	l, err := net.Listen("tcp", string(a))
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return l, nil
+}
+
+// vars are the counters of a VM.
+type vars struct {
+	all, outcomes expvar.Map
+	callers       expvar.Int
+}
+
+func newVars(board *blackboard.Board, store *platform.Client, gossip *peer.Gossip) *vars {
+	v := &vars{}
+	v.all.Set("callers-connected", &v.callers)
+	v.all.Set("work-by-outcome", &v.outcomes)
+	v.all.Set("platform-calls", expvar.Func(func() any { return store.Stats() }))
+	v.all.Set("gossip", expvar.Func(func() any { return gossip.Stats() }))
+	v.all.Set("members", expvar.Func(func() any { return len(board.Members.Load().Members) }))
+	v.all.Set("owned-databases", expvar.Func(func() any { return ownedDatabases(board) }))
+	v.all.Set("work-in-flight", expvar.Func(func() any { return inFlight(board) }))
+	return v
+}
+
+func ownedDatabases(board *blackboard.Board) int {
+	n := 0
+	for _, vm := range board.Owners.Load().ByDatabase {
+		if vm == board.Self.ID {
+			n++
+		}
+	}
+	return n
+}
+
+func inFlight(board *blackboard.Board) int {
+	n := 0
+	for _, db := range board.Databases.All() {
+		n += db.InFlight.Count()
+	}
+	return n
+}
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -2,47 +2,142 @@
 package daemon
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"os"
-
-	"github.com/tailscale/hujson"
+	"time"
 
 	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/jsonc"
+	"github.com/chervilladder/chervilladder/internal/logs"
+	"github.com/chervilladder/chervilladder/internal/operator"
+	"github.com/chervilladder/chervilladder/internal/peer"
 )
 
 // Settings is the settings file of a VM: JSON with comments, kebab case.
 type Settings struct {
-	VM         chervilladder.VMID         `json:"vm"`
-	DataCentre chervilladder.DataCentreID `json:"data-centre"`
+	VM         chervilladder.VMID
+	DataCentre chervilladder.DataCentreID
 	// Callers is where the VM listens for callers.
-	Callers chervilladder.Address `json:"callers"`
-	// Peers is where the VM listens for its peers.
-	Peers chervilladder.Address `json:"peers"`
+	Callers chervilladder.Address
+	// Peers is where the VM listens for its peers, by TCP and by UDP.
+	Peers chervilladder.Address
 	// Operators is where the VM listens for operators.
-	Operators chervilladder.Address `json:"operators"`
+	Operators chervilladder.Address
 	// Platform is where the platform's object API listens.
-	Platform  chervilladder.Address `json:"platform"`
-	LogFormat string                `json:"log-format"`
-	LogLevel  string                `json:"log-level"`
+	Platform chervilladder.Address
+	// Join lists peers to ask while the platform is down.
+	Join []chervilladder.Address
+	// PeerKey authenticates the datagrams between the VMs.
+	PeerKey peer.Key
+	// OperatorsToken lets operators in from other VMs.
+	OperatorsToken operator.Token
+	LogFormat      logs.Format
+	LogLevel       string
+	// DrainTimeout bounds the wait for work in flight when the VM stops.
+	DrainTimeout time.Duration
+	// StartTimeout bounds the time in which a caller has to sign in.
+	StartTimeout time.Duration
+	// IdleTransactionTimeout bounds the wait for the next statement of an
+	// open transaction.
+	IdleTransactionTimeout time.Duration
 }
 
-// ReadSettings reads and checks a settings file.
+// The keys of a settings file.
+const (
+	keyVM                     = "vm"
+	keyDataCentre             = "data-centre"
+	keyCallers                = "callers"
+	keyPeers                  = "peers"
+	keyOperators              = "operators"
+	keyPlatform               = "platform"
+	keyJoin                   = "join"
+	keyPeerKey                = "peer-key"
+	keyOperatorsToken         = "operators-token"
+	keyLogFormat              = "log-format"
+	keyLogLevel               = "log-level"
+	keyDrainTimeout           = "drain-timeout"
+	keyStartTimeout           = "start-timeout"
+	keyIdleTransactionTimeout = "idle-transaction-timeout"
+)
+
+// The bounds and defaults of the settings.
+const (
+	minTimeout             = 100 * time.Millisecond
+	maxTimeout             = 10 * time.Minute
+	defaultDrainTimeout    = 15 * time.Second
+	defaultStartTimeout    = 10 * time.Second
+	defaultIdleTransaction = 10 * time.Second
+	minSecretBytes         = 16
+)
+
+// ReadSettings reads and checks a settings file. Its error is a
+// *jsonc.CheckError with every fault if the file could be read.
 func ReadSettings(path string) (Settings, error) {
-	var s Settings
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return s, fmt.Errorf("settings: %w", err)
+		return Settings{}, fmt.Errorf("settings: %w; check the path", err)
 	}
-	plain, err := hujson.Standardize(text)
-	if err != nil {
-		return s, fmt.Errorf("settings: %s: %w", path, err)
+	return ParseSettings(path, text)
+}
+
+// ParseSettings checks the text of a settings file.
+func ParseSettings(name string, text []byte) (Settings, error) {
+	d := jsonc.New(name, text)
+	o, ok := d.File(keyVM, keyDataCentre, keyCallers, keyPeers, keyOperators, keyPlatform, keyJoin, keyPeerKey,
+		keyOperatorsToken, keyLogFormat, keyLogLevel, keyDrainTimeout, keyStartTimeout, keyIdleTransactionTimeout)
+	if !ok {
+		return Settings{}, d.Err()
 	}
-	d := json.NewDecoder(bytes.NewReader(plain))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil {
-		return s, fmt.Errorf("settings: %s: %w", path, err)
+	s := Settings{
+		VM:             chervilladder.VMID(o.Identifier(keyVM, jsonc.Required)),
+		DataCentre:     chervilladder.DataCentreID(o.Identifier(keyDataCentre, jsonc.Required)),
+		Callers:        o.Address(keyCallers, jsonc.Required),
+		Peers:          o.Address(keyPeers, jsonc.Required),
+		Operators:      o.Address(keyOperators, jsonc.Required),
+		Platform:       o.Address(keyPlatform, jsonc.Required),
+		Join:           o.Addresses(keyJoin, jsonc.Optional),
+		PeerKey:        peer.Key(secret(o, keyPeerKey)),
+		OperatorsToken: operator.Token(secret(o, keyOperatorsToken)),
+		LogFormat:      logs.Format(o.Word(keyLogFormat, string(logs.FormatText), string(logs.FormatJSON))),
+		LogLevel:       o.Word(keyLogLevel, "info", "error", "warn", "debug"),
+	}
+	s.DrainTimeout = o.Duration(keyDrainTimeout, minTimeout, maxTimeout, defaultDrainTimeout)
+	s.StartTimeout = o.Duration(keyStartTimeout, minTimeout, maxTimeout, defaultStartTimeout)
+	s.IdleTransactionTimeout = o.Duration(keyIdleTransactionTimeout, minTimeout, maxTimeout, defaultIdleTransaction)
+	s.checkDistinct(o)
+	if err := d.Err(); err != nil {
+		return Settings{}, err
 	}
 	return s, nil
 }
+
+// secret returns a text that is too long to be guessed.
+func secret(o jsonc.Object, key string) string {
+	s := o.Text(key, jsonc.Optional)
+	if s != "" && len(s) < minSecretBytes {
+		o.Fault(key, fmt.Sprintf(" has %d bytes", len(s)), fmt.Sprintf("give at least %d, drawn at random", minSecretBytes))
+	}
+	return s
+}
+
+// checkDistinct faults addresses that are given for two purposes.
+func (s Settings) checkDistinct(o jsonc.Object) {
+	users := make(map[chervilladder.Address]string)
+	for _, u := range []struct {
+		key     string
+		address chervilladder.Address
+	}{
+		{keyCallers, s.Callers},
+		{keyPeers, s.Peers},
+		{keyOperators, s.Operators},
+		{keyPlatform, s.Platform},
+	} {
+		if u.address == "" {
+			continue
+		}
+		if first, taken := users[u.address]; taken {
+			o.Fault(u.key, fmt.Sprintf(" is %s, as is %q", u.address, first), "give each its own port")
+		}
+		users[u.address] = u.key
+	}
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -65,6 +65,9 @@
 
 			"all-known": cmdAllKnown,
 			"ctl":       cmdCtl,
+			"drain":     cmdDrain,
+			"owns":      cmdOwns,
+			"ends":      cmdEnds,
 		},
 	})
 }
