--- a/internal/scenario/world_test.go
+++ b/internal/scenario/world_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -75,38 +74,47 @@
 	return w, nil
 }
 
-// The ports of worlds. They lie below those that the kernel gives to outgoing
-// connections, which could otherwise take one before its process listens.
+// The ports of a world's processes. They lie below those that the kernel gives
+// to outgoing connections: one of those can take a port between the look and
+// the listening, or while its process is down.
 const (
 	firstPort = 10000
-	lastPort  = 19999
+	ports     = 20000
 )
 
-// nextPort counts through the ports from a place that other runs on the same
-// VM hardly share.
+// nextPort is where the look for a free port goes on. Test processes that run
+// at once start at different places.
 var nextPort atomic.Int64
 
-func init() {
-	nextPort.Store(rand.Int64N(lastPort - firstPort))
-}
+func init() { nextPort.Store(int64(os.Getpid()) * 211) }
 
-// freeAddresses returns loopback addresses on which nothing listens.
+// freeAddresses returns loopback addresses that nobody uses, by TCP or UDP.
 func freeAddresses(n int) ([]string, error) {
 	var list []string
-	for tries := 0; len(list) < n; tries++ {
-		if tries > lastPort-firstPort {
-			return nil, errors.New("no free ports")
+	for range ports {
+		a := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports)
+		if free(a) {
+			list = append(list, a)
 		}
-		port := firstPort + nextPort.Add(1)%(lastPort-firstPort+1)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+		if len(list) == n {
+			return list, nil
 		}
-		l.Close()
-		list = append(list, address)
 	}
-	return list, nil
+	return nil, errors.New("no port is free")
+}
+
+func free(address string) bool {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer l.Close()
+	u, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	defer u.Close()
+	return true
 }
 
 func (w *world) startPlatform(worldConfig) error {
