Let the checkers share their faults, and the client the VM's status

Written twice by different hands: fault.go of the service file and of the settings (60 lines alike), and the status that a VM sends and that the client reads. Each stands once now; servicefile keeps its names as aliases.

--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/operator"
 )
 
 type drain struct {
@@ -39,7 +40,7 @@
 // Execute looks the VM up and drains it.
 func (k *drain) Execute([]string) error {
 	vm := chervilladder.VMID(k.Args.VM)
-	answers, errs := askAll[vmStatus](k.console.ctx, k.vmOptions, "/v1/status")
+	answers, errs := askAll[operator.Status](k.console.ctx, k.vmOptions, "/v1/status")
 	for i, a := range answers {
 		if errs[i] != nil || a.VM != vm {
 			continue
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/operator"
 )
 
 type status struct {
@@ -26,17 +27,17 @@
 
 // statusResult holds the answers of the VMs that gave one.
 type statusResult struct {
-	VMs []vmStatus `json:"vms"`
+	VMs []operator.Status `json:"vms"`
 	// Groups holds each group as the VM that knows its highest term sees it.
-	Groups []vmGroup `json:"groups"`
+	Groups []operator.GroupStatus `json:"groups"`
 	// Mixed is set when the VMs run more than one revision.
 	Mixed bool `json:"mixed"`
 }
 
 // Execute asks the VMs. It shows the good answers also when some are missing.
 func (k *status) Execute([]string) error {
-	answers, errs := askAll[vmStatus](k.console.ctx, k.vmOptions, "/v1/status")
-	r := statusResult{VMs: []vmStatus{}}
+	answers, errs := askAll[operator.Status](k.console.ctx, k.vmOptions, "/v1/status")
+	r := statusResult{VMs: []operator.Status{}}
 	for i, a := range answers {
 		if errs[i] == nil {
 			r.VMs = append(r.VMs, a)
@@ -49,8 +50,8 @@
 	return errors.Join(k.console.show(r), errors.Join(errs...))
 }
 
-func newestGroups(vms []vmStatus) []vmGroup {
-	newest := make(map[chervilladder.DatabaseID]vmGroup)
+func newestGroups(vms []operator.Status) []operator.GroupStatus {
+	newest := make(map[chervilladder.DatabaseID]operator.GroupStatus)
 	for _, vm := range vms {
 		for _, g := range vm.Groups {
 			if held, ok := newest[g.Database]; !ok || g.Term > held.Term {
@@ -58,11 +59,11 @@
 			}
 		}
 	}
-	groups := make([]vmGroup, 0, len(newest))
+	groups := make([]operator.GroupStatus, 0, len(newest))
 	for _, g := range newest {
 		groups = append(groups, g)
 	}
-	slices.SortFunc(groups, func(a, b vmGroup) int { return cmp.Compare(a.Database, b.Database) })
+	slices.SortFunc(groups, func(a, b operator.GroupStatus) int { return cmp.Compare(a.Database, b.Database) })
 	return groups
 }
 
--- a/internal/ctl/vm.go
+++ b/internal/ctl/vm.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-
-	"github.com/chervilladder/chervilladder"
 )
 
 // parallelVMs bounds the VMs that are asked at once.
@@ -26,33 +24,6 @@
 	VMTimeout time.Duration `long:"vm-timeout" value-name:"TIME" default:"3s" description:"The time for one call to a VM"`
 }
 
-// vmStatus is what a VM says of itself.
-type vmStatus struct {
-	VM                  chervilladder.VMID         `json:"vm"`
-	DataCentre          chervilladder.DataCentreID `json:"data-centre"`
-	Revision            chervilladder.Revision     `json:"revision"`
-	KnowledgeAgeSeconds float64                    `json:"knowledge-age-seconds"`
-	// State is ready or draining.
-	State   string                     `json:"state"`
-	Owned   []chervilladder.DatabaseID `json:"owned"`
-	Members []vmMember                 `json:"members"`
-	Groups  []vmGroup                  `json:"groups"`
-}
-
-// vmMember is a VM as another one sees it.
-type vmMember struct {
-	VM    chervilladder.VMID `json:"vm"`
-	State string             `json:"state"`
-}
-
-// vmGroup is a database's group as a VM sees it.
-type vmGroup struct {
-	Database chervilladder.DatabaseID `json:"database"`
-	Primary  chervilladder.UpstreamID `json:"primary"`
-	Term     chervilladder.Term       `json:"term"`
-	Owner    chervilladder.VMID       `json:"owner"`
-}
-
 // VMError reports a VM that gave no good answer.
 type VMError struct {
 	Address string
--- a/internal/jsonc/decoder.go
+++ b/internal/jsonc/decoder.go
@@ -29,7 +29,7 @@
 }
 
 // Err returns a *CheckError with all faults found so far, or nil.
-func (d *Decoder) Err() error { return newCheckError(d.faults) }
+func (d *Decoder) Err() error { return NewCheckError(d.faults) }
 
 // File parses the text, which has to be one object with the given keys.
 func (d *Decoder) File(keys ...string) (Object, bool) {
--- a/internal/jsonc/fault.go
+++ b/internal/jsonc/fault.go
@@ -48,8 +48,8 @@
 	return errs
 }
 
-// newCheckError returns the faults as an error, or nil if there are none.
-func newCheckError(faults []*FaultError) error {
+// NewCheckError returns the faults as an error, or nil if there are none.
+func NewCheckError(faults []*FaultError) error {
 	if len(faults) == 0 {
 		return nil
 	}
--- a/pkg/servicefile/fault.go
+++ b/pkg/servicefile/fault.go
@@ -1,62 +1,15 @@
 package servicefile
 
-import (
-	"cmp"
-	"fmt"
-	"slices"
-	"strings"
-)
+import "github.com/chervilladder/chervilladder/internal/jsonc"
 
-// FaultError is one fault in a service file.
-type FaultError struct {
-	File   string
-	Line   int
-	Column int
-	// What says what is wrong.
-	What string
-	// Fix says what to do.
-	Fix string
-}
-
-// Error gives the place, the fault and the fix on one line.
-func (e *FaultError) Error() string {
-	return fmt.Sprintf("%s:%d:%d: %s; %s", e.File, e.Line, e.Column, e.What, e.Fix)
-}
-
-// CheckError holds every fault that a check has found, in order of place.
-type CheckError struct {
-	Faults []*FaultError
-}
-
-// Error lists the faults, one a line.
-func (e *CheckError) Error() string {
-	lines := make([]string, 0, len(e.Faults))
-	for _, f := range e.Faults {
-		lines = append(lines, f.Error())
-	}
-	return strings.Join(lines, "\n")
-}
+// FaultError is one fault in a service file: its place, what is wrong, and the
+// fix.
+type FaultError = jsonc.FaultError
 
-// Unwrap returns the faults, so that errors.As finds a *FaultError.
-func (e *CheckError) Unwrap() []error {
-	errs := make([]error, 0, len(e.Faults))
-	for _, f := range e.Faults {
-		errs = append(errs, f)
-	}
-	return errs
-}
+// CheckError holds all the faults of the files that were checked.
+type CheckError = jsonc.CheckError
 
 // checkError returns the faults as an error, or nil if there are none.
 func checkError(faults []*FaultError) error {
-	if len(faults) == 0 {
-		return nil
-	}
-	slices.SortStableFunc(faults, func(a, b *FaultError) int {
-		return cmp.Or(
-			cmp.Compare(a.File, b.File),
-			cmp.Compare(a.Line, b.Line),
-			cmp.Compare(a.Column, b.Column),
-		)
-	})
-	return &CheckError{Faults: faults}
+	return jsonc.NewCheckError(faults)
 }
