Tell a lost transaction's outcome in the error's detail too

Found by scripts/test: kill-primary had two rows of a transaction that its caller had been told was not run. Cause: the FATAL that ends the connection was built as an error of the proxy's own, whose detail always says 'not-run', while the message named the true outcome. Ruled out: the owner, the peers and the fate of the transaction, by reading each path; position 162 of the failover holds the rows. The FATAL now carries the outcome itself, and errors that say 'unknown' or 'done' no longer unwrap to a cause that says 'not run'.

lost-answer asks for it at the end of a block and failed first; with the change it and kill-primary pass. TestLostTransactionEndsConnection looked for the outcome in the message, which is how the fault went unseen; it now requires it at the start of the detail.

--- a/errors.go
+++ b/errors.go
@@ -44,7 +44,8 @@
 func (e *NotRunError) Unwrap() error { return e.Err }
 
 // UnknownError reports work that may or may not have been done. The caller
-// has to look before it tries again.
+// has to look before it tries again. It doesn't unwrap: its cause may be the
+// refusal of a later attempt, which must not be taken for the outcome.
 type UnknownError struct {
 	Database DatabaseID
 	Upstream UpstreamID
@@ -56,11 +57,8 @@
 	return fmt.Sprintf("database %s: outcome unknown at upstream %s: %v", e.Database, e.Upstream, e.Err)
 }
 
-// Unwrap returns the cause.
-func (e *UnknownError) Unwrap() error { return e.Err }
-
 // DoneError reports work that was done, but whose answer was lost. It must not
-// be sent again.
+// be sent again. It doesn't unwrap, for the same reason as UnknownError.
 type DoneError struct {
 	Database DatabaseID
 	Upstream UpstreamID
@@ -72,9 +70,6 @@
 	return fmt.Sprintf("database %s: done at upstream %s, its answer is lost: %v", e.Database, e.Upstream, e.Err)
 }
 
-// Unwrap returns the cause.
-func (e *DoneError) Unwrap() error { return e.Err }
-
 // UpstreamLostError reports an upstream connection that failed or fell silent.
 type UpstreamLostError struct {
 	Upstream UpstreamID
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -76,7 +76,10 @@
 	var protocol *protocolError
 	var netErr net.Error
 	var wire *writeError
+	var last *fatalError
 	switch {
+	case errors.As(err, &last):
+		s.refuse(last.err)
 	case errors.As(err, &wire):
 		s.server.Log.WithError(err).Debug("caller: answer not taken")
 	case errors.As(err, &protocol):
@@ -159,6 +162,12 @@
 // fatal makes an error end the connection: a caller that has lost a
 // transaction must not go on as if it were open.
 func fatal(err error) error {
-	r := response(err)
-	return &protocolError{code: r.Code, message: r.Message + " (" + r.Detail + ")", hint: r.Hint}
+	return &fatalError{err}
 }
+
+// fatalError ends a connection with an error that says what is known of the
+// outcome.
+type fatalError struct{ err error }
+
+// Error gives the error's message.
+func (e *fatalError) Error() string { return e.err.Error() }
--- a/internal/caller/transaction_test.go
+++ b/internal/caller/transaction_test.go
@@ -42,7 +42,7 @@
 			e := m.(*pgproto3.ErrorResponse)
 			is.Equal(e.Severity, "FATAL")
 			is.Equal(e.Code, c.code)
-			is.True(strings.Contains(e.Message, c.detail))
+			is.True(strings.HasPrefix(e.Detail, c.detail))
 			_, err = f.Receive()
 			is.True(err != nil) // the connection has ended
 		})
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -42,10 +42,11 @@
 
 // The outcomes of work. Work that was not run is counted by its reason too.
 const (
-	outcomeDone    = "done"
-	outcomeUnknown = "unknown"
-	outcomeLost    = "lost"
-	outcomeNotRun  = "not-run"
+	outcomeDone     = "done"
+	outcomeUnknown  = "unknown"
+	outcomeDoneLost = "done-answer-lost"
+	outcomeLost     = "lost"
+	outcomeNotRun   = "not-run"
 )
 
 // Work counts the work of an executor by its outcome.
@@ -98,11 +99,14 @@
 func outcomeOf(err error) string {
 	var notRun *chervilladder.NotRunError
 	var unknown *chervilladder.UnknownError
+	var done *chervilladder.DoneError
 	switch {
 	case errors.As(err, &notRun):
 		return outcomeNotRun + "-" + string(notRun.Reason)
 	case errors.As(err, &unknown):
 		return outcomeUnknown
+	case errors.As(err, &done):
+		return outcomeDoneLost
 	default:
 		return outcomeLost
 	}
