--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -57,10 +57,14 @@
 			"start":  cmdStart,
 			"fault":  cmdFault,
 			"status": cmdStatus,
+			"who":    cmdWho,
 			"load":   cmdLoad,
 			"acked":  cmdAcked,
 			"verify": cmdVerify,
-			"ctl":    cmdCtl,
+			"flood":  cmdFlood,
+
+			"all-known": cmdAllKnown,
+			"ctl":       cmdCtl,
 		},
 	})
 }
@@ -72,6 +76,7 @@
 	world   *world
 	history *history
 	load    *load
+	flood   *flood
 	conns   map[string]*pgx.Conn
 }
 
@@ -122,6 +127,9 @@
 		if s.load != nil {
 			s.load.end()
 		}
+		if s.flood != nil {
+			s.flood.end()
+		}
 		w.stop()
 		if os.Getenv("SCENARIO_LOGS") != "" {
 			ts.Logf("%s", w.logs())
@@ -157,7 +165,8 @@
 
 // [!] sql VM[/CONNECTION] STATEMENT [ARGUMENT…] runs a statement with pgx and
 // prints its rows, or its SQLSTATE and message. A connection that is named
-// stays open.
+// stays open. A statement that begins with "simple:" is sent by the simple
+// protocol.
 func cmdSQL(ts *testscript.TestScript, neg bool, args []string) {
 	s := stateOf(ts)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -191,9 +200,12 @@
 	} else {
 		defer func() { _ = c.Close(ctx) }()
 	}
-	values := make([]any, len(args))
-	for i, a := range args {
-		values[i] = a
+	var values []any
+	if rest, ok := strings.CutPrefix(statement, "simple:"); ok {
+		statement, values = rest, append(values, pgx.QueryExecModeSimpleProtocol)
+	}
+	for _, a := range args {
+		values = append(values, a)
 	}
 	rows, err := c.Query(ctx, statement, values...)
 	if err != nil {
@@ -214,8 +226,22 @@
 	return b.String(), rows.Err()
 }
 
-// signal NAME KILL|STOP|CONT|TERM sends a signal to a process. The name
-// "owner" or "primary" stands for the process that has the role.
+// who sets OWNER to the VM that owns the database, OTHER to another VM, and
+// PRIMARY to the primary.
+func cmdWho(ts *testscript.TestScript, _ bool, _ []string) {
+	w := stateOf(ts).world
+	primary := w.primary()
+	owner := w.statuses()[primary].Holder
+	ts.Setenv("PRIMARY", primary)
+	ts.Setenv("OWNER", owner)
+	for _, vm := range w.vms {
+		if vm != owner {
+			ts.Setenv("OTHER", vm)
+		}
+	}
+}
+
+// signal NAME KILL|STOP|CONT|TERM sends a signal to a process.
 func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
 	signals := map[string]syscall.Signal{
 		"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM,
@@ -288,6 +314,27 @@
 	}
 }
 
+// flood CALLERS starts callers that send background work without a pause;
+// flood stop ends them.
+func cmdFlood(ts *testscript.TestScript, _ bool, args []string) {
+	s := stateOf(ts)
+	if args[0] == "stop" {
+		s.flood.end()
+		s.flood = nil
+		return
+	}
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	s.flood = startFlood(s.world, n)
+}
+
+// all-known fails if a caller was left without knowing the outcome of a write.
+func cmdAllKnown(ts *testscript.TestScript, _ bool, _ []string) {
+	if unknown := stateOf(ts).history.unknown; len(unknown) > 0 {
+		ts.Fatalf("%d writes of unknown outcome:\n%s", len(unknown), strings.Join(unknown, "\n"))
+	}
+}
+
 // [!] ctl ARGUMENT… runs the operators' client against the world's platform.
 func cmdCtl(ts *testscript.TestScript, neg bool, args []string) {
 	w := stateOf(ts).world
--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -19,6 +19,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/standin/upstream"
 	"github.com/chervilladder/chervilladder/internal/standin/upstream/control"
+	"github.com/chervilladder/chervilladder/internal/standin/upstream/group"
 	"github.com/chervilladder/chervilladder/internal/standin/upstream/state"
 )
 
@@ -27,7 +28,7 @@
 
 // member is one member that runs within the test.
 type member struct {
-	t         *testing.T
+	t         testing.TB
 	name      chervilladder.UpstreamID
 	config    upstream.Config
 	listeners upstream.Listeners
@@ -43,12 +44,12 @@
 // newGroup starts the members a, b and c, of which a is the primary.
 func newGroup(t *testing.T, s state.Settings) map[chervilladder.UpstreamID]*member {
 	t.Helper()
-	group := map[chervilladder.UpstreamID]chervilladder.Address{}
+	addresses := group.Addresses{}
 	members := map[chervilladder.UpstreamID]*member{}
 	for _, name := range []chervilladder.UpstreamID{"a", "b", "c"} {
-		m := &member{t: t, name: name, listeners: upstream.Listeners{Callers: listen(t, ""), Group: listen(t, ""), Control: listen(t, "")}}
-		group[name] = chervilladder.Address(m.listeners.Group.Addr().String())
-		m.config = upstream.Config{Name: name, Group: group, Primary: "a", Settings: s, Log: quiet(), Die: func() {}}
+		m := &member{t: t, name: name, listeners: upstream.Listeners{Callers: listen(t), Group: listen(t), Control: listen(t)}}
+		addresses[name] = chervilladder.Address(m.listeners.Group.Addr().String())
+		m.config = upstream.Config{Name: name, Group: addresses, Primary: "a", Settings: s, Log: quiet(), Die: func() {}}
 		members[name] = m
 	}
 	for _, m := range members {
@@ -63,9 +64,9 @@
 }
 
 // newMember starts one member that is a group of its own.
-func newMember(t *testing.T, s state.Settings) *member {
+func newMember(t testing.TB, s state.Settings) *member {
 	t.Helper()
-	m := &member{t: t, name: "a", listeners: upstream.Listeners{Callers: listen(t, ""), Group: listen(t, ""), Control: listen(t, "")}}
+	m := &member{t: t, name: "a", listeners: upstream.Listeners{Callers: listen(t), Group: listen(t), Control: listen(t)}}
 	m.config = upstream.Config{Name: "a", Primary: "a", Settings: s, Log: quiet(), Die: func() {}}
 	m.start()
 	t.Cleanup(m.stop)
@@ -79,18 +80,32 @@
 	return l
 }
 
-func listen(t *testing.T, address string) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
-	l, err := net.Listen("tcp", address)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { l.Close() })
 	return l
 }
 
+// again returns a listener at the same port, which stays taken when the one
+// that is returned is closed, so that a member can start anew there.
+func again(t testing.TB, l net.Listener) net.Listener {
+	t.Helper()
+	f, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	next, err := net.FileListener(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
 func (m *member) start() {
 	u, err := upstream.New(m.config)
 	if err != nil {
@@ -99,7 +114,12 @@
 	var ctx context.Context
 	ctx, m.cancel = context.WithCancel(context.Background())
 	m.stopped = make(chan error, 1)
-	listeners, stopped := m.listeners, m.stopped
+	listeners := upstream.Listeners{
+		Callers: again(m.t, m.listeners.Callers),
+		Group:   again(m.t, m.listeners.Group),
+		Control: again(m.t, m.listeners.Control),
+	}
+	stopped := m.stopped
 	go func() { stopped <- u.Run(ctx, listeners) }()
 }
 
@@ -119,11 +139,6 @@
 // restart stops the member and starts it anew at the same addresses.
 func (m *member) restart() {
 	m.stop()
-	m.listeners = upstream.Listeners{
-		Callers: listen(m.t, m.listeners.Callers.Addr().String()),
-		Group:   listen(m.t, m.listeners.Group.Addr().String()),
-		Control: listen(m.t, m.listeners.Control.Addr().String()),
-	}
 	m.start()
 }
 
@@ -157,10 +172,14 @@
 	c.Close(ctx)
 }
 
+// client makes each call on a connection of its own, because a member that is
+// restarted closes those that it had.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
 // post makes a control call.
 func (m *member) post(call string) {
 	m.t.Helper()
-	r, err := http.Post("http://"+m.listeners.Control.Addr().String()+call, "", nil)
+	r, err := client.Post("http://"+m.listeners.Control.Addr().String()+call, "", nil)
 	if err != nil {
 		m.t.Fatal(err)
 	}
@@ -173,7 +192,7 @@
 // get reads what a control call answers.
 func (m *member) get(call string, to any) {
 	m.t.Helper()
-	r, err := http.Get("http://" + m.listeners.Control.Addr().String() + call)
+	r, err := client.Get("http://" + m.listeners.Control.Addr().String() + call)
 	if err != nil {
 		m.t.Fatal(err)
 	}
@@ -249,7 +268,7 @@
 }
 
 // one returns the one value that a query yields.
-func one[T any](t *testing.T, c *pgx.Conn, sql string, args ...any) T {
+func one[T any](t testing.TB, c *pgx.Conn, sql string, args ...any) T {
 	t.Helper()
 	var v T
 	if err := c.QueryRow(background, sql, args...).Scan(&v); err != nil {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/retry"
 	"github.com/chervilladder/chervilladder/internal/decide/schedule"
 )
 
@@ -48,10 +50,10 @@
 	sent    bool // bytes of the current batch may have left
 	begun   bool // a part of the current answer was passed on
 	failed  bool // the current answer holds an error
-	// answering is set while the answer to a batch is incomplete, cancelled
+	// answering is set while the answer to a batch is incomplete, stopped
 	// once the upstream was asked to stop its statement.
-	answering, cancelled bool
-	attempts             int
+	answering, stopped bool
+	attempts           int
 }
 
 // Send passes on a batch. The first one waits for its slot in Recv.
@@ -60,13 +62,11 @@
 	if x.open {
 		x.until = time.Now().Add(x.class.Deadline)
 	}
-	x.sent, x.begun, x.failed, x.cancelled = false, false, false, false
+	x.sent, x.begun, x.failed, x.stopped = false, false, false, false
 	if x.conn == nil {
-		return nil
+		return x.hold(b)
 	}
-	x.sent, x.answering = true, true
-	x.conn.setDeadline(x.until.Add(-x.grace()))
-	if err := x.conn.send(b); err != nil {
+	if err := x.transmit(); err != nil {
 		return x.fail(err)
 	}
 	return nil
@@ -83,23 +83,49 @@
 			return chervilladder.Reply{}, x.fail(err)
 		}
 		x.abandon()
-		if err := x.queue(); err != nil {
-			return chervilladder.Reply{}, err
+		if errors.Is(err, errNoProof) {
+			x.awaitChange()
+		}
+		if err := x.requeue(); err != nil {
+			return chervilladder.Reply{}, x.fail(err)
 		}
 	}
 }
 
+// awaitChange waits until the group is no longer the one in which a proof
+// failed, so that a retry can't fail in the same way at once.
+func (x *exchange) awaitChange() {
+	ctx, cancel := context.WithDeadline(x.ctx, x.work.Deadline)
+	defer cancel()
+	// After the deadline the retry fails by itself.
+	_, _ = x.state.Await(ctx, func(g blackboard.Group) bool {
+		return g.Term != x.term || g.Claim != x.claim
+	})
+}
+
+// requeue puts the work in line again after a delay that spreads the load of
+// work which failed together.
+func (x *exchange) requeue() error {
+	delay := time.NewTimer(retry.Delay(x.attempts))
+	defer delay.Stop()
+	select {
+	case <-delay.C:
+		return x.queue()
+	case <-x.ctx.Done():
+		return x.notRun(chervilladder.ReasonCancelled, context.Cause(x.ctx))
+	}
+}
+
 func (x *exchange) attempt() (chervilladder.Reply, error) {
 	if x.conn == nil {
 		if err := x.start(); err != nil {
 			return chervilladder.Reply{}, err
 		}
 	}
-	k, err := x.next()
+	k, err := x.nextPart()
 	if err != nil {
 		return chervilladder.Reply{}, err
 	}
-	x.failed = k.failed
 	if len(k.fenced) == 0 {
 		x.begun = true
 		return chervilladder.Reply{Payload: k.payload}, nil
@@ -107,15 +133,38 @@
 	return x.finish(k)
 }
 
+// nextPart reads the next part of the answer to pass on. The first part of a
+// read is kept until it is large or whole: as long as nothing was passed on,
+// the read can be sent again after its proof has failed.
+func (x *exchange) nextPart() (chunk, error) {
+	var kept []byte
+	for {
+		k, err := x.next()
+		if err != nil {
+			return chunk{}, err
+		}
+		x.failed = k.failed
+		k.payload = append(kept, k.payload...)
+		whole := len(k.fenced) > 0 || len(k.payload) >= chunkBytes
+		if whole || x.begun || x.work.Access != chervilladder.AccessRead {
+			return k, nil
+		}
+		kept = k.payload
+	}
+}
+
 // next reads the next part of the answer. A statement that has not ended
 // shortly before the deadline is cancelled, so that its outcome is known
 // rather than lost.
 func (x *exchange) next() (chunk, error) {
 	k, err := x.conn.next(x.failed)
-	if err == nil || !stalled(err) || x.cancelled {
+	if stalled(err) {
+		x.dropIdle()
+	}
+	if err == nil || !stalled(err) || x.stopped || x.conn.transaction != "" {
 		return k, err
 	}
-	x.cancelled = true
+	x.stopped = true
 	x.conn.setDeadline(time.Now().Add(x.grace()))
 	go x.Cancel()
 	return x.conn.next(x.failed)
@@ -127,6 +176,15 @@
 	cancelGraceDivisor = 5
 )
 
+// trace says whether to ask for the transaction's id: only work that must not
+// be sent again is worth the question.
+func (x *exchange) trace() chervilladder.Trace {
+	if x.class.Idempotent || x.work.Access == chervilladder.AccessRead {
+		return chervilladder.TraceNone
+	}
+	return x.batch.Trace
+}
+
 func (x *exchange) grace() time.Duration {
 	return min(maxCancelGrace, x.class.Deadline/cancelGraceDivisor)
 }
@@ -156,37 +214,7 @@
 	if !x.takeConn(conn) {
 		return x.notRun(chervilladder.ReasonCancelled, nil)
 	}
-	conn.setDeadline(x.until.Add(-x.grace()))
-	x.sent, x.answering = true, true
-	return conn.send(x.batch)
-}
-
-// awaitUsableSlot waits for a slot that still suits the group, and returns
-// the claim to which its connection must be bound; zero on a replica.
-func (x *exchange) awaitUsableSlot() (chervilladder.Claim, error) {
-	for {
-		if err := x.awaitSlot(); err != nil {
-			return 0, err
-		}
-		g := x.state.Group.Load()
-		onPrimary := x.member == g.Primary
-		read := x.work.Access == chervilladder.AccessRead
-		switch {
-		case read && g.Term == x.term && g.Claim == x.claim:
-		case !read && onPrimary:
-			x.term, x.claim = g.Term, g.Claim
-		default:
-			x.abandon()
-			if err := x.queue(); err != nil {
-				return 0, err
-			}
-			continue
-		}
-		if onPrimary {
-			return g.Claim, nil
-		}
-		return 0, nil
-	}
+	return x.transmit()
 }
 
 func (x *exchange) settings(readOnly bool) []chervilladder.Setting {
@@ -197,40 +225,6 @@
 	return append(s, chervilladder.Setting{Name: "default_transaction_read_only", Value: "on"})
 }
 
-func (x *exchange) awaitSlot() error {
-	ctx, cancel := context.WithDeadline(x.ctx, x.work.Deadline)
-	defer cancel()
-	fallback := time.NewTimer(time.Until(x.ticket.ReplicaOnlyUntil))
-	defer fallback.Stop()
-	for {
-		select {
-		case x.member = <-x.ticket.Granted():
-			x.waiting = false
-			return nil
-		case <-x.gaveUp:
-			x.stopWaiting()
-			return x.notRun(chervilladder.ReasonCancelled, nil)
-		case <-fallback.C:
-			x.state.Queue.Dispatch()
-		case <-ctx.Done():
-			x.stopWaiting()
-			return x.notRun(x.waitReason(), context.Cause(ctx))
-		}
-	}
-}
-
-func (x *exchange) stopWaiting() {
-	x.waiting = false
-	x.state.Queue.Withdraw(x.ticket)
-}
-
-func (x *exchange) waitReason() chervilladder.Reason {
-	if !x.state.Group.Load().Open() {
-		return chervilladder.ReasonNoPrimary
-	}
-	return chervilladder.ReasonDeadline
-}
-
 // finish handles the messages that tell of success: they are passed on only
 // once it is proved that the term and the claim were still in force.
 func (x *exchange) finish(k chunk) (chervilladder.Reply, error) {
@@ -246,6 +240,7 @@
 			return chervilladder.Reply{}, err
 		}
 		seen = seen.Later(mark)
+		x.state.Retries.Succeeded()
 	}
 	return chervilladder.Reply{
 		Payload:  append(k.payload, k.fenced...),
@@ -259,13 +254,12 @@
 // Cancel asks the upstream to stop the running statement, or gives up the
 // wait for a slot.
 func (x *exchange) Cancel() {
-	x.cancelConn(x.markCancelled())
+	if conn := x.markCancelled(); conn != nil {
+		x.cancelConn(conn)
+	}
 }
 
 func (x *exchange) cancelConn(conn *Conn) {
-	if conn == nil {
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), dialTimeout)
 	defer cancel()
 	_ = conn.cancelRunning(ctx)
@@ -326,7 +320,7 @@
 	} else {
 		conn.Close()
 	}
-	x.state.Queue.Release(x.member)
+	x.state.Queue.Release(x.ticket)
 	x.member = ""
 }
 
@@ -338,7 +332,7 @@
 		conn.Close()
 	}
 	if x.member != "" {
-		x.state.Queue.Release(x.member)
+		x.state.Queue.Release(x.ticket)
 		x.member = ""
 	}
 }
--- a/internal/upstream/executor.go
+++ b/internal/upstream/executor.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
-	"github.com/chervilladder/chervilladder/internal/decide/route"
-	"github.com/chervilladder/chervilladder/internal/decide/schedule"
 )
 
 // Config says what an Executor works with.
@@ -76,30 +73,6 @@
 	return x, x.queue()
 }
 
-// queue puts the work in line. A read is bound to the claim under which its
-// floor was looked up.
-func (x *exchange) queue() error {
-	g := x.state.Group.Load()
-	x.term, x.claim = g.Term, g.Claim
-	x.waiting = true
-	floor := x.state.Floors.Get(x.work.Session)
-	floor.Written = floor.Written.Later(x.work.Seen)
-	x.ticket = &schedule.Ticket{
-		Priority: x.class.Priority,
-		Deadline: x.work.Deadline,
-		Access:   x.work.Access,
-		Readable: func(id chervilladder.UpstreamID) bool {
-			return route.MayRead(x.state.Group.Load(), floor, id)
-		},
-		ReplicaOnlyUntil: time.Now().Add(x.class.Target / 2),
-	}
-	if err := x.state.Queue.Submit(x.ticket); err != nil {
-		x.waiting = false
-		return err
-	}
-	return nil
-}
-
 // pool returns the pool of an upstream at its address in the configuration in
 // force.
 func (e *Executor) pool(db chervilladder.DatabaseID, id chervilladder.UpstreamID, readOnly bool) *Pool {
--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -96,8 +96,14 @@
 	return m
 }
 
-// mayRetry reports whether a batch may be sent again after an error.
+// mayRetry reports whether a batch is to be sent again after an error: it must
+// be harmless, and the database's budget must allow it.
 func (x *exchange) mayRetry(err error) bool {
+	return x.harmless(err) && x.state.Retries.Spend()
+}
+
+// harmless reports whether a batch may be sent again after an error.
+func (x *exchange) harmless(err error) bool {
 	x.attempts++
 	if x.open || x.begun || x.attempts >= maxReadAttempts || time.Now().After(x.work.Deadline) {
 		return false
@@ -112,27 +118,58 @@
 	return x.work.Access == chervilladder.AccessRead || x.class.Idempotent
 }
 
-// fail ends the exchange and says honestly what is known of the batch.
+// fail ends the exchange and says honestly what is known of the batch. A write
+// that an earlier attempt has sent is not reported as not run, though the last
+// attempt was refused before it sent anything.
 func (x *exchange) fail(err error) error {
-	wasOpen := x.open
+	wasOpen, conn := x.open, x.conn
 	x.abandon()
+	read := x.work.Access == chervilladder.AccessRead
 	var notRun *chervilladder.NotRunError
-	if errors.As(err, &notRun) {
+	if errors.As(err, &notRun) && (read || !x.sent) {
 		return err
 	}
 	switch {
-	case x.work.Access == chervilladder.AccessRead:
+	case read:
 		return x.notRun(chervilladder.ReasonNoProof, err)
 	case !x.sent:
 		return x.notRun(chervilladder.ReasonNoPrimary, err)
 	case wasOpen && !x.batch.Commits:
 		return x.notRun(chervilladder.ReasonRolledBack, err)
 	default:
+		if settled := x.settle(conn, err); settled != nil {
+			return settled
+		}
 		x.state.Floors.Lost(x.work.Session, x.state.Evidence.Ask())
 		return &chervilladder.UnknownError{Database: x.work.Database, Upstream: x.served, Err: err}
 	}
 }
 
+// settle asks for the fate of a transaction whose answer was lost, and returns
+// nil if it stays unknown.
+func (x *exchange) settle(conn *Conn, cause error) error {
+	if conn == nil || conn.transaction == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.grace())
+	defer cancel()
+	fate, err := conn.fate(ctx, x.term)
+	if err != nil {
+		return nil
+	}
+	switch fate {
+	case fateAborted:
+		return x.notRun(chervilladder.ReasonRolledBack, cause)
+	case fateCommitted:
+		if _, err := x.prove(); err != nil {
+			return nil
+		}
+		return &chervilladder.DoneError{Database: x.work.Database, Upstream: x.served, Err: cause}
+	default:
+		return nil
+	}
+}
+
 func (x *exchange) notRun(r chervilladder.Reason, err error) error {
 	return &chervilladder.NotRunError{Database: x.work.Database, Reason: r, Err: err}
 }
