Keep lists, signs and zones of session parameters as they were set

A list of schemas was set on the next connection as one quoted name, so that statements silently ran with another search path; negative numbers lost their sign, and SET TIME ZONE INTERVAL or LOCAL was misread. Values are now made by set_config, which takes them as they are written, and schemas that were quoted stay quoted. Found by reading; the stand-in accepts any value, so that the old code passes TestSearchPathFollows but for the quotes (not run before the change).

--- a/internal/caller/sqltext/scan.go
+++ b/internal/caller/sqltext/scan.go
@@ -184,40 +184,6 @@
 	return Statement{Kind: KindBegin}
 }
 
-func classifySet(w []token) Statement {
-	if len(w) < 2 {
-		return Statement{Kind: KindWrite}
-	}
-	if w[0].word == "reset" {
-		name := w[1].word
-		if name == "all" {
-			name = ""
-		}
-		return Statement{Kind: KindSet, Name: name, Reset: true}
-	}
-	w = w[1:]
-	switch w[0].word {
-	case "local", "constraints", "transaction":
-		return classifyLocal(w)
-	case "session":
-		if len(w) > 1 && (w[1].word == "characteristics" || w[1].word == "authorization") {
-			return refuse("SET SESSION " + strings.ToUpper(w[1].word))
-		}
-		w = w[1:]
-	case "role":
-		return refuse("SET ROLE")
-	}
-	if len(w) >= 2 && w[0].word == "time" && w[1].word == "zone" {
-		return Statement{Kind: KindSet, Name: "timezone", Value: valueOf(w[2:])}
-	}
-	values := w[1:]
-	if len(values) > 0 && values[0].word == "to" {
-		values = values[1:]
-	}
-	value := valueOf(values)
-	return Statement{Kind: KindSet, Name: w[0].word, Value: value, Reset: value == "default"}
-}
-
 // classifyLocal reads what is set for the transaction. A mode that was not
 // understood may let it write.
 func classifyLocal(w []token) Statement {
@@ -249,11 +215,3 @@
 	}
 	return false
 }
-
-func valueOf(w []token) string {
-	var parts []string
-	for _, t := range w {
-		parts = append(parts, t.text())
-	}
-	return strings.Join(parts, ", ")
-}
--- a/internal/caller/sqltext/scan_test.go
+++ b/internal/caller/sqltext/scan_test.go
@@ -79,6 +79,27 @@
 	is.Equal(got[2], sqltext.Statement{Kind: sqltext.KindSet, Reset: true})
 }
 
+func TestScanSetValues(t *testing.T) {
+	for text, want := range map[string]sqltext.Statement{
+		`set search_path = "My Schema", 'x', public`: {Kind: sqltext.KindSet, Name: "search_path", Value: `"My Schema", "x", public`},
+		`set search_path to "a""b"`:                  {Kind: sqltext.KindSet, Name: "search_path", Value: `"a""b"`},
+		"set search_path to 'a, b'":                  {Kind: sqltext.KindSet, Name: "search_path", Value: `"a, b"`},
+		"set search_path to default":                 {Kind: sqltext.KindSet, Name: "search_path", Value: "default", Reset: true},
+		"set datestyle = 'ISO, MDY'":                 {Kind: sqltext.KindSet, Name: "datestyle", Value: "ISO, MDY"},
+		"set extra_float_digits = -15":               {Kind: sqltext.KindSet, Name: "extra_float_digits", Value: "-15"},
+		"set time zone -5":                           {Kind: sqltext.KindSet, Name: "timezone", Value: "-5"},
+		"set time zone local":                        {Kind: sqltext.KindSet, Name: "timezone", Value: "local", Reset: true},
+		"reset time zone":                            {Kind: sqltext.KindSet, Name: "timezone", Reset: true},
+		"set names 'utf8'":                           {Kind: sqltext.KindSet, Name: "client_encoding", Value: "utf8"},
+		"set time zone interval '1' hour to minute":  {Kind: sqltext.KindRefused, Why: "SET TIME ZONE INTERVAL"},
+	} {
+		t.Run(text, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(sqltext.Scan(text), []sqltext.Statement{want})
+		})
+	}
+}
+
 func FuzzScan(f *testing.F) {
 	f.Add("select 'a' /* class=x */ from t; -- b")
 	f.Add("$a$ x $a$ E'\\'' \"q\"")
--- /dev/null
+++ b/internal/caller/sqltext/set.go
@@ -0,0 +1,89 @@
+package sqltext
+
+import "strings"
+
+// searchPath is the parameter whose value is a list of identifiers.
+const searchPath = "search_path"
+
+func classifySet(w []token) Statement {
+	if len(w) < 2 {
+		return Statement{Kind: KindWrite}
+	}
+	if w[0].word == "reset" {
+		return classifyReset(w[1:])
+	}
+	w = w[1:]
+	switch w[0].word {
+	case "local", "constraints", "transaction":
+		return classifyLocal(w)
+	case "session":
+		if len(w) > 1 && (w[1].word == "characteristics" || w[1].word == "authorization") {
+			return refuse("SET SESSION " + strings.ToUpper(w[1].word))
+		}
+		w = w[1:]
+	case "role":
+		return refuse("SET ROLE")
+	}
+	if isTimeZone(w) {
+		return classifyTimeZone(w[2:])
+	}
+	if len(w) == 2 && w[0].word == "names" {
+		return Statement{Kind: KindSet, Name: "client_encoding", Value: w[1].text()}
+	}
+	values := w[1:]
+	if len(values) > 0 && values[0].word == "to" {
+		values = values[1:]
+	}
+	if w[0].word == searchPath {
+		return Statement{Kind: KindSet, Name: searchPath, Value: schemasOf(values), Reset: valueOf(values) == "default"}
+	}
+	value := valueOf(values)
+	return Statement{Kind: KindSet, Name: w[0].word, Value: value, Reset: value == "default"}
+}
+
+func classifyReset(w []token) Statement {
+	name := w[0].word
+	switch {
+	case name == "all":
+		name = ""
+	case isTimeZone(w):
+		name = "timezone"
+	}
+	return Statement{Kind: KindSet, Name: name, Reset: true}
+}
+
+func isTimeZone(w []token) bool {
+	return len(w) >= 2 && w[0].word == "time" && w[1].word == "zone"
+}
+
+func classifyTimeZone(values []token) Statement {
+	s := Statement{Kind: KindSet, Name: "timezone", Value: valueOf(values)}
+	switch {
+	case has(values, "interval"):
+		return refuse("SET TIME ZONE INTERVAL")
+	case s.Value == "local", s.Value == "default":
+		s.Reset = true
+	}
+	return s
+}
+
+// schemasOf returns schemas as the value of the parameter is written: each
+// that was quoted in any way is a quoted identifier.
+func schemasOf(w []token) string {
+	parts := make([]string, len(w))
+	for i, t := range w {
+		parts[i] = t.word
+		if t.word == "" {
+			parts[i] = `"` + strings.ReplaceAll(t.literal, `"`, `""`) + `"`
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
+func valueOf(w []token) string {
+	var parts []string
+	for _, t := range w {
+		parts = append(parts, t.text())
+	}
+	return strings.Join(parts, ", ")
+}
--- a/internal/caller/sqltext/tokenizer.go
+++ b/internal/caller/sqltext/tokenizer.go
@@ -10,6 +10,8 @@
 type token struct {
 	word    string
 	literal string
+	// quoted is set on a quoted identifier, which literal holds.
+	quoted bool
 	// call is set on a word that an opening parenthesis follows.
 	call bool
 }
@@ -58,11 +60,15 @@
 			words = append(words, token{literal: t.literal(false)})
 			t.callable = false
 		case c == '"':
-			words = append(words, token{literal: t.identifier()})
+			words = append(words, token{literal: t.identifier(), quoted: true})
 			t.callable = true
 		case c == '$' && t.dollarTag() != "":
 			words = append(words, token{literal: t.dollarLiteral()})
 			t.callable = false
+		case c == '-' && t.numberFollows():
+			t.at++
+			words = append(words, token{word: "-" + t.word()[0].word})
+			t.callable = false
 		case isWord(c):
 			words = append(words, t.word()...)
 			t.callable = true
@@ -80,6 +86,12 @@
 	return words
 }
 
+// numberFollows reports whether a digit follows the sign that is next.
+func (t *tokenizer) numberFollows() bool {
+	rest := t.text[t.at+1:]
+	return rest != "" && rest[0] >= '0' && rest[0] <= '9'
+}
+
 // word reads a keyword or a name. A string with a prefix is a literal.
 func (t *tokenizer) word() []token {
 	start := t.at
@@ -98,6 +110,15 @@
 
 // literal reads a quoted string; escaped ones know backslashes.
 func (t *tokenizer) literal(escaped bool) string {
+	return t.quotedBy('\'', escaped)
+}
+
+func (t *tokenizer) identifier() string {
+	return t.quotedBy('"', false)
+}
+
+// quotedBy reads what a quote begins. A quote within it is doubled.
+func (t *tokenizer) quotedBy(quote byte, escaped bool) string {
 	t.at++
 	var b strings.Builder
 	for !t.done() {
@@ -107,10 +128,10 @@
 		case escaped && c == '\\' && !t.done():
 			b.WriteByte(t.text[t.at])
 			t.at++
-		case c == '\'' && !t.done() && t.text[t.at] == '\'':
-			b.WriteByte('\'')
+		case c == quote && !t.done() && t.text[t.at] == quote:
+			b.WriteByte(quote)
 			t.at++
-		case c == '\'':
+		case c == quote:
 			return b.String()
 		default:
 			b.WriteByte(c)
@@ -119,12 +140,6 @@
 	return b.String()
 }
 
-func (t *tokenizer) identifier() string {
-	start := t.at + 1
-	t.at = t.find(`"`, 1)
-	return strings.TrimSuffix(t.text[min(start, t.at):t.at], `"`)
-}
-
 // dollarTag returns the tag that opens a dollar-quoted string here, if any.
 func (t *tokenizer) dollarTag() string {
 	rest := t.text[t.at+1:]
--- a/internal/scenario/transaction_test.go
+++ b/internal/scenario/transaction_test.go
@@ -54,3 +54,18 @@
 		}
 	}
 }
+
+// TestSearchPathFollows checks that a list of schemas stays a list when it
+// follows the caller to another connection.
+func TestSearchPathFollows(t *testing.T) {
+	w := conformanceWorld(t)
+	for _, vm := range w.vms {
+		t.Run(vm, func(t *testing.T) {
+			is := is.New(t)
+			c := dial(t, w, vm, pgx.QueryExecModeSimpleProtocol)
+			_, err := c.Exec(t.Context(), `SET search_path = "My Schema", public`)
+			is.NoErr(err)
+			is.Equal(settingOnPrimary(t, c, "search_path"), `"My Schema", public`)
+		})
+	}
+}
--- a/internal/upstream/settings.go
+++ b/internal/upstream/settings.go
@@ -17,10 +17,12 @@
 	var sql strings.Builder
 	sql.WriteString("RESET ALL")
 	for _, s := range want {
-		sql.WriteString("; SET ")
-		sql.WriteString(s.Name)
-		sql.WriteString(" = ")
+		// The value is taken as a whole; SET would quote a list as one name.
+		sql.WriteString("; SELECT set_config(")
+		sql.WriteString(quote(s.Name))
+		sql.WriteString(", ")
 		sql.WriteString(quote(s.Value))
+		sql.WriteString(", false)")
 	}
 	if _, err := c.queryRow(ctx, sql.String()); err != nil {
 		return err
