Offer TLS to callers by settings

TLS is offered and not required; callers give no password yet. TestCancelledConnectionIsNotReused checks that no later transaction runs on the connection of a cancelled statement.

--- a/internal/caller/listener.go
+++ b/internal/caller/listener.go
@@ -23,7 +23,9 @@
 	// Peers passes on cancel requests for sessions at other VMs.
 	Peers    chervilladder.Canceller
 	Listener net.Listener
-	Log      *logrus.Logger
+	// Certificates are offered to callers that ask for TLS; nil declines it.
+	Certificates *Certificates
+	Log          *logrus.Logger
 	// StartTimeout bounds the time to sign in.
 	StartTimeout time.Duration
 	// IdleTransactionTimeout bounds the wait for the next statement of an
@@ -117,8 +119,8 @@
 }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	defer conn.Close()
 	x := newSession(s, conn)
+	defer func() { x.conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	if err := x.start(); err != nil {
--- a/internal/caller/start.go
+++ b/internal/caller/start.go
@@ -44,9 +44,13 @@
 			return err
 		}
 		switch {
-		case code == codeSSLRequest || code == codeGSSRequest:
-			if _, err := s.conn.Write([]byte{'N'}); err != nil {
-				return errTerminated
+		case code == codeSSLRequest:
+			if err := s.answerTLSRequest(); err != nil {
+				return err
+			}
+		case code == codeGSSRequest:
+			if err := s.decline(); err != nil {
+				return err
 			}
 		case code == codeCancelRequest:
 			s.cancelOther(body)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -99,25 +99,47 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	certificates, err := certificates(c)
+	if err != nil {
+		return nil, nil, err
+	}
 	front, err := caller.New(caller.Config{
 		Board:    board,
 		Executor: route.New(route.Config{Board: board, Local: local, Remote: remote}),
 		Peers:    remote,
 		Burn:     &burn.Recorder{},
-		Listener: callers,
-		Log:      c.Log,
+
+		Certificates: certificates,
+		Listener:     callers,
+		Log:          c.Log,
 	})
 	if err != nil {
 		return nil, nil, err
 	}
-	return front, []actor{
+	rest := []actor{
 		peer.NewServer(peer.ServerConfig{Board: board, Executor: local, Callers: front, Listener: peers}),
 		services,
 		members,
 		ownership.New(ownership.Config{Board: board, Log: c.Log}),
 		groups,
 		remote,
-	}, nil
+	}
+	if certificates != nil {
+		rest = append(rest, certificates)
+	}
+	return front, rest, nil
+}
+
+// certificates returns what callers are offered for TLS, or nil.
+func certificates(c Config) (*caller.Certificates, error) {
+	if c.Settings.TLS == nil {
+		return nil, nil
+	}
+	return caller.NewCertificates(caller.CertificatesConfig{
+		Certificate: c.Settings.TLS.Certificate,
+		Key:         c.Settings.TLS.Key,
+		Log:         c.Log,
+	})
 }
 
 func dialMember(ctx context.Context, u chervilladder.Upstream) (chervilladder.Member, error) {
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -20,6 +20,8 @@
 	Callers chervilladder.Address `json:"callers"`
 	// Peers is where the VM listens for its peers.
 	Peers chervilladder.Address `json:"peers"`
+	// TLS names the certificate for callers; without it TLS is declined.
+	TLS *TLSSettings `json:"tls"`
 	// Operators is where the VM listens for operators.
 	Operators chervilladder.Address `json:"operators"`
 	// Platform is where the platform's object API listens.
@@ -28,6 +30,12 @@
 	LogLevel  string                `json:"log-level"`
 }
 
+// TLSSettings names PEM files, which are read again once they change.
+type TLSSettings struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+}
+
 // ReadSettings reads and checks a settings file.
 func ReadSettings(path string) (Settings, error) {
 	var s Settings
--- a/internal/scenario/cancel_test.go
+++ b/internal/scenario/cancel_test.go
@@ -109,3 +109,39 @@
 		})
 	}
 }
+
+// TestCancelledConnectionIsNotReused checks that no later work runs on the
+// connection of a cancelled statement, on which a late request would hit it.
+func TestCancelledConnectionIsNotReused(t *testing.T) {
+	w := conformanceWorld(t)
+	for _, vm := range w.vms {
+		t.Run(vm, func(t *testing.T) {
+			is := is.New(t)
+			c := dial(t, w, vm, pgx.QueryExecModeCacheStatement)
+			tx, err := c.Begin(t.Context())
+			is.NoErr(err)
+			cancelled := processOf(t, tx)
+			failed := make(chan error, 1)
+			go func() {
+				_, err := tx.Exec(t.Context(), "SELECT pg_sleep(8)")
+				failed <- err
+			}()
+			is.Equal(sqlState(cancelUntil(t, w.callers[vm], c.PgConn(), failed)), "57014")
+			is.NoErr(tx.Rollback(t.Context()))
+			for range 10 {
+				tx, err := dial(t, w, vm, pgx.QueryExecModeCacheStatement).Begin(t.Context())
+				is.NoErr(err)
+				is.True(processOf(t, tx) != cancelled)
+				is.NoErr(tx.Rollback(t.Context()))
+			}
+		})
+	}
+}
+
+// processOf returns the upstream's process that runs a transaction.
+func processOf(t *testing.T, tx pgx.Tx) int32 {
+	t.Helper()
+	var process int32
+	is.New(t).NoErr(tx.QueryRow(t.Context(), "SELECT pg_backend_pid()").Scan(&process))
+	return process
+}
