--- a/internal/caller/batch.go
+++ b/internal/caller/batch.go
@@ -47,12 +47,12 @@
 	// that the caller last parsed in this batch.
 	unnamedHere bool
 
+	// simple is set for a batch of the simple protocol.
+	simple bool
 	// ended is set once a statement has ended the transaction that was open
 	// before.
 	ended bool
 
-	// simple is set on a simple query.
-	simple     bool
 	failed     bool
 	rolledBack bool
 
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -114,9 +114,8 @@
 // linger takes what the caller still sends, since closing a connection with
 // unread bytes would drop the error that is on its way to the caller.
 func (s *session) linger() {
-	half, ok := s.conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
-		return
+	if half, ok := s.conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
 	}
 	_ = s.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 	_, _ = io.Copy(io.Discard, io.LimitReader(s.conn, int64(s.server.MaxBatchBytes)))
