--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -65,12 +65,17 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	certificates, err := loadCertificates(c)
+	if err != nil {
+		return nil, nil, err
+	}
 	var recorder burn.Recorder
 	callers, err := caller.New(caller.Config{
 		Board:                  board,
 		Executor:               metrics.Work{Executor: route.New(route.Config{Board: board, Local: local, Remote: remote}), Outcomes: &vars.outcomes},
 		Peers:                  remote,
 		Burn:                   &recorder,
+		Certificates:           certificates,
 		Listener:               metrics.Callers{Listener: s.callers, Connected: &vars.callers},
 		Log:                    c.Log,
 		StartTimeout:           c.Settings.StartTimeout,
@@ -93,7 +98,23 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return []actor{leave, callers, handover, operators}, callers, nil
+	front := []actor{leave, callers, handover, operators}
+	if certificates != nil {
+		front = append(front, certificates)
+	}
+	return front, callers, nil
+}
+
+// loadCertificates returns what callers are offered for TLS, or nil.
+func loadCertificates(c Config) (*caller.Certificates, error) {
+	if c.Settings.TLSCertificate == "" {
+		return nil, nil
+	}
+	return caller.NewCertificates(caller.CertificatesConfig{
+		Certificate: c.Settings.TLSCertificate,
+		Key:         c.Settings.TLSKey,
+		Log:         c.Log,
+	})
 }
 
 // buildBack returns what has to run until all work is done. Membership stops
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -40,6 +40,9 @@
 	// IdleTransactionTimeout bounds the wait for the next statement of an
 	// open transaction.
 	IdleTransactionTimeout time.Duration
+	// TLSCertificate and TLSKey are the paths of the PEM files for callers;
+	// without them TLS is declined.
+	TLSCertificate, TLSKey string
 }
 
 // The keys of a settings file.
@@ -58,6 +61,8 @@
 	keyDrainTimeout           = "drain-timeout"
 	keyStartTimeout           = "start-timeout"
 	keyIdleTransactionTimeout = "idle-transaction-timeout"
+	keyTLSCertificate         = "tls-certificate"
+	keyTLSKey                 = "tls-key"
 )
 
 // The bounds and defaults of the settings.
@@ -84,7 +89,8 @@
 func ParseSettings(name string, text []byte) (Settings, error) {
 	d := jsonc.New(name, text)
 	o, ok := d.File(keyVM, keyDataCentre, keyCallers, keyPeers, keyOperators, keyPlatform, keyJoin, keyPeerKey,
-		keyOperatorsToken, keyLogFormat, keyLogLevel, keyDrainTimeout, keyStartTimeout, keyIdleTransactionTimeout)
+		keyOperatorsToken, keyLogFormat, keyLogLevel, keyDrainTimeout, keyStartTimeout, keyIdleTransactionTimeout,
+		keyTLSCertificate, keyTLSKey)
 	if !ok {
 		return Settings{}, d.Err()
 	}
@@ -104,6 +110,11 @@
 	s.DrainTimeout = o.Duration(keyDrainTimeout, minTimeout, maxTimeout, defaultDrainTimeout)
 	s.StartTimeout = o.Duration(keyStartTimeout, minTimeout, maxTimeout, defaultStartTimeout)
 	s.IdleTransactionTimeout = o.Duration(keyIdleTransactionTimeout, minTimeout, maxTimeout, defaultIdleTransaction)
+	s.TLSCertificate = o.Text(keyTLSCertificate, jsonc.Optional)
+	s.TLSKey = o.Text(keyTLSKey, jsonc.Optional)
+	if (s.TLSCertificate == "") != (s.TLSKey == "") {
+		o.Fault(keyTLSCertificate, " and the key are not both given", "give both files, or none")
+	}
 	s.checkDistinct(o)
 	if err := d.Err(); err != nil {
 		return Settings{}, err
--- a/internal/daemon/settings_test.go
+++ b/internal/daemon/settings_test.go
@@ -56,7 +56,7 @@
 a.json:8:15: "peer-key" of the file has 5 bytes; give at least 16, drawn at random
 a.json:9:17: "log-format" of the file is "xml"; use one of text, json
 a.json:10:20: "drain-timeout" of the file, "1h", is no length of time from 100ms to 10m0s; write a number and a unit within these bounds, such as "150ms" or "2s"
-a.json:11:3: the file has no key "colour"; remove it, or use one of vm, data-centre, callers, peers, operators, platform, join, peer-key, operators-token, log-format, log-level, drain-timeout, start-timeout, idle-transaction-timeout`)
+a.json:11:3: the file has no key "colour"; remove it, or use one of vm, data-centre, callers, peers, operators, platform, join, peer-key, operators-token, log-format, log-level, drain-timeout, start-timeout, idle-transaction-timeout, tls-certificate, tls-key`)
 }
 
 func FuzzParseSettings(f *testing.F) {
