Prove the decisions about a group in virtual time, and mend what that found

Cause: the decisions about terms, claims, promotions and reads had no tests of their own.

- A VM that became owner after the primary had failed never promoted one, as it knew none to suspect (TestNewOwnerReplacesDeadPrimary).
- With one member dead and the former primary stepped down, a majority that held everything waited for the third member for good, as the former primary was neither counted nor chosen (TestSteppedDownPrimaryWithEverything).
- A promotion of one's own was undone by an older status of the former primary (TestTermNeverFalls).
- Silence in an earlier term counted against the primary of the next one (TestUnheardCountsInOneTerm).
- The evidence of members that had left or moved stayed (TestRemovedMember, TestMovedPrimary), and an answer that arrived late replaced a newer one (TestOldAnswers); a claim set the tick of the primary's view back to zero.
- A database lost and regained while a call ran had two supervisors that wrote one section; the first emptied what the second had found (TestOwnershipBack: two claims where one was due).
- A claim of this VM's own that arrived late made it stand off from itself (TestOwnClaim).

Ruled out: a wrong choice of the candidate. Over random histories of three and five members it never lacks a confirmed write, also when the VM takes another member for the primary; a first failure of that property was the test's model, in which a log agreed with a term before it held the term's beginning.

Change: the most advanced log of any majority is taken, since a confirmed write is held by a majority; a missing primary is a cause; views only move forward and only watchers that run write them; terms never fall; a supervisor waits for the one before it.

A slow primary, lost answers, a silent or dead replica, a pause of 30 s and a start before any contact cause no promotion.

Conclusion: no case was found in which an acknowledged write is lost or a term gets two primaries. The floor that a late report lowered could cost read-your-writes after an unknown outcome; the rest cost availability.

--- a/internal/blackboard/database.go
+++ b/internal/blackboard/database.go
@@ -93,6 +93,14 @@
 	return g
 }
 
+// Without returns a copy of the group without the view of one member.
+func (g Group) Without(id chervilladder.UpstreamID) Group {
+	members := maps.Clone(g.Members)
+	delete(members, id)
+	g.Members = members
+	return g
+}
+
 // Open reports whether work may be sent: a primary is known and claimed.
 func (g Group) Open() bool {
 	return g.Primary != "" && g.Claim != 0
--- a/internal/blackboard/floors.go
+++ b/internal/blackboard/floors.go
@@ -57,7 +57,7 @@
 // Lost records that the outcome of a session's write is unknown, and a tick
 // taken after that.
 func (f *Floors) Lost(id chervilladder.SessionID, t Tick) {
-	f.edit(id, func(floor *Floor) { floor.Unsure = t })
+	f.edit(id, func(floor *Floor) { floor.Unsure = max(floor.Unsure, t) })
 }
 
 // Read records which replica answered a session and a tick taken after that.
--- a/internal/control/group/group.go
+++ b/internal/control/group/group.go
@@ -39,7 +39,10 @@
 type Controller struct {
 	Config
 	running map[chervilladder.DatabaseID]*supervisor
-	wait    sync.WaitGroup
+	// ended holds what is closed once the last supervisor of a database
+	// that was stopped has ended.
+	ended map[chervilladder.DatabaseID]<-chan struct{}
+	wait  sync.WaitGroup
 }
 
 // New returns a controller. Times that are zero get their defaults.
@@ -52,7 +55,7 @@
 	setDefault(&c.StandOff, 2*time.Second)
 	setDefault(&c.Promotion.SuspectAfter, 700*time.Millisecond)
 	setDefault(&c.Promotion.FreshFor, time.Second)
-	return &Controller{Config: c, running: make(map[chervilladder.DatabaseID]*supervisor)}, nil
+	return &Controller{Config: c, running: make(map[chervilladder.DatabaseID]*supervisor), ended: make(map[chervilladder.DatabaseID]<-chan struct{})}, nil
 }
 
 func setDefault(d *time.Duration, value time.Duration) {
@@ -84,6 +87,7 @@
 	for id, s := range c.running {
 		if !c.owned(id, owners, catalogue) {
 			s.stop()
+			c.ended[id] = s.done
 			delete(c.running, id)
 		}
 	}
@@ -117,6 +121,8 @@
 		id:     db.ID,
 		state:  c.Board.Databases.Get(db.ID),
 		stop:   stop,
+		before: c.previous(db.ID),
+		done:   make(chan struct{}),
 		log:    c.Log.WithField("database", db.ID),
 	}
 	s.database.Store(db)
@@ -124,6 +130,18 @@
 	return s
 }
 
+// previous returns a channel that is closed once no earlier supervisor of a
+// database runs.
+func (c *Controller) previous(id chervilladder.DatabaseID) <-chan struct{} {
+	if ended, ok := c.ended[id]; ok {
+		delete(c.ended, id)
+		return ended
+	}
+	none := make(chan struct{})
+	close(none)
+	return none
+}
+
 func (c *Controller) stopAll() {
 	for _, s := range c.running {
 		s.stop()
--- /dev/null
+++ b/internal/control/group/group_test.go
@@ -0,0 +1,341 @@
+package group
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+)
+
+var (
+	three = []chervilladder.UpstreamID{"a", "b", "c"}
+	five  = []chervilladder.UpstreamID{"a", "b", "c", "d", "e"}
+)
+
+// The times that failovers are held to in virtual time.
+const (
+	failoverLimit = 6 * time.Second
+	settled       = 3 * time.Second
+	longRun       = 15 * time.Second
+)
+
+// primaryFaults are the ways in which a primary fails.
+var primaryFaults = map[string]func(*fakeState){
+	"dead":    func(s *fakeState) { s.down = true },
+	"frozen":  func(s *fakeState) { s.frozen = true },
+	"cut off": func(s *fakeState) { s.cutOff = true },
+	"stepped down": func(s *fakeState) {
+		s.accept(chervilladder.Ballot{Term: 2, Attempt: "of a VM that died"})
+	},
+}
+
+func TestReplacesPrimary(t *testing.T) {
+	for name, fail := range primaryFaults {
+		for _, ids := range [][]chervilladder.UpstreamID{three, five} {
+			t.Run(name, func(t *testing.T) {
+				testFleet(t, ids, func(f *fleet) {
+					board := f.add("vm", f.group.dial())
+					f.serving(board)
+					time.Sleep(settled)
+					f.group.change("a", fail)
+					time.Sleep(100 * time.Millisecond)
+					_, gap := f.serving(board, "a")
+					t.Logf("%d members: open after %v", len(ids), gap)
+					is.New(t).True(gap < failoverLimit)
+					time.Sleep(settled)
+				})
+			})
+		}
+	}
+}
+
+func TestLiveGroupKeepsPrimary(t *testing.T) {
+	cases := map[string]func(f *fleet){
+		"slow primary": func(f *fleet) {
+			f.group.pauses(func(call string, id chervilladder.UpstreamID) time.Duration {
+				if id == "a" {
+					return 2 * time.Second
+				}
+				return 0
+			})
+		},
+		"primary not reached": func(f *fleet) {
+			// The replicas still hear from it.
+			f.group.lose("status", 200)
+		},
+		"one silent replica": func(f *fleet) { f.group.change("b", func(s *fakeState) { s.cutOff = true }) },
+		"one dead replica":   func(f *fleet) { f.group.change("b", func(s *fakeState) { s.down = true }) },
+		"paused VM": func(f *fleet) {
+			paused := false
+			f.group.pauses(func(string, chervilladder.UpstreamID) time.Duration {
+				if paused {
+					return 0
+				}
+				paused = true
+				return 30 * time.Second
+			})
+		},
+	}
+	for name, fault := range cases {
+		t.Run(name, func(t *testing.T) {
+			testFleet(t, three, func(f *fleet) {
+				board := f.add("vm", f.group.dial())
+				f.serving(board)
+				fault(f)
+				time.Sleep(longRun)
+				is.New(t).Equal(f.terms(), 1)
+			})
+		})
+	}
+}
+
+// TestStartKeepsPrimary starts while no replica has heard from the primary.
+func TestStartKeepsPrimary(t *testing.T) {
+	testFleet(t, three, func(f *fleet) {
+		for _, id := range three {
+			f.group.change(id, func(s *fakeState) { s.heard, s.cutOff = time.Time{}, true })
+		}
+		board := f.add("vm", f.group.dial())
+		time.Sleep(500 * time.Millisecond)
+		for _, id := range three {
+			f.group.change(id, func(s *fakeState) { s.cutOff = false })
+		}
+		f.serving(board)
+		time.Sleep(settled)
+		is.New(t).Equal(f.terms(), 1)
+	})
+}
+
+// TestAnswerLost loses answers of each step of a promotion.
+func TestAnswerLost(t *testing.T) {
+	for _, call := range []string{"accept", "promote", "claim", "follow"} {
+		for lost := 1; lost <= 3; lost++ {
+			t.Run(call, func(t *testing.T) {
+				testFleet(t, three, func(f *fleet) {
+					board := f.add("vm", f.group.dial())
+					f.serving(board)
+					f.group.lose(call, lost)
+					f.group.change("a", func(s *fakeState) { s.down = true })
+					_, gap := f.serving(board, "a")
+					t.Logf("%d answers to %s lost: open after %v", lost, call, gap)
+					time.Sleep(settled)
+				})
+			})
+		}
+	}
+}
+
+// TestPausedSupervisor pauses a VM for long at each step of a promotion, while
+// another VM has not noticed anything or works at the same.
+func TestPausedSupervisor(t *testing.T) {
+	for _, call := range []string{"accept", "promote", "claim", "follow"} {
+		t.Run(call, func(t *testing.T) {
+			testFleet(t, three, func(f *fleet) {
+				paused := false
+				f.group.pauses(func(c string, _ chervilladder.UpstreamID) time.Duration {
+					if c != call || paused {
+						return 0
+					}
+					paused = true
+					return 10 * time.Second
+				})
+				board := f.add("vm-1", f.group.dial())
+				other := f.add("vm-2", f.group.dial("a"))
+				f.serving(board)
+				f.group.change("a", func(s *fakeState) { s.down = true })
+				time.Sleep(15 * time.Second)
+				own(other, "vm-1")
+				f.serving(board, "a")
+			})
+		})
+	}
+}
+
+// TestTwoViews runs two VMs of which one can't reach the primary.
+func TestTwoViews(t *testing.T) {
+	testFleet(t, three, func(f *fleet) {
+		f.add("vm-1", f.group.dial())
+		f.add("vm-2", f.group.dial("a"))
+		time.Sleep(longRun)
+		is.New(t).Equal(f.terms(), 1)
+		f.group.change("a", func(s *fakeState) { s.cutOff = true })
+		time.Sleep(longRun)
+		id, _ := f.group.primary()
+		is.New(t).True(id != "a")
+	})
+}
+
+// TestRacingPromoters lets three VMs replace a primary at the same moment.
+func TestRacingPromoters(t *testing.T) {
+	testFleet(t, five, func(f *fleet) {
+		for _, vm := range []chervilladder.VMID{"vm-1", "vm-2", "vm-3"} {
+			f.add(vm, f.group.dial())
+		}
+		time.Sleep(settled)
+		f.group.change("a", func(s *fakeState) { s.down = true })
+		time.Sleep(longRun)
+		own(f.boards[1], "vm-1")
+		own(f.boards[2], "vm-1")
+		f.serving(f.boards[0], "a")
+	})
+}
+
+// TestNewOwnerReplacesDeadPrimary starts a VM that has never seen a primary.
+func TestNewOwnerReplacesDeadPrimary(t *testing.T) {
+	testFleet(t, three, func(f *fleet) {
+		f.group.change("a", func(s *fakeState) { s.down = true })
+		board := f.add("vm", f.group.dial())
+		_, gap := f.serving(board, "a")
+		is.New(t).True(gap < failoverLimit)
+	})
+}
+
+// TestSteppedDownPrimaryWithEverything leaves a majority in which only the
+// former primary holds the last writes.
+func TestSteppedDownPrimaryWithEverything(t *testing.T) {
+	testFleet(t, three, func(f *fleet) {
+		board := f.add("vm", f.group.dial())
+		f.serving(board)
+		time.Sleep(settled)
+		f.group.change("b", func(s *fakeState) { s.lags = true })
+		time.Sleep(settled)
+		f.group.change("c", func(s *fakeState) { s.down = true })
+		for _, id := range []chervilladder.UpstreamID{"a", "b"} {
+			f.group.change(id, func(s *fakeState) { s.accept(chervilladder.Ballot{Term: 2, Attempt: "of a VM that died"}) })
+		}
+		f.serving(board)
+	})
+}
+
+// TestRemovedMember drops the evidence of a member that leaves the
+// configuration.
+func TestRemovedMember(t *testing.T) {
+	testFleet(t, three, func(f *fleet) {
+		board := f.add("vm", f.group.dial())
+		f.serving(board)
+		time.Sleep(settled)
+		f.configure(board, "a", "b")
+		time.Sleep(settled)
+		g := board.Databases.Get(ledger).Group.Load()
+		_, known := g.Members["c"]
+		is.New(t).True(!known)
+		is.New(t).Equal(g.Size, 2)
+	})
+}
+
+// TestOwnershipBack takes a database away and gives it back while a call of
+// the first supervisor runs: only one writes the group.
+func TestOwnershipBack(t *testing.T) {
+	testFleet(t, three, func(f *fleet) {
+		board := f.add("vm", f.group.dial())
+		f.serving(board)
+		_, before := f.group.primary()
+		// Calls of the first supervisor take long, those of the second none.
+		f.group.pauses(func(string, chervilladder.UpstreamID) time.Duration { return 300 * time.Millisecond })
+		time.Sleep(time.Second)
+		own(board, "other")
+		time.Sleep(10 * time.Millisecond)
+		f.group.pauses(nil)
+		own(board, "vm")
+		time.Sleep(settled)
+		f.serving(board)
+		_, after := f.group.primary()
+		is.New(t).Equal(after.claim, before.claim+1) // one claim for the second time
+	})
+}
+
+// TestOwnClaim raises the claim by a request of this VM that arrives late.
+func TestOwnClaim(t *testing.T) {
+	testFleet(t, three, func(f *fleet) {
+		board := f.add("vm", f.group.dial())
+		f.serving(board)
+		f.group.change("a", func(s *fakeState) { s.claim++ })
+		_, gap := f.serving(board)
+		is.New(t).True(gap < time.Second)
+	})
+}
+
+// TestMovedPrimary claims a primary anew whose address has changed.
+func TestMovedPrimary(t *testing.T) {
+	testFleet(t, three, func(f *fleet) {
+		board := f.add("vm", f.group.dial())
+		f.serving(board)
+		_, before := f.group.primary()
+		db := &chervilladder.Database{ID: ledger}
+		for _, id := range three {
+			db.Upstreams = append(db.Upstreams, chervilladder.Upstream{ID: id, Address: "moved-" + chervilladder.Address(id), Slots: 1})
+		}
+		f.publish(board, db)
+		time.Sleep(settled)
+		f.serving(board)
+		_, after := f.group.primary()
+		is.New(t).True(after.claim > before.claim)
+	})
+}
+
+// lone returns a supervisor that doesn't run, to look at single steps.
+func lone() *supervisor {
+	board := blackboard.New(chervilladder.VM{ID: "vm"})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return &supervisor{Config: Config{Board: board}, state: board.Databases.Get(ledger), log: logrus.NewEntry(log)}
+}
+
+// TestOldAnswers takes two answers of one member out of order.
+func TestOldAnswers(t *testing.T) {
+	is := is.New(t)
+	s, asked := lone(), time.Unix(100, 0)
+	s.answered(t.Context(), "a", chervilladder.MemberStatus{Term: 2}, 7, asked)
+	s.answered(t.Context(), "a", chervilladder.MemberStatus{Term: 1}, 6, asked.Add(-time.Second))
+	s.failed(t.Context(), "a", asked.Add(-time.Second), errFake)
+	v := s.state.Group.Load().Members["a"]
+	is.Equal(v.Tick, blackboard.Tick(7))
+	is.Equal(v.Status.Term, chervilladder.Term(2))
+	is.NoErr(v.Err)
+	ended, stop := context.WithCancel(t.Context())
+	stop()
+	s.answered(ended, "a", chervilladder.MemberStatus{Term: 3}, 8, asked.Add(time.Second))
+	is.Equal(s.state.Group.Load().Members["a"].Tick, blackboard.Tick(7)) // its watcher has ended
+}
+
+// TestUnheardCountsInOneTerm holds no silence of an earlier term against the
+// primary of a new one.
+func TestUnheardCountsInOneTerm(t *testing.T) {
+	is := is.New(t)
+	s, asked := lone(), time.Unix(100, 0)
+	s.answered(t.Context(), "b", chervilladder.MemberStatus{Term: 1, Contact: -1}, 1, asked)
+	s.answered(t.Context(), "b", chervilladder.MemberStatus{Term: 1, Contact: -1}, 2, asked.Add(time.Second))
+	is.Equal(s.state.Group.Load().Members["b"].Unheard, asked)
+	s.answered(t.Context(), "b", chervilladder.MemberStatus{Term: 2, Contact: -1}, 3, asked.Add(2*time.Second))
+	is.Equal(s.state.Group.Load().Members["b"].Unheard, asked.Add(2*time.Second))
+}
+
+// TestTermNeverFalls keeps to a promotion of its own while the views are older.
+func TestTermNeverFalls(t *testing.T) {
+	s := lone()
+	s.adopt("b", 2)
+	s.answered(t.Context(), "a", chervilladder.MemberStatus{Term: 1, Role: chervilladder.RolePrimary}, 1, time.Unix(100, 0))
+	db := &chervilladder.Database{}
+	s.standOffUntil = time.Now().Add(time.Hour)
+	s.step(t.Context(), db, s.state.Group.Load())
+	is.New(t).Equal(s.state.Group.Load().Primary, chervilladder.UpstreamID("b"))
+}
+
+// TestClaimInOlderTerm takes no claim from a primary that turns out to be in
+// another term than the group.
+func TestClaimInOlderTerm(t *testing.T) {
+	testFleet(t, three, func(f *fleet) {
+		s := lone()
+		s.CallTimeout, s.Dial = time.Second, f.group.dial()
+		db := &chervilladder.Database{Upstreams: []chervilladder.Upstream{{ID: "a"}}}
+		s.adopt("a", 2)
+		s.claim(f.ctx, db, s.state.Group.Load())
+		is.New(t).True(!s.state.Group.Load().Open())
+	})
+}
--- a/internal/control/group/promote.go
+++ b/internal/control/group/promote.go
@@ -27,7 +27,7 @@
 	}
 	id, ok := promotion.Candidate(len(db.Upstreams), g.Primary, accepted)
 	if !ok {
-		log.Warn("group: promotion waits for a member that may hold confirmed writes")
+		log.Warn("group: promotion has no candidate")
 		return
 	}
 	status, err := s.call(ctx, db, id, func(ctx context.Context, m chervilladder.Member) (chervilladder.MemberStatus, error) {
--- a/internal/control/group/supervisor.go
+++ b/internal/control/group/supervisor.go
@@ -30,11 +30,17 @@
 
 	// standOffUntil is when the claim may be taken again.
 	standOffUntil time.Time
+	// before is closed once the previous supervisor of the database, which
+	// wrote the same sections, has ended; done once this one has.
+	before <-chan struct{}
+	done   chan struct{}
 	// promoteAfter holds back the next promotion after a failed one.
 	promoteAfter time.Time
 }
 
 func (s *supervisor) run(ctx context.Context) {
+	defer close(s.done)
+	<-s.before
 	s.forget()
 	defer s.forget()
 	var watchers sync.WaitGroup
@@ -72,6 +78,7 @@
 				continue
 			}
 			w.stop()
+			s.drop(u.ID)
 		}
 		memberCtx, stop := context.WithCancel(ctx)
 		watched[u.ID] = watcher{address: u.Address, stop: stop}
@@ -80,6 +87,7 @@
 	for id, w := range watched {
 		if !listed[id] {
 			w.stop()
+			s.drop(id)
 			delete(watched, id)
 		}
 	}
@@ -91,10 +99,22 @@
 	}
 }
 
+// drop forgets the evidence of a member that has moved or left the
+// configuration. The primary is claimed anew before work is sent to it again.
+func (s *supervisor) drop(id chervilladder.UpstreamID) {
+	s.state.Group.Update(func(g blackboard.Group) blackboard.Group {
+		g = g.Without(id)
+		if g.Primary == id {
+			g.Claim = 0
+		}
+		return g
+	})
+}
+
 // step takes the next step towards an open group.
 func (s *supervisor) step(ctx context.Context, db *chervilladder.Database, g blackboard.Group) {
 	now := time.Now()
-	if id, term, ok := newestPrimary(g); ok && (id != g.Primary || term != g.Term) {
+	if id, term, ok := newestPrimary(g); ok && (term > g.Term || term == g.Term && id != g.Primary) {
 		s.adopt(id, term)
 		return
 	}
@@ -165,6 +185,7 @@
 // claim takes ownership at the primary. What sessions observed before is not
 // known, so all are held to the primary's position.
 func (s *supervisor) claim(ctx context.Context, db *chervilladder.Database, g blackboard.Group) {
+	tick, asked := s.state.Evidence.Now(), time.Now()
 	status, err := s.call(ctx, db, g.Primary, func(ctx context.Context, m chervilladder.Member) (chervilladder.MemberStatus, error) {
 		return m.TakeClaim(ctx, s.Board.Self.ID)
 	})
@@ -174,20 +195,23 @@
 		return
 	}
 	s.state.Floors.Reset(chervilladder.Mark{Term: status.Term, Position: status.Received})
-	now := time.Now()
 	s.state.Group.Update(func(g blackboard.Group) blackboard.Group {
 		if g.Primary != status.Upstream || g.Term != status.Term {
 			return g
 		}
 		g.Claim = status.Claim
-		return g.With(status.Upstream, blackboard.MemberView{Status: status, Asked: now})
+		return g
 	})
+	s.answered(ctx, status.Upstream, status, tick, asked)
 	s.log.WithFields(logrus.Fields{"primary": status.Upstream, "claim": status.Claim}).Info("group: claim taken")
 }
 
 // lose gives up a claim that another VM has taken over.
+// A request of this VM that arrived late leaves it nothing to stand off from.
 func (s *supervisor) lose(holder chervilladder.VMID, now time.Time) {
-	s.standOffUntil = now.Add(s.StandOff)
+	if holder != s.Board.Self.ID {
+		s.standOffUntil = now.Add(s.StandOff)
+	}
 	s.state.Group.Update(func(g blackboard.Group) blackboard.Group {
 		g.Claim = 0
 		return g
--- a/internal/control/group/watch.go
+++ b/internal/control/group/watch.go
@@ -42,7 +42,7 @@
 	if m != nil {
 		status, err := s.status(ctx, m)
 		if err == nil {
-			s.answered(u.ID, status, tick, now)
+			s.answered(ctx, u.ID, status, tick, now)
 			return m
 		}
 		closeMember(m)
@@ -53,10 +53,10 @@
 		return m
 	}
 	if err != nil {
-		s.failed(u.ID, now, err)
+		s.failed(ctx, u.ID, now, err)
 		return nil
 	}
-	s.answered(u.ID, status, tick, now)
+	s.answered(ctx, u.ID, status, tick, now)
 	return m
 }
 
@@ -81,22 +81,38 @@
 	return m.Status(ctx)
 }
 
-func (s *supervisor) answered(id chervilladder.UpstreamID, status chervilladder.MemberStatus, t blackboard.Tick, asked time.Time) {
+// answered writes the status of a member. A status that was asked for before
+// the one there is dropped, as is one that reaches a watcher after its end.
+func (s *supervisor) answered(ctx context.Context, id chervilladder.UpstreamID, status chervilladder.MemberStatus, t blackboard.Tick, asked time.Time) {
 	s.state.Group.Update(func(g blackboard.Group) blackboard.Group {
+		old := g.Members[id]
+		if ctx.Err() != nil || t < old.Tick || asked.Before(old.Asked) {
+			return g
+		}
 		v := blackboard.MemberView{Status: status, Tick: t, Asked: asked}
 		if status.Contact < 0 {
-			v.Unheard = asked
-			if old := g.Members[id].Unheard; !old.IsZero() {
-				v.Unheard = old
-			}
+			v.Unheard = unheardSince(old, status, asked)
 		}
 		return g.With(id, v)
 	})
 }
 
-func (s *supervisor) failed(id chervilladder.UpstreamID, asked time.Time, err error) {
+// unheardSince returns since when a member says that it has heard from nobody
+// in its term.
+func unheardSince(old blackboard.MemberView, status chervilladder.MemberStatus, asked time.Time) time.Time {
+	if old.Unheard.IsZero() || old.Status.Term != status.Term {
+		return asked
+	}
+	return old.Unheard
+}
+
+// failed notes that a member does not answer fresh connections.
+func (s *supervisor) failed(ctx context.Context, id chervilladder.UpstreamID, asked time.Time, err error) {
 	s.state.Group.Update(func(g blackboard.Group) blackboard.Group {
 		v := g.Members[id]
+		if ctx.Err() != nil || asked.Before(v.Asked) {
+			return g
+		}
 		v.Err = err
 		if v.Failing.IsZero() {
 			v.Failing = asked
--- a/internal/decide/promotion/promotion.go
+++ b/internal/decide/promotion/promotion.go
@@ -28,6 +28,9 @@
 	CauseDead        Cause = "dead"
 	CauseCutOff      Cause = "cut-off"
 	CauseSteppedDown Cause = "stepped-down"
+	// CauseMissing means that no member is known as the primary, as it is
+	// to a VM that became owner after the primary had failed.
+	CauseMissing Cause = "missing"
 )
 
 // Assess judges the primary of a group from the evidence at a time. A primary
@@ -40,6 +43,8 @@
 	}
 	p, known := g.Members[g.Primary]
 	switch {
+	case g.Primary == "":
+		return assessMissing(g, silent)
 	case !known:
 		return CauseNone
 	case p.Err != nil && now.Sub(p.Failing) >= c.SuspectAfter:
@@ -55,12 +60,29 @@
 	}
 }
 
+// assessMissing judges a group whose primary is not known. One that has never
+// been in a term is about to open its first by itself.
+func assessMissing(g blackboard.Group, silent int) Cause {
+	if silent < proof.Majority(g.Size) {
+		return CauseNone
+	}
+	for _, v := range g.Members {
+		if v.Status.Term > 0 {
+			return CauseMissing
+		}
+	}
+	return CauseNone
+}
+
 // silentReplicas counts the replicas that answer us and have not heard from
-// the primary for the suspicion time.
+// the primary for the suspicion time. A primary that has stepped down is one.
 func silentReplicas(c Config, g blackboard.Group, now time.Time) int {
 	n := 0
 	for id, v := range g.Members {
-		if id == g.Primary || v.Err != nil || now.Sub(v.Asked) > c.FreshFor {
+		if v.Err != nil || now.Sub(v.Asked) > c.FreshFor {
+			continue
+		}
+		if id == g.Primary && v.Status.Role == chervilladder.RolePrimary {
 			continue
 		}
 		if v.ContactAge(now) >= c.SuspectAfter {
@@ -71,8 +93,12 @@
 }
 
 // Candidate picks the member to promote among those that accepted the ballot.
-// It returns false while promoting could lose a write that a replica had
-// confirmed: too few replicas accepted to be sure that one of them holds it.
+// It returns false while they are no majority.
+//
+// A confirmed write is held by a majority, so the most advanced log of any
+// other majority holds it. The old primary is passed over where a replica is
+// sure to hold all confirmed writes: as many accepted as one of them must, or
+// one is as advanced as the old primary itself.
 func Candidate(size int, old chervilladder.UpstreamID, accepted []chervilladder.MemberStatus) (chervilladder.UpstreamID, bool) {
 	if len(accepted) < proof.Majority(size) {
 		return "", false
@@ -90,12 +116,11 @@
 			best = s
 		}
 	}
-	if best == nil {
-		return "", false
-	}
 	enough := replicas >= size-proof.Majority(size)+1
-	caughtUp := former != nil && !moreAdvanced(*former, *best)
-	return best.Upstream, enough || caughtUp
+	if best == nil || !enough && moreAdvanced(*former, *best) {
+		return former.Upstream, true
+	}
+	return best.Upstream, true
 }
 
 // moreAdvanced orders logs by the term that they agree with, then by length.
--- /dev/null
+++ b/internal/decide/promotion/promotion_test.go
@@ -0,0 +1,205 @@
+package promotion
+
+import (
+	"errors"
+	"flag"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/proof"
+)
+
+// The seed is fixed, so that runs repeat; -rapid.seed on the command line
+// takes another.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+var ids = []chervilladder.UpstreamID{"a", "b", "c", "d", "e"}
+
+// replicaLog is the log of one member: the entries, and the term that they
+// agree with.
+type replicaLog struct {
+	entries []int
+	term    chervilladder.Term
+}
+
+// history is a group that writes, replicates and elects at random.
+type history struct {
+	logs    []replicaLog
+	primary int
+	term    chervilladder.Term
+	// begins is the length of the log with which the term began. A member
+	// agrees with the term once it holds that much.
+	begins    int
+	confirmed []int
+	next      int
+}
+
+func (h *history) write() {
+	p := &h.logs[h.primary]
+	h.next++
+	p.entries = append(slices.Clone(p.entries), h.next)
+}
+
+func (h *history) replicate(member, lack int) {
+	p := h.logs[h.primary]
+	if member == h.primary {
+		return
+	}
+	length := max(h.begins, len(p.entries)-lack)
+	l := &h.logs[member]
+	if l.term == h.term && len(l.entries) > length {
+		return
+	}
+	l.entries, l.term = slices.Clone(p.entries[:length]), h.term
+}
+
+func (h *history) group() blackboard.Group {
+	g := blackboard.Group{Primary: ids[h.primary], Term: h.term, Size: len(h.logs)}
+	for i := range h.logs {
+		g = g.With(ids[i], blackboard.MemberView{Status: h.status(i)})
+	}
+	return g
+}
+
+func (h *history) status(i int) chervilladder.MemberStatus {
+	end := chervilladder.Position(len(h.logs[i].entries))
+	return chervilladder.MemberStatus{Upstream: ids[i], LogTerm: h.logs[i].term, Received: end, Replayed: end}
+}
+
+// confirm notes the writes that may be acknowledged now.
+func (h *history) confirm() {
+	g := h.group()
+	for i, e := range h.logs[h.primary].entries {
+		if proof.Confirmed(g, chervilladder.Position(i+1)) && !slices.Contains(h.confirmed, e) {
+			h.confirmed = append(h.confirmed, e)
+		}
+	}
+}
+
+// TestCandidateHoldsConfirmedWrites elects among random majorities, also by a
+// VM that knows no primary or takes another member for it.
+func TestCandidateHoldsConfirmedWrites(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		size := rapid.SampledFrom([]int{3, 5}).Draw(rt, "size")
+		h := &history{logs: make([]replicaLog, size), term: 1}
+		h.logs[0].term = 1
+		member := rapid.IntRange(0, size-1)
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 5).Draw(rt, "step") {
+			case 0, 1:
+				h.write()
+			case 2, 3, 4:
+				h.replicate(member.Draw(rt, "member"), rapid.IntRange(0, 3).Draw(rt, "lack"))
+				h.confirm()
+			case 5:
+				h.elect(rt)
+			}
+		}
+	})
+}
+
+func (h *history) elect(rt *rapid.T) {
+	size := len(h.logs)
+	voters := rapid.SliceOfNDistinct(rapid.IntRange(0, size-1), 0, size, rapid.ID).Draw(rt, "voters")
+	old := rapid.SampledFrom(append([]chervilladder.UpstreamID{"", ids[h.primary]}, ids[:size]...)).Draw(rt, "old")
+	var accepted []chervilladder.MemberStatus
+	for _, i := range voters {
+		accepted = append(accepted, h.status(i))
+	}
+	id, ok := Candidate(size, old, accepted)
+	if ok != (len(voters) >= proof.Majority(size)) {
+		rt.Fatalf("candidate %v of %d voters in %d", ok, len(voters), size)
+	}
+	if !ok {
+		return
+	}
+	next := slices.Index(ids, id)
+	for _, e := range h.confirmed {
+		if !slices.Contains(h.logs[next].entries, e) {
+			rt.Fatalf("%s lacks the confirmed write %d", id, e)
+		}
+	}
+	h.term++
+	h.primary = next
+	h.logs[next].term = h.term
+	h.begins = len(h.logs[next].entries)
+}
+
+var config = Config{SuspectAfter: 700 * time.Millisecond, FreshFor: time.Second}
+
+// TestAssess judges groups of three whose primary is a.
+func TestAssess(t *testing.T) {
+	now := time.Unix(1000, 0)
+	type views = map[chervilladder.UpstreamID]blackboard.MemberView
+	view := func(r chervilladder.Role, contact time.Duration) blackboard.MemberView {
+		return blackboard.MemberView{Status: chervilladder.MemberStatus{Role: r, Term: 1, Contact: contact}, Asked: now}
+	}
+	primary, replica := chervilladder.RolePrimary, chervilladder.RoleReplica
+	failing := func(since time.Duration) blackboard.MemberView {
+		v := view(primary, 0)
+		v.Err, v.Failing = errors.New("no answer"), now.Add(-since)
+		return v
+	}
+	never := func(since time.Duration) blackboard.MemberView {
+		v := view(replica, -1)
+		v.Unheard = now.Add(-since)
+		return v
+	}
+	stale := func(v blackboard.MemberView) blackboard.MemberView {
+		v.Asked = now.Add(-2 * time.Second)
+		return v
+	}
+	silent, hears := view(replica, time.Second), view(replica, 50*time.Millisecond)
+	cases := map[string]struct {
+		unknown bool
+		members views
+		cause   Cause
+	}{
+		"healthy":                       {false, views{"a": view(primary, 0), "b": hears, "c": hears}, CauseNone},
+		"dead":                          {false, views{"a": failing(time.Second), "b": silent, "c": silent}, CauseDead},
+		"failing for a short time":      {false, views{"a": failing(100 * time.Millisecond), "b": silent, "c": silent}, CauseNone},
+		"slow, replicas hear":           {false, views{"a": failing(time.Minute), "b": hears, "c": hears}, CauseNone},
+		"one silent replica":            {false, views{"a": failing(time.Second), "b": silent, "c": hears}, CauseNone},
+		"old statuses of replicas":      {false, views{"a": failing(time.Second), "b": stale(silent), "c": silent}, CauseNone},
+		"cut off":                       {false, views{"a": view(primary, time.Second), "b": silent, "c": silent}, CauseCutOff},
+		"replicas silent, primary not":  {false, views{"a": view(primary, 0), "b": silent, "c": silent}, CauseNone},
+		"stepped down":                  {false, views{"a": view(replica, time.Second), "b": silent, "c": silent}, CauseSteppedDown},
+		"stepped down beside a dead":    {false, views{"a": view(replica, time.Second), "b": silent, "c": failing(time.Second)}, CauseSteppedDown},
+		"start-up, never heard":         {false, views{"a": view(primary, 0), "b": never(100 * time.Millisecond), "c": never(100 * time.Millisecond)}, CauseNone},
+		"dead before a replica heard":   {false, views{"a": failing(time.Second), "b": never(time.Second), "c": never(time.Second)}, CauseDead},
+		"no status of the primary yet":  {false, views{"b": silent, "c": silent}, CauseNone},
+		"primary unknown, silent":       {true, views{"a": failing(time.Second), "b": silent, "c": silent}, CauseMissing},
+		"primary unknown, heard":        {true, views{"a": failing(time.Second), "b": hears, "c": hears}, CauseNone},
+		"primary unknown, one answers":  {true, views{"a": failing(time.Second), "b": silent, "c": failing(time.Second)}, CauseNone},
+		"primary unknown, just started": {true, views{"a": never(0), "b": never(0), "c": never(0)}, CauseNone},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := blackboard.Group{Primary: "a", Term: 1, Size: 3, Members: c.members}
+			if c.unknown {
+				g.Primary, g.Term = "", 0
+			}
+			is.New(t).Equal(Assess(config, g, now), c.cause)
+		})
+	}
+}
+
+// TestAssessNewGroup leaves a group alone that has never been in a term.
+func TestAssessNewGroup(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := blackboard.Group{Size: 3}
+	for _, id := range ids[:3] {
+		g = g.With(id, blackboard.MemberView{Asked: now, Unheard: now.Add(-time.Hour), Status: chervilladder.MemberStatus{Role: chervilladder.RoleReplica}})
+	}
+	is.New(t).Equal(Assess(config, g, now), CauseNone)
+}
--- a/internal/decide/route/route.go
+++ b/internal/decide/route/route.go
@@ -35,6 +35,10 @@
 // was done.
 func coversUnsure(g blackboard.Group, floor blackboard.Floor, replayed chervilladder.Mark) bool {
 	v := g.Members[g.Primary]
+	if v.Status.Role != chervilladder.RolePrimary || v.Status.Term != g.Term {
+		// The status is from before the member was promoted.
+		return false
+	}
 	return v.Tick >= floor.Unsure && replayed.Covers(chervilladder.Mark{Term: g.Term, Position: v.Status.Received})
 }
 
--- /dev/null
+++ b/internal/decide/route/route_test.go
@@ -0,0 +1,70 @@
+package route
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+)
+
+func replica(t chervilladder.Term, p chervilladder.Position, tick blackboard.Tick) blackboard.MemberView {
+	return blackboard.MemberView{
+		Status: chervilladder.MemberStatus{Role: chervilladder.RoleReplica, Term: t, LogTerm: t, Received: p, Replayed: p},
+		Tick:   tick,
+	}
+}
+
+func primary(t chervilladder.Term, p chervilladder.Position, tick blackboard.Tick) blackboard.MemberView {
+	v := replica(t, p, tick)
+	v.Status.Role = chervilladder.RolePrimary
+	return v
+}
+
+func mark(t chervilladder.Term, p chervilladder.Position) chervilladder.Mark {
+	return chervilladder.Mark{Term: t, Position: p}
+}
+
+// TestMayRead asks whether b may serve a read in a group whose primary a is at
+// position 10 in term 2.
+func TestMayRead(t *testing.T) {
+	failing := replica(2, 10, 5)
+	failing.Err = errors.New("no answer")
+	type views = map[chervilladder.UpstreamID]blackboard.MemberView
+	with := func(b, c blackboard.MemberView) views { return views{"a": primary(2, 10, 5), "b": b, "c": c} }
+	written := blackboard.Floor{Written: mark(2, 8)}
+	cases := map[string]struct {
+		members views
+		floor   blackboard.Floor
+		may     bool
+	}{
+		"nothing observed":               {with(replica(2, 0, 0), replica(2, 0, 0)), blackboard.Floor{}, true},
+		"own write replayed":             {with(replica(2, 8, 0), replica(2, 0, 0)), written, true},
+		"own write not replayed":         {with(replica(2, 7, 0), replica(2, 9, 0)), written, false},
+		"own write of an earlier term":   {with(replica(2, 1, 0), replica(2, 1, 0)), blackboard.Floor{Written: mark(1, 99)}, true},
+		"log of an earlier term":         {with(replica(1, 99, 0), replica(2, 9, 0)), written, false},
+		"failing":                        {with(failing, replica(2, 9, 0)), blackboard.Floor{}, false},
+		"primary":                        {with(primary(2, 10, 5), replica(2, 9, 0)), blackboard.Floor{}, false},
+		"unknown":                        {views{"a": primary(2, 10, 5)}, blackboard.Floor{}, false},
+		"read there before":              {with(replica(2, 3, 0), replica(2, 9, 0)), blackboard.Floor{Tick: 5, Replica: "b"}, true},
+		"read elsewhere, covered":        {with(replica(2, 9, 0), replica(2, 9, 5)), blackboard.Floor{Tick: 5, Replica: "c"}, true},
+		"read elsewhere, behind":         {with(replica(2, 8, 0), replica(2, 9, 5)), blackboard.Floor{Tick: 5, Replica: "c"}, false},
+		"read elsewhere, no status yet":  {with(replica(2, 9, 5), replica(2, 9, 4)), blackboard.Floor{Tick: 5, Replica: "c"}, false},
+		"read on any, behind one":        {with(replica(2, 8, 5), replica(2, 9, 5)), blackboard.Floor{Tick: 5}, false},
+		"read on any, covers all":        {with(replica(2, 9, 5), replica(2, 9, 5)), blackboard.Floor{Tick: 5}, true},
+		"unknown outcome, covered":       {with(replica(2, 10, 0), replica(2, 0, 0)), blackboard.Floor{Unsure: 5}, true},
+		"unknown outcome, behind":        {with(replica(2, 9, 0), replica(2, 0, 0)), blackboard.Floor{Unsure: 5}, false},
+		"unknown outcome, not asked yet": {with(replica(2, 10, 9), replica(2, 0, 0)), blackboard.Floor{Unsure: 6}, false},
+		"unknown outcome, primary promoted since its status": {
+			views{"a": replica(1, 10, 5), "b": replica(2, 10, 9), "c": replica(2, 9, 9)}, blackboard.Floor{Unsure: 5}, false,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := blackboard.Group{Primary: "a", Term: 2, Claim: 1, Size: 3, Members: c.members}
+			is.New(t).Equal(MayRead(g, c.floor, "b"), c.may)
+		})
+	}
+}
