Give a leaving upstream no work, and replace a leaving primary by plan

Cause: a leaving replica was skipped by the queue, but its pooled connections stayed; a leaving primary went on for good; one that left the configuration left the database without a primary; a connection to an old address was given to the pool of the new one.

Ruled out: a ballot at once. It rolls back what is open and makes what was committed but not yet proved unknown to its callers.

Change: writes wait until a staying replica holds everything and nothing was written for 250 ms, at most 2 s; then a ballot elects that replica. A primary that is no longer listed stays a member until replaced. Pools of upstreams that leave, move or go close each connection once it is idle.

--- /dev/null
+++ b/internal/control/group/handover_test.go
@@ -0,0 +1,113 @@
+package group
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// leave puts a configuration in force in which some members are leaving.
+func (f *fleet) leave(vm int, leaving ...chervilladder.UpstreamID) {
+	db := &chervilladder.Database{ID: ledger}
+	for _, id := range f.ids() {
+		u := chervilladder.Upstream{ID: id, Address: chervilladder.Address(id), Slots: 1}
+		for _, l := range leaving {
+			u.Leaving = u.Leaving || l == id
+		}
+		db.Upstreams = append(db.Upstreams, u)
+	}
+	f.publish(f.boards[vm], db)
+}
+
+// TestLeavingPrimary replaces a primary that is leaving, with every member
+// alive.
+func TestLeavingPrimary(t *testing.T) {
+	testFleet(t, three, func(f *fleet) {
+		board := f.add("vm", f.group.dial())
+		f.serving(board)
+		time.Sleep(settled)
+		f.leave(0, "a")
+		id, gap := f.serving(board, "a")
+		t.Logf("%s is open after %v", id, gap)
+		is.New(t).True(gap < handoverLimit)
+		time.Sleep(settled)
+		is.New(t).Equal(f.terms(), 2)
+	})
+}
+
+// TestLeavingPrimaryAndReplica passes over a replica that is leaving too.
+func TestLeavingPrimaryAndReplica(t *testing.T) {
+	testFleet(t, three, func(f *fleet) {
+		board := f.add("vm", f.group.dial())
+		f.serving(board)
+		time.Sleep(settled)
+		f.leave(0, "a", "b")
+		id, _ := f.serving(board, "a", "b")
+		is.New(t).Equal(id, chervilladder.UpstreamID("c"))
+	})
+}
+
+// TestRemovedPrimary replaces a primary that has left the configuration.
+func TestRemovedPrimary(t *testing.T) {
+	testFleet(t, three, func(f *fleet) {
+		board := f.add("vm", f.group.dial())
+		f.serving(board)
+		time.Sleep(settled)
+		f.configure(board, "b", "c")
+		_, gap := f.serving(board, "a")
+		is.New(t).True(gap < handoverLimit)
+		time.Sleep(settled)
+		is.New(t).Equal(board.Databases.Get(ledger).Group.Load().Size, 2)
+	})
+}
+
+// TestLeavingPrimaryKeepsWrites goes on with the leaving primary while no
+// replica holds everything.
+func TestLeavingPrimaryKeepsWrites(t *testing.T) {
+	testFleet(t, three, func(f *fleet) {
+		board := f.add("vm", f.group.dial())
+		f.serving(board)
+		time.Sleep(settled)
+		f.group.change("b", func(s *fakeState) { s.lags = true })
+		f.group.change("c", func(s *fakeState) { s.lags = true })
+		f.leave(0, "a")
+		time.Sleep(longRun)
+		is.New(t).Equal(f.terms(), 1)
+		f.group.change("c", func(s *fakeState) { s.lags = false })
+		id, _ := f.serving(board, "a")
+		is.New(t).Equal(id, chervilladder.UpstreamID("c"))
+	})
+}
+
+// TestLeavingPrimaryDies kills the primary while writes wait for its change.
+func TestLeavingPrimaryDies(t *testing.T) {
+	testFleet(t, three, func(f *fleet) {
+		board := f.add("vm", f.group.dial())
+		f.serving(board)
+		time.Sleep(settled)
+		f.leave(0, "a")
+		time.Sleep(100 * time.Millisecond)
+		f.group.change("a", func(s *fakeState) { s.down = true })
+		_, gap := f.serving(board, "a")
+		is.New(t).True(gap < failoverLimit)
+	})
+}
+
+// TestLeavingPrimaryAnswerLost loses answers of each step of the change.
+func TestLeavingPrimaryAnswerLost(t *testing.T) {
+	for _, call := range []string{"accept", "promote", "claim", "follow"} {
+		t.Run(call, func(t *testing.T) {
+			testFleet(t, three, func(f *fleet) {
+				board := f.add("vm", f.group.dial())
+				f.serving(board)
+				time.Sleep(settled)
+				f.group.lose(call, 2)
+				f.leave(0, "a")
+				f.serving(board, "a")
+			})
+		})
+	}
+}
--- a/internal/control/group/promote.go
+++ b/internal/control/group/promote.go
@@ -25,7 +25,7 @@
 		log.WithField("accepted", len(accepted)).Warn("group: promotion has no majority")
 		return
 	}
-	id, ok := promotion.Candidate(len(db.Upstreams), g.Primary, accepted)
+	id, ok := choose(db, g, cause, accepted)
 	if !ok {
 		log.Warn("group: promotion has no candidate")
 		return
@@ -43,6 +43,14 @@
 	s.follow(ctx, db, ballot, id)
 }
 
+// choose picks the member to promote among those that accepted the ballot.
+func choose(db *chervilladder.Database, g blackboard.Group, cause promotion.Cause, accepted []chervilladder.MemberStatus) (chervilladder.UpstreamID, bool) {
+	if cause == promotion.CauseLeaving {
+		return promotion.Successor(len(db.Upstreams), staying(db), accepted)
+	}
+	return promotion.Candidate(len(db.Upstreams), g.Primary, accepted)
+}
+
 // collect asks all members at once to accept a ballot and returns the
 // statuses of those that did.
 func (s *supervisor) collect(ctx context.Context, db *chervilladder.Database, b chervilladder.Ballot) []chervilladder.MemberStatus {
--- a/internal/control/group/supervisor.go
+++ b/internal/control/group/supervisor.go
@@ -36,6 +36,12 @@
 	done   chan struct{}
 	// promoteAfter holds back the next promotion after a failed one.
 	promoteAfter time.Time
+	// handover is the planned change of the primary that is under way, and
+	// handoverAfter when the next one may begin.
+	handover      *handover
+	handoverAfter time.Time
+	// primary is the upstream that was last known as the primary.
+	primary chervilladder.Upstream
 }
 
 func (s *supervisor) run(ctx context.Context) {
@@ -49,7 +55,7 @@
 	tick := time.NewTicker(assessEvery)
 	defer tick.Stop()
 	for {
-		db := s.database.Load()
+		db := s.withPrimary(s.database.Load())
 		s.watchMembers(ctx, db, watched, &watchers)
 		g, changed := s.state.Group.Watch()
 		s.step(ctx, db, g)
@@ -133,6 +139,9 @@
 		}
 		return
 	}
+	if s.handOver(ctx, db, g, now) {
+		return
+	}
 	if g.Primary != "" && g.Claim == 0 && !superseded(g) && now.After(s.standOffUntil) && g.Members[g.Primary].Err == nil {
 		s.claim(ctx, db, g)
 	}
@@ -234,6 +243,9 @@
 		if !g.Open() || g.Members[u.ID].Err != nil || u.Leaving && !primary {
 			continue
 		}
+		if primary && s.handover != nil {
+			continue
+		}
 		list = append(list, schedule.Capacity{Upstream: u.ID, Slots: u.Slots, Primary: primary})
 	}
 	s.state.Queue.Configure(list)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -113,6 +113,7 @@
 		members,
 		ownership.New(ownership.Config{Board: board, Log: c.Log}),
 		groups,
+		local,
 	}, nil
 }
 
--- a/internal/decide/promotion/promotion.go
+++ b/internal/decide/promotion/promotion.go
@@ -31,6 +31,8 @@
 	// CauseMissing means that no member is known as the primary, as it is
 	// to a VM that became owner after the primary had failed.
 	CauseMissing Cause = "missing"
+	// CauseLeaving means that the primary works but has to leave.
+	CauseLeaving Cause = "leaving"
 )
 
 // Assess judges the primary of a group from the evidence at a time. A primary
--- a/internal/decide/promotion/promotion_test.go
+++ b/internal/decide/promotion/promotion_test.go
@@ -123,6 +123,13 @@
 	if !ok {
 		return
 	}
+	if rapid.Bool().Draw(rt, "planned") {
+		staying := Staying{}
+		for _, id := range ids[:size] {
+			staying[id] = rapid.Bool().Draw(rt, "staying")
+		}
+		id, _ = Successor(size, staying, accepted)
+	}
 	next := slices.Index(ids, id)
 	for _, e := range h.confirmed {
 		if !slices.Contains(h.logs[next].entries, e) {
--- a/internal/scenario/members_test.go
+++ b/internal/scenario/members_test.go
@@ -16,6 +16,8 @@
 	LogTerm     int    `json:"log-term"`
 	Received    int    `json:"received"`
 	Connections struct {
+		Open       int            `json:"open"`
+		Opened     int            `json:"opened"`
 		Statements map[string]int `json:"statements"`
 	} `json:"connections"`
 }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -64,6 +64,9 @@
 
 			"all-known": cmdAllKnown,
 			"ctl":       cmdCtl,
+			"leave":     cmdLeave,
+			"unlist":    cmdUnlist,
+			"unused":    cmdUnused,
 		},
 	})
 }
--- a/internal/upstream/executor.go
+++ b/internal/upstream/executor.go
@@ -74,6 +74,41 @@
 	return x, x.queue()
 }
 
+// Run closes the connections of upstreams that are leaving, have moved or are
+// no longer configured, until the context ends.
+func (e *Executor) Run(ctx context.Context) error {
+	for {
+		catalogue, changed := e.board.Catalogue.Watch()
+		if catalogue != nil {
+			e.retire(serving(catalogue))
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// serving returns the addresses of the upstreams that aren't leaving.
+func serving(c *chervilladder.Catalogue) map[chervilladder.UpstreamID]chervilladder.Address {
+	addresses := make(map[chervilladder.UpstreamID]chervilladder.Address)
+	for _, db := range c.Databases {
+		for _, u := range db.Upstreams {
+			if !u.Leaving {
+				addresses[u.ID] = u.Address
+			}
+		}
+	}
+	return addresses
+}
+
+func (e *Executor) retire(serving map[chervilladder.UpstreamID]chervilladder.Address) {
+	for key, slot := range e.pools.All() {
+		slot.retireUnless(serving[key.upstream])
+	}
+}
+
 // pool returns the pool of an upstream at its address in the configuration in
 // force.
 func (e *Executor) pool(db chervilladder.DatabaseID, id chervilladder.UpstreamID, readOnly bool) *Pool {
@@ -92,12 +127,24 @@
 func (s *poolSlot) at(u chervilladder.Upstream) *Pool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.pool != nil && s.pool.upstream.Address == u.Address {
-		return s.pool
+	if s.pool == nil || !s.pool.serves(u) {
+		s.replace(NewPool(u))
+	}
+	return s.pool
+}
+
+// retireUnless retires the pool unless it is one of an address.
+func (s *poolSlot) retireUnless(a chervilladder.Address) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pool != nil && (s.pool.upstream.Leaving || s.pool.upstream.Address != a) {
+		s.replace(nil)
 	}
+}
+
+func (s *poolSlot) replace(next *Pool) {
 	if s.pool != nil {
-		s.pool.Drop()
+		s.pool.Retire()
 	}
-	s.pool = NewPool(u)
-	return s.pool
+	s.pool = next
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -20,11 +20,19 @@
 
 	mu   sync.Mutex
 	idle []*Conn
+	// retired is set once connections are closed rather than kept.
+	retired bool
 }
 
-// NewPool returns an empty pool for an upstream.
+// NewPool returns an empty pool for an upstream. One of an upstream that is
+// leaving keeps no connections.
 func NewPool(u chervilladder.Upstream) *Pool {
-	return &Pool{upstream: u}
+	return &Pool{upstream: u, retired: u.Leaving}
+}
+
+// serves reports whether the pool is that of an upstream as it is configured.
+func (p *Pool) serves(u chervilladder.Upstream) bool {
+	return p.upstream.Address == u.Address && p.upstream.Leaving == u.Leaving
 }
 
 // Get returns a connection that is bound to a claim, or unbound if the claim
@@ -45,15 +53,33 @@
 // Put gives a connection back that is in no transaction and has nothing left
 // to read.
 func (p *Pool) Put(c *Conn) {
-	if c.cancelled || c.worn() {
+	if c.cancelled || c.worn() || c.upstream.Address != p.upstream.Address {
 		c.Close()
 		return
 	}
 	c.setDeadline(time.Time{})
 	c.idleSince = time.Now()
+	if !p.keep(c) {
+		c.Close()
+	}
+}
+
+func (p *Pool) keep(c *Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.retired {
+		return false
+	}
 	p.idle = append(p.idle, c)
+	return true
+}
+
+// Retire closes all idle connections, and each other one once it is idle.
+func (p *Pool) Retire() {
+	p.mu.Lock()
+	p.retired = true
+	p.mu.Unlock()
+	p.Drop()
 }
 
 // Drop closes all idle connections, for instance once some were found silent.
