Run a batch that only prepares in the class of its statement

Cause: a batch of Parse and Describe, as pgx sends before a statement's first run, took the service's default class, since only Bind looked at the comment that names one.

Change: Parse takes over the class of its statement.

Conclusion: background work no longer prepares at the most urgent priority.

--- a/internal/caller/batch.go
+++ b/internal/caller/batch.go
@@ -163,10 +163,8 @@
 // run records that statements run in the batch, and refuses those that need a
 // connection of the caller's own.
 func (b *batch) run(s *session, parts []sqltext.Statement) {
+	b.tag(parts)
 	for _, x := range parts {
-		if x.Class != "" {
-			b.class = x.Class
-		}
 		if x.Kind == sqltext.KindSet {
 			if err := s.settings.check(x); err != nil {
 				b.fail(err)
@@ -179,6 +177,15 @@
 	b.statements = append(b.statements, parts...)
 }
 
+// tag takes over the class that a comment in the statements names.
+func (b *batch) tag(parts []sqltext.Statement) {
+	for _, x := range parts {
+		if x.Class != "" {
+			b.class = x.Class
+		}
+	}
+}
+
 // refused returns why statements can't run on a pooled connection, if so.
 func refused(parts []sqltext.Statement) error {
 	for _, x := range parts {
--- /dev/null
+++ b/internal/caller/batch_test.go
@@ -0,0 +1,21 @@
+package caller
+
+import (
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/matryer/is"
+)
+
+// TestPrepareRunsInClassOfStatement looks at a batch that prepares a statement
+// and runs nothing, as pgx sends it first.
+func TestPrepareRunsInClassOfStatement(t *testing.T) {
+	is := is.New(t)
+	parse := pgproto3.Parse{Name: "s1", Query: "/* class=status */ SELECT count(*) FROM cases"}
+	message, err := parse.Encode(nil)
+	is.NoErr(err)
+	s, b := new(session), new(batch)
+	is.NoErr(s.addExtended(b, 'P', message[5:]))
+	is.NoErr(b.failure)
+	is.Equal(b.class, "status")
+}
--- a/internal/caller/extended.go
+++ b/internal/caller/extended.go
@@ -43,6 +43,7 @@
 		b.fail(err)
 		return nil
 	}
+	b.tag(p.parts)
 	b.parsed = append(b.parsed, parsed{name: m.Name, prepared: p})
 	b.unnamedHere = m.Name == ""
 	m.Name = ""
