Serve reads of a stated age by evidence, also without a primary

Cause: the accepted age of a class was read from the service file and unused.

Ruled out: the age by a replica's contact with its primary. A cut-off primary keeps the contact fresh while another one takes writes.

Change: each status of the primary that a majority's statuses of the same term cover is a sample (time asked, position); data replayed up to a sample's mark is at most as old as the sample. Such reads keep to the session's own writes and unknown outcomes, need no proof of the term while the primary doesn't answer, and replicas' slots are offered while the group isn't open. Reads without an age are refused replicas then. A claim of zero proves nothing.

Before/after: nothing read AcceptedAge before.

--- a/internal/blackboard/database.go
+++ b/internal/blackboard/database.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/decide/freshness"
 	"github.com/chervilladder/chervilladder/internal/decide/retry"
 	"github.com/chervilladder/chervilladder/internal/decide/schedule"
 )
@@ -15,6 +16,9 @@
 	// Group is what is known of the database's members. Written by
 	// control/group.
 	Group Section[Group]
+	// Positions is the history of the primary's position, by which the age
+	// of a replica's data is judged. Written by control/group.
+	Positions Section[freshness.History]
 	// Evidence counts the requests for fresh statuses. The path of a
 	// request asks, control/group answers through Group.
 	Evidence Evidence
--- a/internal/blackboard/floors.go
+++ b/internal/blackboard/floors.go
@@ -65,6 +65,18 @@
 	f.edit(id, func(floor *Floor) { floor.Replica, floor.Tick = replica, t })
 }
 
+// ReadAged records that a replica answered a read that did not hold to what
+// the session had read before, and a tick taken after that. Unless that was
+// from the same replica, the session may since have seen what any replica holds.
+func (f *Floors) ReadAged(id chervilladder.SessionID, replica chervilladder.UpstreamID, t Tick) {
+	f.edit(id, func(floor *Floor) {
+		if floor.Tick != 0 && floor.Replica != replica {
+			replica = ""
+		}
+		floor.Replica, floor.Tick = replica, t
+	})
+}
+
 // Reset forgets all sessions and holds every one of them to a common floor.
 // An owner calls it with the primary's position when it takes a claim, since
 // it doesn't know what sessions observed before.
--- a/internal/control/group/supervisor.go
+++ b/internal/control/group/supervisor.go
@@ -234,23 +234,34 @@
 	s.state.Queue.Configure(nil)
 }
 
-// configure tells the queue which slots work may use.
+// configure tells the queue which slots work may use. Those of replicas are
+// offered also while the group isn't open, to reads that accept older data.
 func (s *supervisor) configure(db *chervilladder.Database) {
 	g := s.state.Group.Load()
 	var list []schedule.Capacity
 	for _, u := range db.Upstreams {
-		primary := u.ID == g.Primary
-		if !g.Open() || g.Members[u.ID].Err != nil || u.Leaving && !primary {
-			continue
-		}
-		if primary && s.handover != nil {
-			continue
+		if s.offers(g, u) {
+			list = append(list, schedule.Capacity{Upstream: u.ID, Slots: u.Slots, Primary: u.ID == g.Primary})
 		}
-		list = append(list, schedule.Capacity{Upstream: u.ID, Slots: u.Slots, Primary: primary})
 	}
 	s.state.Queue.Configure(list)
 }
 
+// offers reports whether work may use the slots of a member.
+func (s *supervisor) offers(g blackboard.Group, u chervilladder.Upstream) bool {
+	v, known := g.Members[u.ID]
+	switch {
+	case v.Err != nil:
+		return false
+	case u.ID == g.Primary:
+		return g.Open() && s.handover == nil
+	case u.Leaving:
+		return false
+	default:
+		return g.Open() || known && v.Status.Role == chervilladder.RoleReplica
+	}
+}
+
 // call runs one call to a member on a fresh connection.
 func (s *supervisor) call(
 	ctx context.Context,
--- a/internal/control/group/watch.go
+++ b/internal/control/group/watch.go
@@ -6,6 +6,8 @@
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/freshness"
+	"github.com/chervilladder/chervilladder/internal/decide/proof"
 )
 
 // watch keeps the view of one member fresh: it asks for a status whenever the
@@ -95,6 +97,21 @@
 		}
 		return g.With(id, v)
 	})
+	s.sample()
+}
+
+// sample adds the primary's position to the history by which the age of reads
+// is judged.
+func (s *supervisor) sample() {
+	g := s.state.Group.Load()
+	asked, ok := proof.Since(g)
+	if !ok {
+		return
+	}
+	sample := freshness.Sample{Asked: asked, Mark: g.Mark()}
+	if now := s.state.Positions.Load(); now.Wants(sample) {
+		s.state.Positions.Update(func(h freshness.History) freshness.History { return h.With(sample) })
+	}
 }
 
 // unheardSince returns since when a member says that it has heard from nobody
--- a/internal/decide/proof/proof.go
+++ b/internal/decide/proof/proof.go
@@ -2,6 +2,9 @@
 package proof
 
 import (
+	"slices"
+	"time"
+
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 )
@@ -27,7 +30,7 @@
 // opens the new primary, so a majority that still holds to the old term rules
 // out that it had been opened.
 func Current(g blackboard.Group, term chervilladder.Term, claim chervilladder.Claim, t blackboard.Tick) Verdict {
-	if g.Term != term || g.Claim != claim {
+	if g.Term != term || g.Claim != claim || claim == 0 {
 		return Broken
 	}
 	agreeing := 0
@@ -50,6 +53,31 @@
 	return Pending
 }
 
+// Since returns a time up to which no write was acknowledged that the
+// primary's status lacks: the status was asked for no earlier, and so were
+// those of a majority that still held to the term.
+func Since(g blackboard.Group) (time.Time, bool) {
+	p := g.Members[g.Primary]
+	if p.Status.Role != chervilladder.RolePrimary || p.Status.Term != g.Term {
+		return time.Time{}, false
+	}
+	var asked []time.Time
+	for _, v := range g.Members {
+		if v.Status.Term == g.Term {
+			asked = append(asked, v.Asked)
+		}
+	}
+	if len(asked) < Majority(g.Size) {
+		return time.Time{}, false
+	}
+	slices.SortFunc(asked, func(a, b time.Time) int { return b.Compare(a) })
+	since := asked[Majority(g.Size)-1]
+	if p.Asked.Before(since) {
+		since = p.Asked
+	}
+	return since, true
+}
+
 // Confirmed reports whether a replica has received a position of the group's
 // term, so that no promotion can lose it.
 func Confirmed(g blackboard.Group, p chervilladder.Position) bool {
--- a/internal/decide/proof/proof_test.go
+++ b/internal/decide/proof/proof_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -53,8 +54,9 @@
 			if answered >= accepts[i] {
 				s.Term, s.Role = term+1, chervilladder.RoleReplica
 			}
-			g = g.With(ids[i], blackboard.MemberView{Status: s, Tick: blackboard.Tick(asked)})
+			g = g.With(ids[i], blackboard.MemberView{Status: s, Tick: blackboard.Tick(asked), Asked: time.Unix(int64(asked), 0)})
 		}
+		checkSince(rt, g, accepts)
 		if Current(g, term, claim, blackboard.Tick(event)) != Holds {
 			return
 		}
@@ -68,6 +70,19 @@
 	})
 }
 
+// checkSince fails if the next term may have been opened before the time that
+// the primary's status is said to cover.
+func checkSince(rt *rapid.T, g blackboard.Group, accepts []int) {
+	since, ok := Since(g)
+	if !ok {
+		return
+	}
+	sorted := slices.Sorted(slices.Values(accepts))
+	if opened := sorted[Majority(g.Size)-1]; int64(opened) <= since.Unix() {
+		rt.Fatalf("a majority had accepted the next term at %d, covered until %d", opened, since.Unix())
+	}
+}
+
 func TestCurrent(t *testing.T) {
 	agree := func(r chervilladder.Role, t blackboard.Tick) blackboard.MemberView {
 		return blackboard.MemberView{Status: chervilladder.MemberStatus{Term: term, Role: r, Claim: claim}, Tick: t}
@@ -92,6 +107,7 @@
 		"newer term somewhere": {group(agree(primary, 5), agree(replica, 5), newer), claim, Broken},
 		"claim taken over":     {group(taken, agree(replica, 5), agree(replica, 5)), claim, Broken},
 		"other claim":          {group(agree(primary, 5), agree(replica, 5), agree(replica, 5)), claim - 1, Broken},
+		"no claim":             {blackboard.Group{Primary: "a", Term: term, Size: 1}.With("a", agree(primary, 5)), 0, Broken},
 		"group forgotten":      {blackboard.Group{}, claim, Broken},
 	}
 	for name, c := range cases {
--- a/internal/decide/route/route.go
+++ b/internal/decide/route/route.go
@@ -2,15 +2,19 @@
 package route
 
 import (
+	"time"
+
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/freshness"
 )
 
 // MayRead reports whether a replica has replayed everything that a session
-// has observed.
+// has observed. In a group that isn't open none may serve: what sessions
+// observed at another owner is known once the claim is taken.
 func MayRead(g blackboard.Group, floor blackboard.Floor, replica chervilladder.UpstreamID) bool {
 	v, ok := g.Members[replica]
-	if !ok || v.Err != nil || v.Status.Role != chervilladder.RoleReplica {
+	if !ok || !g.Open() || v.Err != nil || v.Status.Role != chervilladder.RoleReplica {
 		return false
 	}
 	replayed := Replayed(v.Status)
@@ -26,6 +30,38 @@
 	return coversObserved(g, floor, replayed)
 }
 
+// Aged is what a read of a stated age depends on.
+type Aged struct {
+	Accepted time.Duration
+	History  freshness.History
+	Now      time.Time
+}
+
+// MayReadAged reports whether a replica may serve a read that accepts data of
+// an age. It holds to the session's own writes, but not to what the session
+// read before. All that it relies on is no older than the accepted age.
+func MayReadAged(g blackboard.Group, floor blackboard.Floor, replica chervilladder.UpstreamID, a Aged) bool {
+	v := g.Members[replica]
+	if v.Err != nil || v.Status.Role != chervilladder.RoleReplica || a.Now.Sub(v.Asked) > a.Accepted {
+		return false
+	}
+	replayed := Replayed(v.Status)
+	age, known := a.History.Age(replayed, a.Now)
+	if !known || age > a.Accepted {
+		return false
+	}
+	if floor.Unsure != 0 && !coversUnsure(g, floor, replayed) {
+		return false
+	}
+	return replayed.Covers(floor.Written)
+}
+
+// WithoutPrimary reports whether a group can't prove its term, since its
+// primary is not known, not claimed or does not answer.
+func WithoutPrimary(g blackboard.Group) bool {
+	return !g.Open() || g.Members[g.Primary].Err != nil
+}
+
 // Replayed returns the mark up to which a member's log is replayed.
 func Replayed(s chervilladder.MemberStatus) chervilladder.Mark {
 	return chervilladder.Mark{Term: s.LogTerm, Position: s.Replayed}
--- a/internal/decide/route/route_test.go
+++ b/internal/decide/route/route_test.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/freshness"
 )
 
 func replica(t chervilladder.Term, p chervilladder.Position, tick blackboard.Tick) blackboard.MemberView {
@@ -68,3 +70,51 @@
 		})
 	}
 }
+
+// TestMayReadAged asks whether b may serve a read that accepts five seconds,
+// in a group whose primary was at position 5 four seconds ago and at 10 one
+// second ago.
+func TestMayReadAged(t *testing.T) {
+	now := time.Unix(1000, 0)
+	history := freshness.History{}.
+		With(freshness.Sample{Asked: now.Add(-8 * time.Second), Mark: mark(2, 3)}).
+		With(freshness.Sample{Asked: now.Add(-4 * time.Second), Mark: mark(2, 5)}).
+		With(freshness.Sample{Asked: now.Add(-time.Second), Mark: mark(2, 10)})
+	at := func(p chervilladder.Position, asked time.Duration) blackboard.MemberView {
+		v := replica(2, p, 0)
+		v.Asked = now.Add(-asked)
+		return v
+	}
+	failing := at(10, 0)
+	failing.Err = errors.New("no answer")
+	cases := map[string]struct {
+		view  blackboard.MemberView
+		floor blackboard.Floor
+		may   bool
+	}{
+		"newest":                  {at(10, 0), blackboard.Floor{}, true},
+		"old enough":              {at(5, 0), blackboard.Floor{}, true},
+		"too old":                 {at(4, 0), blackboard.Floor{}, false},
+		"behind all evidence":     {at(1, 0), blackboard.Floor{}, false},
+		"old status":              {at(10, 6*time.Second), blackboard.Floor{}, false},
+		"failing":                 {failing, blackboard.Floor{}, false},
+		"own write":               {at(7, 0), blackboard.Floor{Written: mark(2, 8)}, false},
+		"own write replayed":      {at(8, 0), blackboard.Floor{Written: mark(2, 8)}, true},
+		"unknown outcome":         {at(10, 0), blackboard.Floor{Unsure: 6}, false},
+		"unknown outcome covered": {at(10, 0), blackboard.Floor{Unsure: 5}, true},
+		"read newer before":       {at(5, 0), blackboard.Floor{Tick: 5, Replica: "c"}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := blackboard.Group{Primary: "a", Term: 2, Size: 3}.With("a", primary(2, 10, 5)).With("b", c.view).With("c", at(10, 0))
+			may := MayReadAged(g, c.floor, "b", Aged{Accepted: 5 * time.Second, History: history, Now: now})
+			is.New(t).Equal(may, c.may)
+		})
+	}
+}
+
+// TestMayReadWithoutClaim refuses reads of a group that isn't open.
+func TestMayReadWithoutClaim(t *testing.T) {
+	g := blackboard.Group{Primary: "a", Term: 2, Size: 3}.With("b", replica(2, 9, 5))
+	is.New(t).True(!MayRead(g, blackboard.Floor{}, "b"))
+}
--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -8,6 +8,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/decide/proof"
+	"github.com/chervilladder/chervilladder/internal/decide/route"
 )
 
 // proofMaxAge is how old a proof may be when the answer is passed on; a VM
@@ -50,16 +51,27 @@
 
 func (x *exchange) awaitProof(ctx context.Context, tick blackboard.Tick) (blackboard.Group, error) {
 	verdict := proof.Pending
+	unproven := false
 	g, err := x.state.Await(ctx, func(g blackboard.Group) bool {
 		verdict = proof.Current(g, x.term, x.claim, tick)
-		return verdict != proof.Pending
+		unproven = x.mayGoUnproven(g)
+		return unproven || verdict != proof.Pending
 	})
+	if err == nil && unproven {
+		return g, nil
+	}
 	if err != nil || verdict != proof.Holds {
 		return g, errNoProof
 	}
 	return g, nil
 }
 
+// mayGoUnproven reports whether a read needs no proof of the term: it was
+// served by a replica whose data is fresh enough, and no primary is there.
+func (x *exchange) mayGoUnproven(g blackboard.Group) bool {
+	return x.aged() && x.served != g.Primary && route.WithoutPrimary(g)
+}
+
 // awaitReplica waits until a replica has received what the primary had
 // committed at a mark.
 func (x *exchange) awaitReplica(ctx context.Context, m chervilladder.Mark) error {
@@ -85,11 +97,13 @@
 
 // observe records what the session has now seen.
 func (x *exchange) observe(g blackboard.Group) chervilladder.Mark {
-	if x.work.Access == chervilladder.AccessRead {
-		if x.served != g.Primary {
-			x.state.Floors.Read(x.work.Session, x.served, x.state.Evidence.Stamp())
-			return chervilladder.Mark{}
+	if x.work.Access == chervilladder.AccessRead && x.served != g.Primary {
+		if tick := x.state.Evidence.Stamp(); x.aged() {
+			x.state.Floors.ReadAged(x.work.Session, x.served, tick)
+		} else {
+			x.state.Floors.Read(x.work.Session, x.served, tick)
 		}
+		return chervilladder.Mark{}
 	}
 	m := g.Mark()
 	x.state.Floors.Wrote(x.work.Session, m)
--- a/internal/upstream/slot.go
+++ b/internal/upstream/slot.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/decide/route"
 	"github.com/chervilladder/chervilladder/internal/decide/schedule"
 )
@@ -18,16 +19,14 @@
 	floor := x.state.Floors.Get(x.work.Session)
 	floor.Written = floor.Written.Later(x.work.Seen)
 	x.ticket = &schedule.Ticket{
-		Priority:     x.class.Priority,
-		Class:        x.class.ID,
-		Service:      x.work.Service,
-		Caller:       x.work.Caller,
-		FloorPercent: x.class.FloorPercent,
-		Deadline:     x.work.Deadline,
-		Access:       x.work.Access,
-		Readable: func(id chervilladder.UpstreamID) bool {
-			return route.MayRead(x.state.Group.Load(), floor, id)
-		},
+		Priority:         x.class.Priority,
+		Class:            x.class.ID,
+		Service:          x.work.Service,
+		Caller:           x.work.Caller,
+		FloorPercent:     x.class.FloorPercent,
+		Deadline:         x.work.Deadline,
+		Access:           x.work.Access,
+		Readable:         func(id chervilladder.UpstreamID) bool { return x.mayRead(floor, id) },
 		ReplicaOnlyUntil: time.Now().Add(x.class.Target / 2),
 	}
 	if err := x.state.Queue.Submit(x.ticket); err != nil {
@@ -37,6 +36,24 @@
 	return x.hold(x.batch)
 }
 
+// mayRead reports whether a replica may serve the read now.
+func (x *exchange) mayRead(floor blackboard.Floor, id chervilladder.UpstreamID) bool {
+	g := x.state.Group.Load()
+	if !x.aged() {
+		return route.MayRead(g, floor, id)
+	}
+	return route.MayReadAged(g, floor, id, route.Aged{
+		Accepted: x.class.AcceptedAge,
+		History:  x.state.Positions.Load(),
+		Now:      time.Now(),
+	})
+}
+
+// aged reports whether the work is a read that accepts older data.
+func (x *exchange) aged() bool {
+	return x.work.Access == chervilladder.AccessRead && x.class.AcceptedAge > 0
+}
+
 // awaitUsableSlot waits for a slot that still suits the group, and returns
 // the claim to which its connection must be bound; zero on a replica.
 func (x *exchange) awaitUsableSlot() (chervilladder.Claim, error) {
@@ -49,6 +66,7 @@
 		read := x.work.Access == chervilladder.AccessRead
 		switch {
 		case read && g.Term == x.term && g.Claim == x.claim:
+		case x.aged() && !onPrimary && route.WithoutPrimary(g):
 		case !read && onPrimary:
 			x.term, x.claim = g.Term, g.Claim
 		default:
