Record each group's primary at the platform

Cause: operators had no history of primaries and owners.

Ruled out: a record that decides. The group's majority does; the record may lag for as long as the platform is down.

Change: control/record writes object group/DATABASE by conditional update when this VM's view has a newer term or claim, at most four calls a second, with a growing and spread wait while calls fail. A conflict shows what stands there, so that a write whose answer was lost is recognised by its attempt.

Two VMs that race never set it back.

--- /dev/null
+++ b/internal/control/record/record.go
@@ -0,0 +1,56 @@
+// Package record keeps the platform's record of each database's primary, for
+// operators and as history. Nothing is decided by it: the members of a group
+// decide who its primary is, and the claim at the primary who its owner is.
+package record
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// Record says which member of a group is its primary, and which VM owns the
+// database.
+type Record struct {
+	Database chervilladder.DatabaseID `json:"database"`
+	Primary  chervilladder.UpstreamID `json:"primary"`
+	Term     chervilladder.Term       `json:"term"`
+	Claim    chervilladder.Claim      `json:"claim"`
+	Owner    chervilladder.VMID       `json:"owner"`
+	// Attempt names the write, so that its writer recognises it.
+	Attempt chervilladder.AttemptID `json:"attempt"`
+	// Since is when the writer first saw this state.
+	Since time.Time `json:"since"`
+}
+
+// Newer reports whether a record is of a later term, or of a later claim in
+// the same term, than another one.
+func (r Record) Newer(other Record) bool {
+	if r.Term != other.Term {
+		return r.Term > other.Term
+	}
+	return r.Claim > other.Claim
+}
+
+// encode returns the object of a record at a version.
+func encode(r Record, v chervilladder.Version) (chervilladder.Object, error) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return chervilladder.Object{}, fmt.Errorf("record of %s: %w", r.Database, err)
+	}
+	return chervilladder.Object{
+		Kind: chervilladder.KindGroup, Name: chervilladder.ObjectName(r.Database), Version: v, Value: value,
+	}, nil
+}
+
+// decode returns the record in an object. One that can't be read counts as
+// older than all, so that it is replaced.
+func decode(o chervilladder.Object) Record {
+	var r Record
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		return Record{}
+	}
+	return r
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/chervilladder/chervilladder/internal/control/group"
 	"github.com/chervilladder/chervilladder/internal/control/membership"
 	"github.com/chervilladder/chervilladder/internal/control/ownership"
+	"github.com/chervilladder/chervilladder/internal/control/record"
 	"github.com/chervilladder/chervilladder/internal/peer"
 	"github.com/chervilladder/chervilladder/internal/platform"
 	"github.com/chervilladder/chervilladder/internal/route"
@@ -98,6 +99,10 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	records, err := record.New(record.Config{Board: board, Platform: store, Log: c.Log})
+	if err != nil {
+		return nil, nil, err
+	}
 	front, err := caller.New(caller.Config{
 		Board:    board,
 		Executor: route.New(route.Config{Board: board, Local: local, Remote: remote}),
@@ -114,6 +119,7 @@
 		ownership.New(ownership.Config{Board: board, Log: c.Log}),
 		groups,
 		local,
+		records,
 	}, nil
 }
 
