Take the scenarios' ports from below the ephemeral range

Cause: in a run of scripts/test a member of one world had exited at its start and a process of another never answered. Addresses were chosen by listening on port zero and closing, so that a connection or another world could take the port before its process did; that this happened there was not seen in a log.

Ruled out: the product, which takes no part in what failed.

Change: ports from 12000 to 32000, each given to one world of the process.

--- a/internal/scenario/world_test.go
+++ b/internal/scenario/world_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -72,16 +74,34 @@
 	return w, nil
 }
 
-// freeAddresses returns loopback addresses that were free a moment ago.
+// The ports of worlds lie below those that the kernel gives to connections, so
+// that none is taken between its choice and its use.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+// chosen holds the ports that worlds of this process were given.
+var chosen sync.Map
+
+// freeAddresses returns loopback addresses on which nothing listens.
 func freeAddresses(n int) ([]string, error) {
 	var list []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(list) < n; tries++ {
+		if tries > lastPort-firstPort {
+			return nil, errors.New("no free port")
+		}
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if _, taken := chosen.LoadOrStore(port, true); taken {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue
 		}
-		defer l.Close()
-		list = append(list, l.Addr().String())
+		l.Close()
+		list = append(list, address)
 	}
 	return list, nil
 }
