--- a/internal/control/group/idle_test.go
+++ b/internal/control/group/idle_test.go
@@ -24,8 +24,8 @@
 // errDead is what a dead member answers with.
 var errDead = errors.New("connection refused")
 
-// fakeGroup is a group of three members, of which the primary may die.
-type fakeGroup struct {
+// idleGroup is a group of three members, of which the primary may die.
+type idleGroup struct {
 	mu       sync.Mutex
 	statuses map[chervilladder.UpstreamID]int
 	primary  chervilladder.UpstreamID
@@ -34,18 +34,18 @@
 	died     time.Time
 }
 
-func newFakeGroup() *fakeGroup {
-	return &fakeGroup{statuses: make(map[chervilladder.UpstreamID]int), primary: "a", term: 1}
+func newIdleGroup() *idleGroup {
+	return &idleGroup{statuses: make(map[chervilladder.UpstreamID]int), primary: "a", term: 1}
 }
 
-func (g *fakeGroup) kill(id chervilladder.UpstreamID) {
+func (g *idleGroup) kill(id chervilladder.UpstreamID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.dead, g.died = id, time.Now()
 }
 
 // takeCounts returns the statuses asked for since the last call.
-func (g *fakeGroup) takeCounts() map[chervilladder.UpstreamID]int {
+func (g *idleGroup) takeCounts() map[chervilladder.UpstreamID]int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	counts := g.statuses
@@ -53,30 +53,30 @@
 	return counts
 }
 
-func (g *fakeGroup) dial(_ context.Context, u chervilladder.Upstream) (chervilladder.Member, error) {
+func (g *idleGroup) dial(_ context.Context, u chervilladder.Upstream) (chervilladder.Member, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if u.ID == g.dead {
 		return nil, errDead
 	}
-	return &fakeMember{group: g, id: u.ID}, nil
+	return &idleMember{group: g, id: u.ID}, nil
 }
 
-// fakeMember is a member as one connection sees it.
-type fakeMember struct {
-	group *fakeGroup
+// idleMember is a member as one connection sees it.
+type idleMember struct {
+	group *idleGroup
 	id    chervilladder.UpstreamID
 }
 
 // Status returns the member's status unless it is dead.
-func (m *fakeMember) Status(context.Context) (chervilladder.MemberStatus, error) {
+func (m *idleMember) Status(context.Context) (chervilladder.MemberStatus, error) {
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
 	m.group.statuses[m.id]++
 	return m.status()
 }
 
-func (m *fakeMember) status() (chervilladder.MemberStatus, error) {
+func (m *idleMember) status() (chervilladder.MemberStatus, error) {
 	g := m.group
 	if m.id == g.dead {
 		return chervilladder.MemberStatus{}, errDead
@@ -92,17 +92,17 @@
 }
 
 // TakeClaim returns the member's status.
-func (m *fakeMember) TakeClaim(ctx context.Context, _ chervilladder.VMID) (chervilladder.MemberStatus, error) {
+func (m *idleMember) TakeClaim(ctx context.Context, _ chervilladder.VMID) (chervilladder.MemberStatus, error) {
 	return m.Status(ctx)
 }
 
 // AcceptTerm returns the member's status.
-func (m *fakeMember) AcceptTerm(ctx context.Context, _ chervilladder.Ballot) (chervilladder.MemberStatus, error) {
+func (m *idleMember) AcceptTerm(ctx context.Context, _ chervilladder.Ballot) (chervilladder.MemberStatus, error) {
 	return m.Status(ctx)
 }
 
 // Promote makes the member the primary.
-func (m *fakeMember) Promote(_ context.Context, b chervilladder.Ballot) (chervilladder.MemberStatus, error) {
+func (m *idleMember) Promote(_ context.Context, b chervilladder.Ballot) (chervilladder.MemberStatus, error) {
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
 	m.group.primary, m.group.term = m.id, b.Term
@@ -110,15 +110,15 @@
 }
 
 // Follow does nothing.
-func (m *fakeMember) Follow(context.Context, chervilladder.Ballot, chervilladder.UpstreamID) error {
+func (m *idleMember) Follow(context.Context, chervilladder.Ballot, chervilladder.UpstreamID) error {
 	return nil
 }
 
 // Close does nothing.
-func (m *fakeMember) Close() {}
+func (m *idleMember) Close() {}
 
 // supervise runs a controller for the group until the test ends.
-func supervise(t *testing.T, g *fakeGroup) *blackboard.Database {
+func supervise(t *testing.T, g *idleGroup) *blackboard.Database {
 	t.Helper()
 	is := is.New(t)
 	board := blackboard.New(chervilladder.VM{ID: "vm-1"})
@@ -148,7 +148,7 @@
 func TestHeartbeatOfIdleDatabase(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		g := newFakeGroup()
+		g := newIdleGroup()
 		state := supervise(t, g)
 		time.Sleep(5*time.Second + offBeat)
 		g.takeCounts()
@@ -176,7 +176,7 @@
 	for _, offset := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond, 999 * time.Millisecond} {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			g := newFakeGroup()
+			g := newIdleGroup()
 			state := supervise(t, g)
 			time.Sleep(30*time.Second + offset)
 			killed := time.Now()
@@ -196,7 +196,7 @@
 func TestIdleMemberIsAskedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		g := newFakeGroup()
+		g := newIdleGroup()
 		state := supervise(t, g)
 		time.Sleep(30 * time.Second)
 		g.kill("b")
--- a/internal/control/group/supervisor.go
+++ b/internal/control/group/supervisor.go
@@ -39,6 +39,12 @@
 	standOffUntil time.Time
 	// promoteAfter holds back the next promotion after a failed one.
 	promoteAfter time.Time
+	// handover is the planned change of the primary that is under way, and
+	// handoverAfter when the next one may begin.
+	handover      *handover
+	handoverAfter time.Time
+	// primary is the upstream that was last known as the primary.
+	primary chervilladder.Upstream
 }
 
 func (s *supervisor) run(ctx context.Context) {
@@ -50,7 +56,7 @@
 	tick := time.NewTimer(0)
 	defer tick.Stop()
 	for {
-		db := s.database.Load()
+		db := s.withPrimary(s.database.Load())
 		s.watchMembers(ctx, db, watched, &watchers)
 		g, changed := s.state.Group.Watch()
 		s.noteUse(g, time.Now())
@@ -81,6 +87,7 @@
 				continue
 			}
 			w.stop()
+			s.drop(u.ID)
 		}
 		memberCtx, stop := context.WithCancel(ctx)
 		watched[u.ID] = watcher{address: u.Address, stop: stop}
@@ -89,6 +96,7 @@
 	for id, w := range watched {
 		if !listed[id] {
 			w.stop()
+			s.drop(id)
 			delete(watched, id)
 		}
 	}
@@ -100,10 +108,22 @@
 	}
 }
 
+// drop forgets the evidence of a member that has moved or left the
+// configuration. The primary is claimed anew before work is sent to it again.
+func (s *supervisor) drop(id chervilladder.UpstreamID) {
+	s.state.Group.Update(func(g blackboard.Group) blackboard.Group {
+		g = g.Without(id)
+		if g.Primary == id {
+			g.Claim = 0
+		}
+		return g
+	})
+}
+
 // step takes the next step towards an open group.
 func (s *supervisor) step(ctx context.Context, db *chervilladder.Database, g blackboard.Group) {
 	now := time.Now()
-	if id, term, ok := newestPrimary(g); ok && (id != g.Primary || term != g.Term) {
+	if id, term, ok := newestPrimary(g); ok && (term > g.Term || term == g.Term && id != g.Primary) {
 		s.adopt(id, term)
 		return
 	}
@@ -125,6 +145,9 @@
 		}
 		return
 	}
+	if s.handOver(ctx, db, g, now) {
+		return
+	}
 	mayClaim := g.Primary != "" && g.Claim == 0 && !superseded(g) && now.After(s.standOffUntil) && g.Members[g.Primary].Err == nil
 	if mayClaim && s.released(ctx, g) {
 		s.claim(ctx, db, g)
@@ -178,6 +201,7 @@
 // claim takes ownership at the primary. What sessions observed before is not
 // known, so all are held to the primary's position.
 func (s *supervisor) claim(ctx context.Context, db *chervilladder.Database, g blackboard.Group) {
+	tick, asked := s.state.Evidence.Now(), time.Now()
 	status, err := s.call(ctx, db, g.Primary, func(ctx context.Context, m chervilladder.Member) (chervilladder.MemberStatus, error) {
 		return m.TakeClaim(ctx, s.Board.Self.ID)
 	})
@@ -187,20 +211,23 @@
 		return
 	}
 	s.state.Floors.Reset(chervilladder.Mark{Term: status.Term, Position: status.Received})
-	now := time.Now()
 	s.state.Group.Update(func(g blackboard.Group) blackboard.Group {
 		if g.Primary != status.Upstream || g.Term != status.Term {
 			return g
 		}
 		g.Claim = status.Claim
-		return g.With(status.Upstream, blackboard.MemberView{Status: status, Asked: now})
+		return g
 	})
+	s.answered(ctx, status.Upstream, status, tick, asked)
 	s.log.WithFields(logrus.Fields{"primary": status.Upstream, "claim": status.Claim}).Info("group: claim taken")
 }
 
 // lose gives up a claim that another VM has taken over.
+// A request of this VM that arrived late leaves it nothing to stand off from.
 func (s *supervisor) lose(holder chervilladder.VMID, now time.Time) {
-	s.standOffUntil = now.Add(s.StandOff)
+	if holder != s.Board.Self.ID {
+		s.standOffUntil = now.Add(s.StandOff)
+	}
 	s.state.Group.Update(func(g blackboard.Group) blackboard.Group {
 		g.Claim = 0
 		return g
@@ -214,20 +241,34 @@
 	s.state.Queue.Configure(nil)
 }
 
-// configure tells the queue which slots work may use.
+// configure tells the queue which slots work may use. Those of replicas are
+// offered also while the group isn't open, to reads that accept older data.
 func (s *supervisor) configure(db *chervilladder.Database) {
 	g := s.state.Group.Load()
 	var list []schedule.Capacity
 	for _, u := range db.Upstreams {
-		primary := u.ID == g.Primary
-		if !g.Open() || g.Members[u.ID].Err != nil || u.Leaving && !primary {
-			continue
+		if s.offers(g, u) {
+			list = append(list, schedule.Capacity{Upstream: u.ID, Slots: u.Slots, Primary: u.ID == g.Primary})
 		}
-		list = append(list, schedule.Capacity{Upstream: u.ID, Slots: u.Slots, Primary: primary})
 	}
 	s.state.Queue.Configure(list)
 }
 
+// offers reports whether work may use the slots of a member.
+func (s *supervisor) offers(g blackboard.Group, u chervilladder.Upstream) bool {
+	v, known := g.Members[u.ID]
+	switch {
+	case v.Err != nil:
+		return false
+	case u.ID == g.Primary:
+		return g.Open() && s.handover == nil
+	case u.Leaving:
+		return false
+	default:
+		return g.Open() || known && v.Status.Role == chervilladder.RoleReplica
+	}
+}
+
 // call runs one call to a member on a fresh connection.
 func (s *supervisor) call(
 	ctx context.Context,
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"fmt"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/chervilladder/chervilladder"
@@ -16,6 +17,7 @@
 	"github.com/chervilladder/chervilladder/internal/control/group"
 	"github.com/chervilladder/chervilladder/internal/control/membership"
 	"github.com/chervilladder/chervilladder/internal/control/ownership"
+	"github.com/chervilladder/chervilladder/internal/control/record"
 	"github.com/chervilladder/chervilladder/internal/metrics"
 	"github.com/chervilladder/chervilladder/internal/operator"
 	"github.com/chervilladder/chervilladder/internal/peer"
@@ -46,7 +48,8 @@
 	}
 	vars := newVars(board, store, s.gossip)
 	remote := peer.NewClient(board)
-	local := route.NewLocal(route.LocalConfig{Board: board, Executor: upstream.New(upstream.Config{Board: board})})
+	upstreams := upstream.New(upstream.Config{Board: board})
+	local := route.NewLocal(route.LocalConfig{Board: board, Executor: upstreams})
 	front, callers, err := buildFront(c, board, s, vars, local, remote)
 	if err != nil {
 		return nil, err
@@ -55,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return append(front, back...), nil
+	return slices.Concat(front, back, []actor{upstreams}), nil
 }
 
 // buildFront returns what stops first: the drain, the callers' side, and the
@@ -127,6 +130,10 @@
 	if err != nil {
 		return nil, err
 	}
+	records, err := record.New(record.Config{Board: board, Platform: store, Log: c.Log})
+	if err != nil {
+		return nil, err
+	}
 	services, err := configuration.New(configuration.Config{Board: board, Platform: store, Relay: remote, Log: c.Log})
 	if err != nil {
 		return nil, err
@@ -140,6 +147,7 @@
 	return []actor{
 		peer.NewServer(peer.ServerConfig{Board: board, Executor: local, Callers: callers, Listener: s.peers}),
 		groups,
+		records,
 		remote,
 		ownership.New(ownership.Config{Board: board, Log: c.Log}),
 		services,
--- a/internal/decide/proof/proof.go
+++ b/internal/decide/proof/proof.go
@@ -2,6 +2,9 @@
 package proof
 
 import (
+	"slices"
+	"time"
+
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 )
@@ -25,17 +28,29 @@
 //
 // A promotion needs a majority of the group to accept its term before it
 // opens the new primary, so a majority that still holds to the old term rules
-// out that it had been opened. Work that changes something needs no claim,
-// which is zero then: its connection was bound to one, so it was done before
-// another VM took a claim, whose floors cover it.
+// out that it had been opened.
 func Current(g blackboard.Group, term chervilladder.Term, claim chervilladder.Claim, t blackboard.Tick) Verdict {
-	if g.Term != term || claim != 0 && g.Claim != claim {
+	if g.Term != term || g.Claim != claim || claim == 0 {
+		return Broken
+	}
+	if g.Members[g.Primary].Status.Claim > claim {
+		return Broken
+	}
+	return Newest(g, term, t)
+}
+
+// Newest judges whether the term under which an event happened was still in
+// force after it. That is enough for work that changes something: its
+// connection was bound to the claim, so it was done before another VM took
+// one, and the floors of that VM cover it.
+func Newest(g blackboard.Group, term chervilladder.Term, t blackboard.Tick) Verdict {
+	if g.Term != term {
 		return Broken
 	}
 	agreeing := 0
 	primaryAgrees := false
 	for id, v := range g.Members {
-		if v.Status.Term > term || claim != 0 && v.Status.Claim > claim && id == g.Primary {
+		if v.Status.Term > term {
 			return Broken
 		}
 		if v.Tick < t || v.Status.Term != term {
@@ -52,6 +67,31 @@
 	return Pending
 }
 
+// Since returns a time up to which no write was acknowledged that the
+// primary's status lacks: the status was asked for no earlier, and so were
+// those of a majority that still held to the term.
+func Since(g blackboard.Group) (time.Time, bool) {
+	p := g.Members[g.Primary]
+	if p.Status.Role != chervilladder.RolePrimary || p.Status.Term != g.Term {
+		return time.Time{}, false
+	}
+	var asked []time.Time
+	for _, v := range g.Members {
+		if v.Status.Term == g.Term {
+			asked = append(asked, v.Asked)
+		}
+	}
+	if len(asked) < Majority(g.Size) {
+		return time.Time{}, false
+	}
+	slices.SortFunc(asked, func(a, b time.Time) int { return b.Compare(a) })
+	since := asked[Majority(g.Size)-1]
+	if p.Asked.Before(since) {
+		since = p.Asked
+	}
+	return since, true
+}
+
 // Confirmed reports whether a replica has received a position of the group's
 // term, so that no promotion can lose it.
 func Confirmed(g blackboard.Group, p chervilladder.Position) bool {
--- a/internal/scenario/members_test.go
+++ b/internal/scenario/members_test.go
@@ -17,6 +17,8 @@
 	Received    int    `json:"received"`
 	Holder      string `json:"holder"`
 	Connections struct {
+		Open       int            `json:"open"`
+		Opened     int            `json:"opened"`
 		Statements map[string]int `json:"statements"`
 	} `json:"connections"`
 }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -68,6 +68,9 @@
 			"drain":     cmdDrain,
 			"owns":      cmdOwns,
 			"ends":      cmdEnds,
+			"leave":     cmdLeave,
+			"unlist":    cmdUnlist,
+			"unused":    cmdUnused,
 		},
 	})
 }
