--- a/internal/control/group/group.go
+++ b/internal/control/group/group.go
@@ -21,10 +21,9 @@
 
 // Config says what a Controller works with.
 type Config struct {
-	Board    *blackboard.Board
-	Platform chervilladder.Platform
-	Dial     Dialer
-	Log      *logrus.Logger
+	Board *blackboard.Board
+	Dial  Dialer
+	Log   *logrus.Logger
 	// Heartbeat is the time between statuses that nobody asked for, while
 	// the database is in use or something is wrong with its group.
 	Heartbeat time.Duration
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -124,7 +124,7 @@
 // last, so that the VM isn't suspected before it has said that it stops.
 func buildBack(c Config, board *blackboard.Board, s sockets, store *platform.Client, local chervilladder.Executor, remote *peer.Client, callers *caller.Server) ([]actor, error) {
 	groups, err := group.New(group.Config{
-		Board: board, Platform: store, Dial: dialMember, Log: c.Log,
+		Board: board, Dial: dialMember, Log: c.Log,
 		Handover: remote, ReleaseTimeout: c.Settings.DrainTimeout,
 	})
 	if err != nil {
--- a/internal/standin/upstream/query/write.go
+++ b/internal/standin/upstream/query/write.go
@@ -109,25 +109,12 @@
 	if err := v.Txn.Writable(s.Class()); err != nil {
 		return Result{}, err
 	}
-	found, err := v.find(ctx, s.Table, s.Where)
+	w, err := v.changeRows(ctx, s.Table, s.Where, func(now *engine.Row) (*engine.Row, error) {
+		return v.assign(ctx, s.Table, s.Set, scope{row: now})
+	})
 	if err != nil {
 		return Result{}, err
 	}
-	var w written
-	for _, r := range found {
-		now, err := v.lockRow(ctx, s.Table, r.ID, s.Where)
-		if err != nil {
-			return Result{}, err
-		}
-		if now == nil {
-			continue
-		}
-		next, err := v.assign(ctx, s.Table, s.Set, scope{row: now})
-		if err != nil {
-			return Result{}, err
-		}
-		w.rows = append(w.rows, next)
-	}
 	return v.result(w, s.Returning, s.Table)
 }
 
@@ -135,23 +122,36 @@
 	if err := v.Txn.Writable(s.Class()); err != nil {
 		return Result{}, err
 	}
-	found, err := v.find(ctx, s.Table, s.Where)
+	w, err := v.changeRows(ctx, s.Table, s.Where, func(now *engine.Row) (*engine.Row, error) {
+		return now, v.Txn.Delete(s.Table, now.ID)
+	})
 	if err != nil {
 		return Result{}, err
 	}
+	return v.result(w, s.Returning, s.Table)
+}
+
+// changeRows locks the rows that a condition selects, and changes those that
+// it still selects once they are locked.
+func (v *Env) changeRows(ctx context.Context, table sql.TableName, where sql.Expr, change func(*engine.Row) (*engine.Row, error)) (written, error) {
 	var w written
+	found, err := v.find(ctx, table, where)
+	if err != nil {
+		return w, err
+	}
 	for _, r := range found {
-		now, err := v.lockRow(ctx, s.Table, r.ID, s.Where)
+		now, err := v.lockRow(ctx, table, r.ID, where)
 		if err != nil {
-			return Result{}, err
+			return w, err
 		}
 		if now == nil {
 			continue
 		}
-		if err := v.Txn.Delete(s.Table, r.ID); err != nil {
-			return Result{}, err
+		row, err := change(now)
+		if err != nil {
+			return w, err
 		}
-		w.rows = append(w.rows, now)
+		w.rows = append(w.rows, row)
 	}
-	return v.result(w, s.Returning, s.Table)
+	return w, nil
 }
