--- a/cmd/chervilladder/main.go
+++ b/cmd/chervilladder/main.go
@@ -21,6 +21,10 @@
 	exitUsage  = 2
 )
 
+// decisionBurst is how many lines of the same message are written within ten
+// seconds. Each is a decision that an engineer may have to trace.
+const decisionBurst = 100
+
 type options struct {
 	Settings string          `long:"settings" value-name:"FILE" description:"settings file of this VM"`
 	Check    bool            `long:"check-settings" description:"check the settings file and exit"`
@@ -91,7 +95,7 @@
 		return exitDone
 	}
 	lines := logs.NewQueue(os.Stdout)
-	log, err := logs.New(logs.Config{Output: lines, Format: logs.FormatJSON, Level: "info"})
+	log, err := logs.New(logs.Config{Output: lines, Format: logs.FormatJSON, Level: "info", Burst: decisionBurst})
 	if err != nil {
 		return usage(err)
 	}
--- a/internal/blackboard/cluster.go
+++ b/internal/blackboard/cluster.go
@@ -127,8 +127,7 @@
 	// of this primary's log; zero while replication goes on.
 	StalledSince time.Time
 	StalledAt    chervilladder.Mark
-	// HeldSince is since when a replica has been paused for a term beyond
-	// the primary's.
+	// HeldSince is since when a replica has been paused.
 	HeldSince time.Time
 }
 
--- a/internal/control/evidence/prober.go
+++ b/internal/control/evidence/prober.go
@@ -141,17 +141,18 @@
 		p.log().Info("evidence: upstream regained")
 	}
 	p.k.sample(p.cluster, seen)
+	p.k.c.Pools.Crowd(p.upstream, status.Connections)
 }
 
 func (p *prober) log() *logrus.Entry {
 	return p.k.c.Log.WithFields(logrus.Fields{"upstream": p.upstream.ID, "service": p.service})
 }
 
-// markHeld dates the pause of a replica for a term beyond the primary's.
+// markHeld dates the pause of a replica.
 func markHeld(v *blackboard.ClusterView, id chervilladder.UpstreamID, now time.Time) {
 	s := v.Members[id]
 	switch {
-	case s.Status.Held <= v.Term:
+	case s.Status.Held == 0:
 		s.HeldSince = time.Time{}
 	case s.HeldSince.IsZero():
 		s.HeldSince = now
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -43,6 +43,9 @@
 	if err != nil {
 		return err
 	}
+	if r.cause == lead.CauseForgotten {
+		return r.resumeForgotten(ctx)
+	}
 	paused, err := r.pause(ctx)
 	if err != nil {
 		return err
@@ -52,6 +55,9 @@
 	if !ok {
 		return errNoCandidate
 	}
+	if spared := r.spared(); confirms(paused, spared) {
+		best = find(paused, spared)
+	}
 	r.log.WithFields(logrus.Fields{"candidate": best.Upstream, "received": best.Received, "paused": len(paused)}).Info("failover: replicas paused")
 	if err := r.sleepUntil(ctx, settled); err != nil {
 		return err
@@ -66,6 +72,16 @@
 	return nil
 }
 
+// resumeForgotten lets replicas go on that are paused for no reason any more.
+func (r *replacement) resumeForgotten(ctx context.Context) error {
+	var failed error
+	for _, id := range lead.Forgotten(r.view) {
+		_, err := r.order(ctx, r.view.Members[id], chervilladder.Command{Kind: chervilladder.CommandResume})
+		failed = errors.Join(failed, err)
+	}
+	return failed
+}
+
 // nextTerm returns a term above all that were seen.
 func (r *replacement) nextTerm() chervilladder.Term {
 	term := r.view.Term
@@ -107,15 +123,39 @@
 	if failed != nil || spared == "" {
 		return list, failed
 	}
-	if best, ok := lead.Candidate(list); ok && best.Upstream != spared {
-		// Another replica is ahead, so the spared one must stop too.
-		if _, err := r.order(ctx, r.view.Members[spared], chervilladder.Command{Kind: chervilladder.CommandPause, Term: r.term}); err != nil {
-			return nil, fmt.Errorf("%w: %w", errOutOfSight, err)
+	if confirms(list, spared) {
+		return list, nil
+	}
+	// Another replica was ahead, so the spared one stops too. What it has
+	// confirmed up to now counts.
+	status, err := r.order(ctx, r.view.Members[spared], chervilladder.Command{Kind: chervilladder.CommandPause, Term: r.term})
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errOutOfSight, err)
+	}
+	for i := range list {
+		if list[i].Upstream == spared {
+			list[i].Received = status.Received
 		}
 	}
 	return list, nil
 }
 
+// confirms reports whether a replica that was not paused holds all that the
+// others hold.
+func confirms(list []lead.Paused, spared chervilladder.UpstreamID) bool {
+	best, ok := lead.Candidate(list)
+	return ok && spared != "" && find(list, spared).Received.Covers(best.Received)
+}
+
+func find(list []lead.Paused, id chervilladder.UpstreamID) lead.Paused {
+	for _, p := range list {
+		if p.Upstream == id {
+			return p
+		}
+	}
+	return lead.Paused{}
+}
+
 // spared returns the replica that is not paused, or none.
 func (r *replacement) spared() chervilladder.UpstreamID {
 	if !r.cause.Planned() || len(r.view.Members) < 3 {
@@ -141,7 +181,20 @@
 		return chervilladder.LinkStatus{}, err
 	}
 	defer l.Close()
-	return l.Status(deadline, c)
+	status, err := l.Status(deadline, c)
+	r.log.WithFields(logrus.Fields{
+		"upstream": s.ID, "order": orderNames[c.Kind], "order-term": c.Term, "error": err,
+		"received": status.Received.String(), "leads": status.Primary, "status-term": status.Term, "held": status.Held,
+	}).Info("failover: order given")
+	return status, err
+}
+
+// orderNames are the names of orders in logs.
+var orderNames = map[chervilladder.CommandKind]string{
+	chervilladder.CommandStatus:   "status",
+	chervilladder.CommandPause:    "pause",
+	chervilladder.CommandResume:   "resume",
+	chervilladder.CommandStepDown: "step-down",
 }
 
 // promote gives the order, and again if its answer is lost, while the duty
--- a/internal/decide/lead/lead.go
+++ b/internal/decide/lead/lead.go
@@ -96,6 +96,9 @@
 	CauseLeaving Cause = "leaving"
 	// CauseUnfinished is a replacement that somebody began and left.
 	CauseUnfinished Cause = "unfinished"
+	// CauseForgotten is a replica that is still paused for a replacement
+	// that has taken place. The primary stays; the replica is resumed.
+	CauseForgotten Cause = "forgotten"
 )
 
 // Planned reports whether the old primary still works.
@@ -106,6 +109,7 @@
 	deadAfter       = 600 * time.Millisecond
 	stalledAfter    = 1200 * time.Millisecond
 	unfinishedAfter = 2 * time.Second
+	forgottenAfter  = 400 * time.Millisecond
 	// deadFailures is how many questions in a row a dead primary has left
 	// without an answer, all but the first on fresh connections.
 	deadFailures = 3
@@ -128,12 +132,34 @@
 	case !p.DrainingSince.IsZero():
 		return CauseLeaving
 	}
+	return assessPaused(v, now)
+}
+
+// assessPaused judges a cluster whose primary is well by its paused replicas.
+func assessPaused(v blackboard.ClusterView, now time.Time) Cause {
+	cause := CauseNone
 	for _, s := range v.Members {
-		if !s.HeldSince.IsZero() && now.Sub(s.HeldSince) >= unfinishedAfter {
+		switch held := now.Sub(s.HeldSince); {
+		case s.HeldSince.IsZero() || !s.Answers():
+		case s.Status.Held > v.Term && held >= unfinishedAfter:
 			return CauseUnfinished
+		case s.Status.Held <= v.Term && held >= forgottenAfter:
+			cause = CauseForgotten
+		}
+	}
+	return cause
+}
+
+// Forgotten returns the replicas that are paused for no later term than the
+// primary's.
+func Forgotten(v blackboard.ClusterView) []chervilladder.UpstreamID {
+	var list []chervilladder.UpstreamID
+	for id, s := range v.Members {
+		if id != v.Primary && s.Status.Held != 0 && s.Status.Held <= v.Term {
+			list = append(list, id)
 		}
 	}
-	return CauseNone
+	return list
 }
 
 func anyReplica(v blackboard.ClusterView) bool {
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -10,6 +10,14 @@
 	"github.com/chervilladder/chervilladder"
 )
 
+// fullFor is how long no connection is opened after the upstream refused one
+// because it has too many.
+const fullFor = 250 * time.Millisecond
+
+// restingFor is how long a connection must have been idle to be closed in
+// favour of other VMs.
+const restingFor = 300 * time.Millisecond
+
 // openTimeout bounds the opening of one connection.
 const openTimeout = 700 * time.Millisecond
 
@@ -31,6 +39,9 @@
 	open, limit int
 	waiters     []chan *Conn
 	retired     bool
+	// fullUntil is until when the upstream is taken to accept no more
+	// connections.
+	fullUntil time.Time
 }
 
 func newPool(u chervilladder.Registered, linker chervilladder.Linker, limit int) *Pool {
@@ -50,18 +61,25 @@
 		c := p.takeIdle(values)
 		p.mu.Unlock()
 		return c, nil
-	case p.open < p.limit:
+	case p.open == 0 || p.open < p.limit && time.Now().After(p.fullUntil):
 		p.open++
 		p.mu.Unlock()
 		return p.dial(ctx)
 	}
+	p.mu.Unlock()
+	return p.await(ctx)
+}
+
+// await waits for a connection that another session gives back.
+func (p *Pool) await(ctx context.Context) (*Conn, error) {
 	wait := make(chan *Conn, 1)
+	p.mu.Lock()
 	p.waiters = append(p.waiters, wait)
 	p.mu.Unlock()
 	select {
 	case c := <-wait:
 		if c == nil {
-			return p.Get(ctx, values)
+			return p.Get(ctx, nil)
 		}
 		return c, nil
 	case <-ctx.Done():
@@ -89,15 +107,30 @@
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	l, err := p.linker.Open(ctx, p.upstream)
-	if err != nil {
-		p.forget()
-		return nil, err
+	if err == nil {
+		return &Conn{Link: l, pool: p}, nil
+	}
+	var refused *chervilladder.LinkRefusedError
+	full := errors.As(err, &refused) && refused.Code == chervilladder.CodeConnectionLimit
+	if full {
+		p.noteFull()
+	}
+	if p.forget() && full {
+		return p.await(ctx)
 	}
-	return &Conn{Link: l, pool: p}, nil
+	return nil, err
 }
 
-// forget counts a connection as closed and lets a waiter open another one.
-func (p *Pool) forget() {
+// noteFull notes that the upstream accepts no more connections for now.
+func (p *Pool) noteFull() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fullUntil = time.Now().Add(fullFor)
+}
+
+// forget counts a connection as closed and lets a waiter open another one. It
+// reports whether connections are left.
+func (p *Pool) forget() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
@@ -105,6 +138,7 @@
 		p.waiters[0] <- nil
 		p.waiters = p.waiters[1:]
 	}
+	return p.open > 0
 }
 
 func (p *Pool) giveUp(wait chan *Conn) {
@@ -145,21 +179,37 @@
 	p.forget()
 }
 
-// SetLimit changes how many connections the pool may have.
-func (p *Pool) SetLimit(n int) {
+// DiscardOlder closes the idle connections that were last used before a time.
+// One that was sent something then has not answered, and the others may have
+// fallen silent with it.
+func (p *Pool) DiscardOlder(than time.Time) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.limit = n
+	var older, kept []*Conn
+	for _, c := range p.idle {
+		if c.usedAt.Before(than) {
+			older = append(older, c)
+		} else {
+			kept = append(kept, c)
+		}
+	}
+	p.idle = kept
+	p.mu.Unlock()
+	for _, c := range older {
+		p.discard(c)
+	}
 }
 
-// DiscardIdle closes the idle connections, after one of the pool was found
-// silent or reset: those of the same path may have ended like it.
-func (p *Pool) DiscardIdle() {
+// Trim closes the connection that has been idle for longest, if it has been
+// for a while: another VM needs it more.
+func (p *Pool) Trim() {
 	p.mu.Lock()
-	idle := p.idle
-	p.idle = nil
+	var c *Conn
+	if len(p.idle) > 0 && time.Since(p.idle[0].usedAt) >= restingFor {
+		c = p.idle[0]
+		p.idle = p.idle[1:]
+	}
 	p.mu.Unlock()
-	for _, c := range idle {
+	if c != nil {
 		p.discard(c)
 	}
 }
@@ -174,5 +224,5 @@
 	for _, w := range waiters {
 		w <- nil
 	}
-	p.DiscardIdle()
+	p.DiscardOlder(time.Now())
 }
--- a/internal/link/pools.go
+++ b/internal/link/pools.go
@@ -66,6 +66,21 @@
 	return max(minConnections, routing.Services[u.Service].MaxConnections/connectionShare)
 }
 
+// crowdedShare is the part of an upstream's connections, in percent, from
+// which on VMs give back those that they don't use.
+const crowdedShare = 85
+
+// Crowd tells how many connections all VMs have open to an upstream.
+func (p *Pools) Crowd(u chervilladder.Registered, connections int) {
+	routing := p.c.Board.Routing.Load()
+	if routing == nil {
+		return
+	}
+	if most := routing.Services[u.Service].MaxConnections; most > 0 && connections*100 >= most*crowdedShare {
+		p.For(u).Trim()
+	}
+}
+
 // Drop retires the pool of an upstream that is gone.
 func (p *Pools) Drop(id chervilladder.UpstreamID) {
 	e, ok := p.pools.Find(id)
--- a/internal/logs/limiter.go
+++ b/internal/logs/limiter.go
@@ -10,8 +10,8 @@
 // DefaultRepeatEvery is how often a repeated message is written.
 const DefaultRepeatEvery = 10 * time.Second
 
-// burst is how often a message is written before it counts as repeated.
-const burst = 5
+// DefaultBurst is how often a message is written before it counts as repeated.
+const DefaultBurst = 5
 
 // maxMessages bounds the messages that are remembered.
 const maxMessages = 1000
@@ -25,6 +25,7 @@
 type limiter struct {
 	inner logrus.Formatter
 	every time.Duration
+	burst int
 
 	mu       sync.Mutex
 	messages map[string]*repeats
@@ -36,11 +37,14 @@
 	skipped int
 }
 
-func newLimiter(inner logrus.Formatter, every time.Duration) *limiter {
+func newLimiter(inner logrus.Formatter, every time.Duration, burst int) *limiter {
+	if burst == 0 {
+		burst = DefaultBurst
+	}
 	if every == 0 {
 		every = DefaultRepeatEvery
 	}
-	return &limiter{inner: inner, every: every, messages: make(map[string]*repeats)}
+	return &limiter{inner: inner, every: every, burst: burst, messages: make(map[string]*repeats)}
 }
 
 // Format returns the line of an entry, or nothing if it is left out.
@@ -75,7 +79,7 @@
 		*r = repeats{since: now, written: 1}
 		return skipped, true
 	}
-	if r.written >= burst {
+	if r.written >= l.burst {
 		r.skipped++
 		return 0, false
 	}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -28,6 +28,9 @@
 	// RepeatEvery is how often a repeated message is written; zero means
 	// DefaultRepeatEvery.
 	RepeatEvery time.Duration
+	// Burst is how often a message is written before it counts as repeated;
+	// zero means DefaultBurst.
+	Burst int
 }
 
 // New returns a logger.
@@ -39,7 +42,7 @@
 	log := logrus.New()
 	log.SetOutput(c.Output)
 	log.SetLevel(level)
-	log.SetFormatter(newLimiter(format(c.Format), c.RepeatEvery))
+	log.SetFormatter(newLimiter(format(c.Format), c.RepeatEvery, c.Burst))
 	return log, nil
 }
 
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -21,7 +21,7 @@
 		}
 		log.Warn("part: another message")
 		log.Debug("part: too low a level")
-		is.Equal(strings.Count(out.String(), "\n"), burst+1)
+		is.Equal(strings.Count(out.String(), "\n"), DefaultBurst+1)
 		time.Sleep(DefaultRepeatEvery)
 		out.Reset()
 		log.WithField("peer", 7).Warn("part: no answer")
--- a/internal/session/place.go
+++ b/internal/session/place.go
@@ -33,35 +33,52 @@
 
 // The refusals of a placement. Nothing was sent.
 var (
-	errNoPrimary = errors.New("no primary is known")
-	errNoProof   = errors.New("no proof that the primary is the newest")
-	errGone      = errors.New("the member is gone")
+	errNoProof = errors.New("no proof that the primary is the newest")
+	errMoved   = errors.New("another member is the primary by now")
 )
 
 // place waits for a slot of a member that may run the work.
 func (w *work) place(ctx context.Context, access chervilladder.Access) (*placement, error) {
+	w.access = access
 	bound, err := w.bound(ctx, access)
 	if err != nil {
 		return nil, err
 	}
-	w.access = access
-	t := w.ticket(access)
-	if access == chervilladder.AccessRead {
-		t.ReplicaOnlyUntil = w.arrived
-		t.Readable = func(id chervilladder.UpstreamID) bool { return w.readable(id, bound) }
+	for {
+		t := w.ticket(access)
+		if access == chervilladder.AccessRead {
+			t.ReplicaOnlyUntil = w.arrived
+			t.Readable = func(id chervilladder.UpstreamID) bool { return w.readable(id, bound) }
+		}
+		id, err := w.await(ctx, t)
+		if err != nil {
+			return nil, err
+		}
+		p, err := w.granting(ctx, t, id, bound)
+		if err == nil {
+			return p, nil
+		}
+		w.cluster.Queue.Release(t)
+		if !errors.Is(err, errMoved) {
+			return nil, err
+		}
 	}
+}
+
+// await waits until a ticket is granted a slot.
+func (w *work) await(ctx context.Context, t *schedule.Ticket) (chervilladder.UpstreamID, error) {
 	if err := w.cluster.Queue.Submit(t); err != nil {
-		return nil, err
+		return "", err
 	}
 	select {
 	case id, ok := <-t.Granted():
 		if !ok {
-			return nil, t.Refused()
+			return "", t.Refused()
 		}
-		return w.granting(ctx, t, id, bound)
+		return id, nil
 	case <-ctx.Done():
 		w.cluster.Queue.Withdraw(t)
-		return nil, context.Cause(ctx)
+		return "", context.Cause(ctx)
 	}
 }
 
@@ -83,8 +100,7 @@
 	view := w.cluster.View.Load()
 	s, ok := view.Members[id]
 	if !ok {
-		w.cluster.Queue.Release(t)
-		return nil, errGone
+		return nil, errMoved
 	}
 	p := &placement{cluster: w.cluster, ticket: t, member: s.Enrolled, primary: id == view.Primary, since: bound.mark}
 	if p.primary && view.Term > bound.mark.Term {
@@ -93,8 +109,7 @@
 		p.since = chervilladder.Mark{}
 	}
 	if p.primary && w.needsProof(p) {
-		if err := w.prove(ctx); err != nil {
-			p.release()
+		if err := w.prove(ctx, id); err != nil {
 			return nil, err
 		}
 	}
@@ -114,16 +129,20 @@
 	return !bounded || p.since == (chervilladder.Mark{})
 }
 
-// prove waits until the primary is certain to be the newest at the time that
-// the work arrived.
-func (w *work) prove(ctx context.Context) error {
-	holds := func(v blackboard.ClusterView) bool { return lead.Proven(v, w.seen) }
-	if holds(w.cluster.View.Load()) {
-		return nil
+// prove waits until a member is certain to have been the newest primary at the
+// time that the work arrived. The proof must be of that member: while it is
+// waited for, another one may become the primary.
+func (w *work) prove(ctx context.Context, id chervilladder.UpstreamID) error {
+	proven := func(v blackboard.ClusterView) bool { return v.Primary == id && lead.Proven(v, w.seen) }
+	settled := func(v blackboard.ClusterView) bool { return v.Primary != id || proven(v) }
+	if !settled(w.cluster.View.Load()) {
+		w.cluster.Wanted.Ask()
+		if !w.cluster.Await(ctx, settled) {
+			return errNoProof
+		}
 	}
-	w.cluster.Wanted.Ask()
-	if !w.cluster.Await(ctx, holds) {
-		return errNoProof
+	if !proven(w.cluster.View.Load()) {
+		return errMoved
 	}
 	return nil
 }
--- a/internal/session/work.go
+++ b/internal/session/work.go
@@ -35,6 +35,8 @@
 	since    chervilladder.Mark
 	tries    int
 	granted  time.Time
+	// sent is when the command was last sent.
+	sent time.Time
 }
 
 // bind looks up what the work depends on.
@@ -149,6 +151,7 @@
 
 // exchange sends a command and receives its answer.
 func (w *work) exchange(conn *link.Conn, c chervilladder.Command) (chervilladder.Result, error) {
+	w.sent = time.Now()
 	if err := conn.Send(w.deadline, c); err != nil {
 		return chervilladder.Result{}, err
 	}
@@ -193,7 +196,7 @@
 // it.
 func (w *work) lost(p *placement, conn *link.Conn) {
 	conn.Discard()
-	p.pool.DiscardIdle()
+	p.pool.DiscardOlder(w.sent)
 	w.exclude(p.member.ID)
 	w.cluster.Wanted.Ask()
 }
