--- a/internal/control/evidence/prober.go
+++ b/internal/control/evidence/prober.go
@@ -13,8 +13,10 @@
 
 // The pace of the questions.
 const (
-	// askEvery is the time between two questions to a member.
-	askEvery = 250 * time.Millisecond
+	// askEvery is the time between two questions to a member that answers,
+	// askFailing to one that doesn't.
+	askEvery   = 500 * time.Millisecond
+	askFailing = 100 * time.Millisecond
 	// answerTimeout bounds the wait for an answer. A full member may let a
 	// question wait for some statements.
 	answerTimeout = 400 * time.Millisecond
@@ -50,8 +52,11 @@
 		case <-ctx.Done():
 			return
 		}
-		p.ask(ctx)
-		timer.Reset(askEvery)
+		if p.ask(ctx) {
+			timer.Reset(askEvery)
+		} else {
+			timer.Reset(askFailing)
+		}
 		if !sleep(ctx, soonest) {
 			return
 		}
@@ -65,24 +70,26 @@
 	}
 }
 
-// ask asks once, on a fresh connection if there is none.
-func (p *prober) ask(ctx context.Context) {
+// ask asks once, on a fresh connection if there is none, and reports whether
+// the member told its status.
+func (p *prober) ask(ctx context.Context) bool {
 	asked := p.k.c.Clock()
 	status, err := p.status(ctx)
 	if ctx.Err() != nil {
-		return
+		return false
 	}
-	var refused *chervilladder.LinkRefusedError
-	if errors.As(err, &refused) && refused.Code == chervilladder.CodeBusy {
-		p.alive()
-		return
+	if err == nil {
+		p.answered(asked, status)
+		return true
 	}
-	if err != nil {
-		p.close()
-		p.failed(asked, err)
-		return
+	var refused *chervilladder.LinkRefusedError
+	if errors.As(err, &refused) && (refused.Code == chervilladder.CodeBusy || refused.Code == chervilladder.CodeConnectionLimit) {
+		p.alive() // too much to do is no sign of death
+		return false
 	}
-	p.answered(asked, status)
+	p.close()
+	p.failed(asked, err)
+	return false
 }
 
 func (p *prober) status(ctx context.Context) (chervilladder.LinkStatus, error) {
--- a/internal/link/pools.go
+++ b/internal/link/pools.go
@@ -67,8 +67,9 @@
 }
 
 // crowdedShare is the part of an upstream's connections, in percent, from
-// which on VMs give back those that they don't use.
-const crowdedShare = 85
+// which on VMs give back those that they don't use. The rest is for VMs that
+// start, also while upstreams still hold the connections of dead ones.
+const crowdedShare = 50
 
 // Crowd tells how many connections all VMs have open to an upstream.
 func (p *Pools) Crowd(u chervilladder.Registered, connections int) {
