Promote nobody who lacks what a replica that is gone may have confirmed

Change: a member whose entry is gone stays in the evidence while it answers, without work; when it is found gone, the primary's position from then on must be held by whoever is promoted; an attempt that gives up lets the replicas go on.

Test: TestCommitsConfirmedByAReplicaThatIsGoneAreKept fails without the check.

--- a/internal/blackboard/cluster.go
+++ b/internal/blackboard/cluster.go
@@ -106,6 +106,12 @@
 	Term    chervilladder.Term
 	Primary chervilladder.UpstreamID
 	Members map[chervilladder.UpstreamID]Sighting
+	// Departed is what the primary's log held when a replica was last found
+	// gone. That replica may have been the one that confirmed it, so no
+	// member that lacks it may be promoted. While DepartedSince is set, the
+	// primary has not been asked since.
+	Departed      chervilladder.Mark
+	DepartedSince time.Time
 	// Confirmations is how many replicas must have received a commit before
 	// the primary acknowledges it.
 	Confirmations int
@@ -129,6 +135,9 @@
 	StalledAt    chervilladder.Mark
 	// HeldSince is since when a replica has been paused.
 	HeldSince time.Time
+	// Unlisted is set once the member's entry is gone. It is kept while it
+	// answers, since it may still confirm commits; it gets no work.
+	Unlisted bool
 }
 
 // Answers reports whether the member answered the last question.
@@ -136,6 +145,11 @@
 	return !s.Asked.IsZero() && s.FailingSince.IsZero()
 }
 
+// Leaves reports whether the member gets no new work of replicas.
+func (s Sighting) Leaves() bool {
+	return s.Unlisted || !s.DrainingSince.IsZero()
+}
+
 // Await waits until the view satisfies a condition, and reports whether it did
 // before the context ended.
 func (c *Cluster) Await(ctx context.Context, holds func(ClusterView) bool) bool {
--- a/internal/control/evidence/evidence.go
+++ b/internal/control/evidence/evidence.go
@@ -35,6 +35,9 @@
 type Controller struct {
 	c       Config
 	probers map[chervilladder.UpstreamID]*prober
+	// silent tells of members that don't answer any more and whose entries
+	// are gone.
+	silent  chan *prober
 	running sync.WaitGroup
 }
 
@@ -43,7 +46,7 @@
 	if c.Board == nil || c.Linker == nil || c.Pools == nil || c.Log == nil || c.Clock == nil {
 		return nil, errors.New("evidence: a board, a linker, pools, a log and a clock are needed")
 	}
-	return &Controller{c: c, probers: make(map[chervilladder.UpstreamID]*prober)}, nil
+	return &Controller{c: c, probers: make(map[chervilladder.UpstreamID]*prober), silent: make(chan *prober)}, nil
 }
 
 // Run asks until the context ends.
@@ -54,6 +57,8 @@
 		k.follow(ctx, upstreams)
 		select {
 		case <-changed:
+		case p := <-k.silent:
+			k.drop(p)
 		case <-ctx.Done():
 			return nil
 		}
@@ -64,25 +69,44 @@
 // what has changed about the others.
 func (k *Controller) follow(ctx context.Context, u blackboard.Upstreams) {
 	for id, p := range k.probers {
-		if e, ok := u.ByID[id]; !ok || !p.serves(e) {
-			p.stop()
-			delete(k.probers, id)
-			k.remove(p.service, id)
-			k.c.Pools.Drop(id)
+		switch e, ok := u.ByID[id]; {
+		case !ok:
+			p.unlisted.Store(true)
+			k.update(p.service, func(v *blackboard.ClusterView) {
+				s := v.Members[id]
+				s.Unlisted = true
+				v.Members[id] = s
+			})
+		case !p.serves(e):
+			k.drop(p)
 		}
 	}
 	for id, e := range u.ByID {
 		k.update(e.Service, func(v *blackboard.ClusterView) {
 			s := v.Members[id]
-			s.Enrolled = e
+			s.Enrolled, s.Unlisted = e, false
 			v.Members[id] = s
 		})
-		if k.probers[id] == nil {
+		if p := k.probers[id]; p != nil {
+			p.unlisted.Store(false)
+		} else {
 			k.start(ctx, e)
 		}
 	}
 }
 
+// drop forgets a member that is gone, or that has started anew.
+func (k *Controller) drop(p *prober) {
+	id := p.upstream.ID
+	if k.probers[id] != p {
+		return
+	}
+	p.stop()
+	delete(k.probers, id)
+	k.remove(p.service, id)
+	k.c.Pools.Drop(id)
+}
+
 func (k *Controller) start(ctx context.Context, e blackboard.Enrolled) {
 	ctx, stop := context.WithCancel(ctx)
 	p := &prober{k: k, upstream: e.Registered, service: e.Service, stop: stop, cluster: k.c.Board.Clusters.Get(e.Service)}
@@ -91,7 +115,14 @@
 }
 
 func (k *Controller) remove(service chervilladder.ServiceID, id chervilladder.UpstreamID) {
-	k.update(service, func(v *blackboard.ClusterView) { delete(v.Members, id) })
+	now := k.c.Clock()
+	k.update(service, func(v *blackboard.ClusterView) {
+		delete(v.Members, id)
+		if p, ok := v.Members[v.Primary]; ok && id != v.Primary {
+			v.DepartedSince = now
+			v.Departed = v.Departed.Later(p.Status.Received)
+		}
+	})
 	k.c.Board.Clusters.Get(service).Applied.Remove(id)
 }
 
@@ -124,7 +155,7 @@
 func capacities(v blackboard.ClusterView) []schedule.Capacity {
 	var list []schedule.Capacity
 	for id, s := range v.Members {
-		if !s.Answers() || id != v.Primary && !s.DrainingSince.IsZero() {
+		if !s.Answers() || s.Unlisted || id != v.Primary && s.Leaves() {
 			continue
 		}
 		list = append(list, schedule.Capacity{Upstream: id, Slots: slots(s), Primary: id == v.Primary})
--- a/internal/control/evidence/prober.go
+++ b/internal/control/evidence/prober.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -33,6 +34,8 @@
 	cluster  *blackboard.Cluster
 	stop     context.CancelFunc
 	link     chervilladder.Link
+	// unlisted is set while the upstream's entry is gone.
+	unlisted atomic.Bool
 }
 
 // serves reports whether the prober asks the upstream as it is registered.
@@ -89,6 +92,12 @@
 	}
 	p.close()
 	p.failed(asked, err)
+	if p.unlisted.Load() {
+		select {
+		case p.k.silent <- p:
+		case <-ctx.Done():
+		}
+	}
 	return false
 }
 
@@ -141,6 +150,7 @@
 		s.FailingSince, s.Failures = time.Time{}, 0
 		v.Members[p.upstream.ID] = s
 		markHeld(v, p.upstream.ID, asked)
+		markDeparted(v, p.upstream.ID, s)
 		markStalled(v, asked)
 		seen = v.Members[p.upstream.ID]
 	})
@@ -155,6 +165,14 @@
 	return p.k.c.Log.WithFields(logrus.Fields{"upstream": p.upstream.ID, "service": p.service})
 }
 
+// markDeparted notes what a primary's log holds once it has been asked after a
+// replica was found gone.
+func markDeparted(v *blackboard.ClusterView, id chervilladder.UpstreamID, s blackboard.Sighting) {
+	if id == v.Primary && s.Status.Primary && !v.DepartedSince.IsZero() && !s.Asked.Before(v.DepartedSince) {
+		v.Departed, v.DepartedSince = v.Departed.Later(s.Status.Received), time.Time{}
+	}
+}
+
 // markHeld dates the pause of a replica.
 func markHeld(v *blackboard.ClusterView, id chervilladder.UpstreamID, now time.Time) {
 	s := v.Members[id]
--- a/internal/control/failover/failover_test.go
+++ b/internal/control/failover/failover_test.go
@@ -178,6 +178,37 @@
 	})
 }
 
+// A replica that leaves has confirmed commits alone, since the other one
+// receives nothing, and takes them with it. Found by a hunt on ncdaf-ladder, mix
+// 544690670164: the deaf replica was promoted.
+func TestCommitsConfirmedByAReplicaThatIsGoneAreKept(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 1}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		s := w.Open(t, 0, clustertest.Primary)
+		deaf, leaver := clustertest.MemberID(1), clustertest.MemberID(2)
+		w.Cluster.Set(deaf, func(f *cluster.Faults) { f.Alone = true })
+		left := clustertest.Member(2)
+		left.Draining = true
+		w.VMs[0].Enroll(clustertest.Member(0), clustertest.Member(1), left)
+		var acked []string
+		for i := range 40 {
+			if i == 20 { // the entry goes a moment before the member does
+				w.VMs[0].Enroll(clustertest.Member(0), clustertest.Member(1))
+			}
+			is.Equal(write(w, s, fmt.Sprint("w", i)).Code, chervilladder.CodeNone)
+			acked = append(acked, fmt.Sprint("w", i))
+			time.Sleep(20 * time.Millisecond)
+		}
+		w.Cluster.Set(leaver, func(f *cluster.Faults) { f.Down = true })
+		write(w, s, "unconfirmed")
+		time.Sleep(6 * time.Second)
+		is.Equal(len(w.Cluster.Orders()), 0)
+		w.Cluster.Set(deaf, func(f *cluster.Faults) { f.Alone = false })
+		time.Sleep(5 * time.Second)
+		checkKept(t, w, acked)
+		is.Equal(write(w, s, "after").Code, chervilladder.CodeNone)
+	})
+}
+
 // The holder of the duty fails at the same moment as the primary.
 func TestAnotherVMTakesTheDutyOver(t *testing.T) {
 	bubble(t, clustertest.Config{VMs: 3}, func(t *testing.T, is *is.I, w *clustertest.World) {
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -29,53 +29,84 @@
 // The reasons why nothing was promoted.
 var (
 	errOutOfSight  = errors.New("a replica that may hold an acknowledged commit is out of sight")
+	errBehind      = errors.New("no replica holds all that a replica which is gone may have confirmed")
 	errNoCandidate = errors.New("no replica can be promoted")
 	errTooLate     = errors.New("the duty was recorded too long ago to order a promotion")
 	errNoEffect    = errors.New("the promotion does not show")
 )
 
 // run pauses the replicas, promotes the one that holds most, and lets the
-// others follow it. Until the order is given nothing is lost by giving up:
-// whoever looks next finds the replicas paused and goes on.
+// others follow it.
 func (r *replacement) run(ctx context.Context) error {
+	if r.cause != lead.CauseForgotten && !lead.HoldsDeparted(r.view) {
+		return errBehind
+	}
 	r.term = r.nextTerm()
 	duty, until, err := r.k.duty.begin(ctx, r.service, r.term)
 	if err != nil {
 		return err
 	}
 	if r.cause == lead.CauseForgotten {
-		return r.resumeForgotten(ctx)
+		return r.resume(ctx, lead.Forgotten(r.view))
 	}
-	paused, err := r.pause(ctx)
+	best, err := r.choose(ctx)
 	if err != nil {
+		return errors.Join(err, r.giveUp(ctx, until))
+	}
+	if err := r.promote(ctx, duty, until, best.Upstream); err != nil {
+		return err
+	}
+	if err := r.awaitEffect(ctx, best.Upstream); err != nil {
 		return err
 	}
+	r.release(ctx, best.Upstream)
+	return nil
+}
+
+// choose pauses the replicas and returns the one to promote once every lease
+// on the old primary has ended.
+func (r *replacement) choose(ctx context.Context) (lead.Paused, error) {
+	paused, err := r.pause(ctx)
+	if err != nil {
+		return lead.Paused{}, err
+	}
 	settled := r.k.c.Clock().Add(lead.Settle)
 	best, ok := lead.Candidate(paused)
 	if !ok {
-		return errNoCandidate
+		return best, errNoCandidate
 	}
 	if spared := r.spared(); confirms(paused, spared) {
 		best = find(paused, spared)
 	}
-	r.log.WithFields(logrus.Fields{"candidate": best.Upstream, "received": best.Received, "paused": len(paused)}).Info("failover: replicas paused")
+	r.log.WithFields(logrus.Fields{"candidate": best.Upstream, "received": best.Received.String(), "paused": len(paused)}).Info("failover: replicas paused")
 	if err := r.sleepUntil(ctx, settled); err != nil {
-		return err
+		return best, err
 	}
-	if err := r.promote(ctx, duty, until, best.Upstream); err != nil {
-		return err
+	if !best.Received.Covers(r.cluster.View.Load().Departed) {
+		return best, errBehind
 	}
-	if err := r.awaitEffect(ctx, best.Upstream); err != nil {
-		return err
+	return best, nil
+}
+
+// giveUp lets the replicas that were paused go on with the old primary, while
+// nobody else can have begun to replace it.
+func (r *replacement) giveUp(ctx context.Context, until time.Time) error {
+	if !r.k.c.Clock().Before(until) {
+		return nil // they show as an unfinished replacement
 	}
-	r.release(ctx, best.Upstream)
-	return nil
+	var list []chervilladder.UpstreamID
+	for id := range r.view.Members {
+		if id != r.view.Primary {
+			list = append(list, id)
+		}
+	}
+	return r.resume(ctx, list)
 }
 
-// resumeForgotten lets replicas go on that are paused for no reason any more.
-func (r *replacement) resumeForgotten(ctx context.Context) error {
+// resume lets replicas go on.
+func (r *replacement) resume(ctx context.Context, list []chervilladder.UpstreamID) error {
 	var failed error
-	for _, id := range lead.Forgotten(r.view) {
+	for _, id := range list {
 		_, err := r.order(ctx, r.view.Members[id], chervilladder.Command{Kind: chervilladder.CommandResume})
 		failed = errors.Join(failed, err)
 	}
@@ -116,7 +147,7 @@
 				failed = fmt.Errorf("%w: %w", errOutOfSight, err)
 				return
 			}
-			list = append(list, lead.Paused{Upstream: id, Received: status.Received, Leaving: !s.DrainingSince.IsZero()})
+			list = append(list, lead.Paused{Upstream: id, Received: status.Received, Leaving: s.Leaves()})
 		})
 	}
 	orders.Wait()
@@ -163,7 +194,7 @@
 	}
 	var list []lead.Paused
 	for id, s := range r.view.Members {
-		if id != r.view.Primary && s.Answers() && s.DrainingSince.IsZero() {
+		if id != r.view.Primary && s.Answers() && !s.Leaves() {
 			list = append(list, lead.Paused{Upstream: id, Received: s.Status.Received})
 		}
 	}
--- a/internal/decide/lead/lead.go
+++ b/internal/decide/lead/lead.go
@@ -136,7 +136,7 @@
 	switch {
 	case !p.StalledSince.IsZero() && now.Sub(p.StalledSince) >= stalledAfter:
 		return CauseCutOff
-	case !p.DrainingSince.IsZero():
+	case p.Leaves():
 		return CauseLeaving
 	default:
 		return CauseNone
@@ -172,7 +172,7 @@
 
 func anyReplica(v blackboard.ClusterView) bool {
 	for id, s := range v.Members {
-		if id != v.Primary && s.Answers() && s.DrainingSince.IsZero() {
+		if id != v.Primary && s.Answers() && !s.Leaves() {
 			return true
 		}
 	}
@@ -211,6 +211,17 @@
 	return best, found
 }
 
+// HoldsDeparted reports whether some replica has received all that a replica
+// which is gone may have confirmed.
+func HoldsDeparted(v blackboard.ClusterView) bool {
+	for id, s := range v.Members {
+		if id != v.Primary && s.Answers() && s.Status.Received.Covers(v.Departed) {
+			return true
+		}
+	}
+	return false
+}
+
 // Paused is a replica that was paused and what it said then.
 type Paused struct {
 	Upstream chervilladder.UpstreamID
--- a/internal/session/place.go
+++ b/internal/session/place.go
@@ -207,7 +207,7 @@
 		return false
 	}
 	s := w.cluster.View.Load().Members[id]
-	if !s.Answers() || !s.DrainingSince.IsZero() {
+	if !s.Answers() || s.Leaves() {
 		return false
 	}
 	if w.cluster.Applied.Get(id).Load().Covers(bound.mark) {
