Soak the shipped daemon as processes before stand-ins of the platform

internal/soak starts three daemons before a stand-in of the whole platform (internal/standin/prepared: store, promotions, a service whose members register themselves, behind the line protocol), harms them from outside (signals; a loopback proxy that delays, resets, silences and cuts one way; members that are down, silent, alone, lag or lose answers; a store that is slow, forgets and loses answers) and checks by what callers and members saw.

--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -194,6 +194,15 @@
 		is.Equal(r.State, chervilladder.StateIdle)
 		time.Sleep(time.Second)
 		is.Equal(kept(w.Cluster, clustertest.MemberID(0), "slow"), 0)
+
+		do(t, s, begin())
+		do(t, s, write("slow"))
+		time.Sleep(4 * time.Second)
+		r = s.Do(context.Background(), read("late"))
+		is.Equal(r.Code, chervilladder.CodeAborted) // a promise, so that the caller may try again
+		is.Equal(r.State, chervilladder.StateFailed)
+		is.Equal(s.Do(context.Background(), read("later")).Code, chervilladder.CodeMalformed)
+		do(t, s, rollback())
 	})
 }
 
--- a/internal/session/transaction.go
+++ b/internal/session/transaction.go
@@ -42,7 +42,9 @@
 func (t *transaction) do(ctx context.Context, w *work) chervilladder.Result {
 	w.bind(t.route)
 	w.seen = t.seen
-	t.expire(w.arrived)
+	if t.expire(w.arrived) && w.command.Kind != chervilladder.CommandRollback && w.command.Kind != chervilladder.CommandCommit {
+		return failure(chervilladder.CodeAborted, "the transaction rested for too long and was rolled back")
+	}
 	ctx, cancel := context.WithDeadline(ctx, w.deadline)
 	defer cancel()
 	switch kind := w.command.Kind; {
@@ -65,16 +67,20 @@
 	}
 }
 
-// expire fails a transaction that has rested for too long.
-func (t *transaction) expire(now time.Time) {
+// expire fails a transaction that has rested for too long, and reports whether
+// it did so now.
+func (t *transaction) expire(now time.Time) bool {
 	idle := time.Duration(0)
 	if r := t.session.m.c.Board.Routing.Load(); r != nil {
 		idle = r.TransactionIdle
 	}
-	if idle > 0 && now.Sub(t.touched) > idle && !t.failed {
-		t.fail()
-	}
+	rested := now.Sub(t.touched)
 	t.touched = now
+	if idle <= 0 || rested <= idle || t.failed {
+		return false
+	}
+	t.fail()
+	return true
 }
 
 // fail rolls the transaction back; the caller learns of it from the state.
--- /dev/null
+++ b/internal/soak/faults_test.go
@@ -0,0 +1,98 @@
+package soak_test
+
+import (
+	"syscall"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/standin/cluster"
+	"github.com/chervilladder/chervilladder/internal/standin/platform"
+)
+
+// harm does something to the system and takes it back after a time.
+func (w *world) harm() {
+	v := w.vms[w.rng.IntN(len(w.vms))]
+	id := memberID(w.rng.IntN(3))
+	length := time.Duration(300+w.rng.IntN(3000)) * time.Millisecond
+	switch w.rng.IntN(12) {
+	case 0:
+		w.note("%s is killed for %s", v.name, length)
+		v.signal(syscall.SIGKILL)
+		w.later(length, func() { w.restart(v) })
+	case 1:
+		w.note("%s is told to end", v.name)
+		v.signal(syscall.SIGTERM)
+		w.later(length, func() { w.restart(v) })
+	case 2:
+		w.note("%s is stopped for %s", v.name, length)
+		v.signal(syscall.SIGSTOP)
+		w.later(length, func() { v.signal(syscall.SIGCONT) })
+	case 3:
+		v.signal(syscall.SIGHUP)
+	case 4, 5:
+		w.member(id, "down", length, func(f *cluster.Faults) { f.Down = true })
+	case 6:
+		w.member(id, "silent", length, func(f *cluster.Faults) { f.Silent = true })
+	case 7:
+		w.member(id, "alone", length, func(f *cluster.Faults) { f.Alone = true })
+	case 8:
+		w.member(id, "losing answers", length, func(f *cluster.Faults) { f.LoseAnswers = 5 })
+	case 9, 10:
+		w.path(w.members[id], string(id), length)
+	default:
+		if w.rng.IntN(2) == 0 {
+			w.path(w.store, "the store", length)
+			return
+		}
+		w.note("the store is slow, loses answers and its history")
+		w.prep.Platform.SetFaults(platform.Faults{Slow: platform.Duration(100 * time.Millisecond), LoseAnswers: 2})
+		w.prep.Platform.Store().Forget()
+		w.later(length, func() { w.prep.Platform.SetFaults(platform.Faults{}) })
+	}
+}
+
+func (w *world) later(d time.Duration, f func()) {
+	w.pending.Add(1)
+	time.AfterFunc(d, func() {
+		defer w.pending.Done()
+		f()
+	})
+}
+
+// restart starts a VM again once its process is gone.
+func (w *world) restart(v *vm) {
+	v.signal(syscall.SIGCONT)
+	if !v.await(10 * time.Second) {
+		w.t.Errorf("%s does not end within ten seconds", v.name)
+	}
+	w.note("%s starts again", v.name)
+	v.start()
+}
+
+func (w *world) member(id chervilladder.UpstreamID, what string, d time.Duration, change func(*cluster.Faults)) {
+	w.note("%s is %s for %s", id, what, d)
+	w.cluster.Set(id, change)
+	w.later(d, func() { w.cluster.Set(id, func(f *cluster.Faults) { *f = cluster.Faults{} }) })
+}
+
+// path harms the connections through a proxy.
+func (w *world) path(p *proxy, name string, d time.Duration) {
+	var t trouble
+	switch w.rng.IntN(5) {
+	case 0:
+		w.note("connections to %s are reset", name)
+		p.reset()
+		return
+	case 1:
+		t.delay = time.Duration(1+w.rng.IntN(60)) * time.Millisecond
+	case 2:
+		t.toServer = true
+	case 3:
+		t.toClient = true
+	default:
+		t.toServer, t.toClient, t.refuse = true, true, true
+	}
+	w.note("path to %s: %+v for %s", name, t, d)
+	p.set(t)
+	w.later(d, func() { p.set(trouble{}) })
+}
--- /dev/null
+++ b/internal/soak/proxy_test.go
@@ -0,0 +1,145 @@
+package soak_test
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// trouble is what a proxy does to the connections through it.
+type trouble struct {
+	delay time.Duration
+	// toServer and toClient stop passing bytes on in a direction; the
+	// connections stay open.
+	toServer, toClient bool
+	// refuse closes new connections at once.
+	refuse bool
+}
+
+// proxy passes TCP connections on to an address.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu      sync.Mutex
+	trouble trouble
+	changed chan struct{}
+	conns   map[net.Conn]struct{}
+	closed  bool
+}
+
+// startProxy starts a proxy that ends with the test.
+func startProxy(t *testing.T, target string) *proxy {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &proxy{listener: l, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]struct{})}
+	go p.accept()
+	t.Cleanup(func() {
+		l.Close()
+		p.mu.Lock()
+		p.closed = true
+		p.mu.Unlock()
+		p.reset()
+	})
+	return p
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+// set changes the trouble.
+func (p *proxy) set(t trouble) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.trouble = t
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// reset breaks all connections.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		c.Close()
+	}
+	clear(p.conns)
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *proxy) now() (trouble, <-chan struct{}, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.trouble, p.changed, p.closed
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if t, _, _ := p.now(); t.refuse {
+			c.Close()
+			continue
+		}
+		go p.pass(c)
+	}
+}
+
+func (p *proxy) pass(client net.Conn) {
+	defer client.Close()
+	server, err := net.DialTimeout("tcp", p.target, time.Second)
+	if err != nil {
+		return
+	}
+	defer server.Close()
+	p.mu.Lock()
+	p.conns[client], p.conns[server] = struct{}{}, struct{}{}
+	p.mu.Unlock()
+	done := make(chan struct{}, 2)
+	go p.copy(server, client, func(t trouble) bool { return t.toServer }, done)
+	go p.copy(client, server, func(t trouble) bool { return t.toClient }, done)
+	<-done
+	p.mu.Lock()
+	delete(p.conns, client)
+	delete(p.conns, server)
+	p.mu.Unlock()
+}
+
+// copy passes bytes on in one direction while nothing holds them up.
+func (p *proxy) copy(to io.Writer, from io.Reader, cut func(trouble) bool, done chan<- struct{}) {
+	defer func() { done <- struct{}{} }()
+	b := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(b)
+		if err != nil || !p.hold(cut) {
+			return
+		}
+		if _, err := to.Write(b[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (p *proxy) hold(cut func(trouble) bool) bool {
+	for {
+		t, changed, closed := p.now()
+		if closed {
+			return false
+		}
+		if !cut(t) {
+			time.Sleep(t.delay)
+			return true
+		}
+		<-changed
+	}
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,119 @@
+package soak_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+var (
+	seedsFlag = flag.Uint64("soak.seeds", 1, "how many seeds to run")
+	fromFlag  = flag.Uint64("soak.from", 1, "the first seed")
+	forFlag   = flag.Duration("soak.for", 8*time.Second, "how long each seed does harm")
+	vmsFlag   = flag.Int("soak.vms", 3, "how many VMs serve")
+	callFlag  = flag.Int("soak.callers", 12, "how many callers there are")
+)
+
+// daemon is the built program.
+var daemon string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	daemon = filepath.Join(dir, "chervilladder")
+	build := exec.Command("go", "build", "-o", daemon, "github.com/chervilladder/chervilladder/cmd/chervilladder")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s\n%v\n", out, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// regressions are seeds that have failed; each with its cause.
+var regressions = []uint64{}
+
+func TestSoak(t *testing.T) {
+	seeds := append([]uint64(nil), regressions...)
+	for n := range *seedsFlag {
+		seeds = append(seeds, *fromFlag+n)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, seed) })
+	}
+}
+
+// soak does harm for a time, lets the system come to rest, and checks.
+func soak(t *testing.T, seed uint64) {
+	w := start(t, seed, *vmsFlag)
+	stop := make(chan struct{})
+	var ended sync.WaitGroup
+	var callers []*caller
+	for i := range *callFlag {
+		c := &caller{w: w, number: i, rng: rand.New(rand.NewPCG(seed, uint64(100+i))), kind: kinds[i%len(kinds)]}
+		callers = append(callers, c)
+		ended.Add(1)
+		go c.run(stop, &ended)
+	}
+	time.Sleep(500 * time.Millisecond)
+	for end := time.Now().Add(*forFlag); time.Now().Before(end); {
+		w.harm()
+		time.Sleep(time.Duration(w.rng.IntN(1200)) * time.Millisecond)
+	}
+	w.pending.Wait()
+	w.rest(t)
+	close(stop)
+	ended.Wait()
+	var attempts []attempt
+	counts := make(map[string]int)
+	for _, c := range callers {
+		attempts = append(attempts, c.done...)
+		for _, a := range c.done {
+			counts[a.code]++
+		}
+	}
+	broken := check(w.cluster, attempts)
+	t.Logf("%d attempts: %v; %d promotions; %d events", len(attempts), counts, len(w.cluster.Orders()), len(w.events))
+	if len(broken) > 0 {
+		for _, b := range broken[:min(len(broken), 10)] {
+			t.Error(b)
+		}
+		w.keep("events", []byte(strings.Join(append(w.events, broken...), "\n")))
+	}
+}
+
+// restWithin is how soon all VMs serve again once nothing harms them.
+const restWithin = 12 * time.Second
+
+// rest waits until each VM serves a write again.
+func (w *world) rest(t *testing.T) {
+	t.Helper()
+	for i, v := range w.vms {
+		c := &caller{w: &world{vms: []*vm{v}}, number: 900 + i, rng: rand.New(rand.NewPCG(1, uint64(i))), kind: "primary"}
+		served := false
+		for end := time.Now().Add(restWithin); !served && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			if c.conn != nil || c.connect() {
+				_, _, err := c.ask("WRITE 1a4 rest")
+				served = err == nil
+			}
+		}
+		if c.conn != nil {
+			c.conn.Close()
+		}
+		if !served {
+			t.Errorf("%s serves no write within %s of rest", v.name, restWithin)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/world_test.go
@@ -0,0 +1,271 @@
+// Package soak_test runs the shipped daemon as separate processes before
+// stand-ins, does harm to them from outside, and checks the promises by what
+// callers and upstreams see.
+//
+//	go test ./internal/soak                                  # the short run of CI
+//	go test ./internal/soak -soak.seeds 50 -soak.for 20s -v  # by hand
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/standin/cluster"
+	"github.com/chervilladder/chervilladder/internal/standin/prepared"
+)
+
+// The service that the soak's VMs serve.
+const service = chervilladder.ServiceID("agenda")
+
+// kinds are the databases by the kind of their reads.
+var kinds = []string{"primary", "bounded", "read_your_writes"}
+
+// maxAge is what reads of the last two kinds accept.
+const maxAge = 1500 * time.Millisecond
+
+// world is one run.
+type world struct {
+	t       *testing.T
+	rng     *rand.Rand
+	cluster *cluster.Cluster
+	prep    *prepared.World
+	store   *proxy
+	members map[chervilladder.UpstreamID]*proxy
+	vms     []*vm
+	stop    context.CancelFunc
+	ended   chan error
+
+	// pending are the harms that are still to be taken back.
+	pending sync.WaitGroup
+
+	mu     sync.Mutex
+	events []string
+}
+
+// vm is one daemon process. Its address is the same for each of its starts.
+type vm struct {
+	w        *world
+	name     string
+	ip       string
+	settings string
+	log      *os.File
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	exited  chan struct{}
+}
+
+func memberID(i int) chervilladder.UpstreamID {
+	return chervilladder.UpstreamID(fmt.Sprintf("m%d", i))
+}
+
+// freeAddress returns an address on which nobody listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// start starts the stand-ins and the VMs, and waits until all are ready.
+func start(t *testing.T, seed uint64, vms int) *world {
+	t.Helper()
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), members: make(map[chervilladder.UpstreamID]*proxy), ended: make(chan error, 1)}
+	c := cluster.Config{
+		Service: service, Confirmations: 1, Connections: 30, Queue: 24, Lag: 40 * time.Millisecond,
+		ConnectTime: 2 * time.Millisecond, WorkTime: 2 * time.Millisecond, PromoteTime: 400 * time.Millisecond,
+	}
+	announce := make(map[chervilladder.UpstreamID]chervilladder.Address)
+	for i := range 3 {
+		m := chervilladder.Registered{ID: memberID(i), Service: service, Address: chervilladder.Address(freeAddress(t)), DataCentre: "a", Slots: 3}
+		c.Members = append(c.Members, m)
+		w.members[m.ID] = startProxy(t, string(m.Address))
+		announce[m.ID] = chervilladder.Address(w.members[m.ID].address())
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var err error
+	w.prep, err = prepared.New(prepared.Config{Services: []cluster.Config{c}, Announce: announce, Routes: routes(), Log: log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.cluster = w.prep.Clusters[service]
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.store = startProxy(t, l.Addr().String())
+	ctx, stop := context.WithCancel(context.Background())
+	w.stop = stop
+	go func() { w.ended <- w.prep.Serve(ctx, l) }()
+	// Each run has loopback addresses of its own for its VMs.
+	net16 := fmt.Sprintf("127.%d.%d", 10+w.rng.IntN(200), 1+os.Getpid()%250)
+	for i := range vms {
+		w.vms = append(w.vms, w.newVM(i, fmt.Sprintf("%s.%d", net16, i+1), l.Addr().String()))
+	}
+	t.Cleanup(w.close)
+	for _, v := range w.vms {
+		v.start()
+	}
+	for _, v := range w.vms {
+		w.awaitReady(v)
+	}
+	return w
+}
+
+func routes() []prepared.Route {
+	var list []prepared.Route
+	for i, k := range kinds {
+		list = append(list, prepared.Route{
+			Host: k, Type: k, Service: string(service), TimeoutMS: 1500, TargetMS: 400, Priority: i, MaxAttempts: 2,
+			MaxStaleness: int(maxAge.Milliseconds()),
+		})
+	}
+	return list
+}
+
+const settings = `node_name = %q
+ip = %q
+zone = "a"
+[listen]
+front = "%s:7001"
+ready = "%s:7002"
+[limits]
+memory_mb = 256
+[bounds]
+grace_s = 3
+drain_ms = 7000
+[platform]
+address = %q
+[cloud]
+address = %q
+`
+
+func (w *world) newVM(i int, ip, promotions string) *vm {
+	v := &vm{w: w, name: fmt.Sprintf("vm-%d", i), ip: ip}
+	dir := w.t.TempDir()
+	v.settings = filepath.Join(dir, "boot.toml")
+	text := fmt.Sprintf(settings, v.name, ip, ip, ip, w.store.address(), promotions)
+	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+	log, err := os.Create(filepath.Join(dir, "log"))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	v.log = log
+	return v
+}
+
+// start starts the daemon.
+func (v *vm) start() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	cmd := exec.Command(daemon, "platform", "--settings", v.settings)
+	cmd.Stdout, cmd.Stderr = v.log, v.log
+	if err := cmd.Start(); err != nil {
+		v.w.t.Error(err)
+		return
+	}
+	exited := make(chan struct{})
+	v.process, v.exited = cmd, exited
+	go func() {
+		_ = cmd.Wait() // killed or told to end
+		close(exited)
+	}()
+}
+
+// signal sends a signal to the daemon if it runs.
+func (v *vm) signal(s syscall.Signal) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.process != nil {
+		_ = v.process.Process.Signal(s) // it may have ended
+	}
+}
+
+// await waits for the daemon's end.
+func (v *vm) await(limit time.Duration) bool {
+	v.mu.Lock()
+	exited := v.exited
+	v.mu.Unlock()
+	select {
+	case <-exited:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+func (w *world) awaitReady(v *vm) {
+	w.t.Helper()
+	for range 200 {
+		resp, err := http.Get("http://" + v.ip + ":7002/chervilladder/readiness")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	w.t.Fatalf("%s does not become ready; its log is %s", v.name, v.log.Name())
+}
+
+func (w *world) close() {
+	for _, v := range w.vms {
+		v.signal(syscall.SIGCONT)
+		v.signal(syscall.SIGKILL)
+		if !v.await(5 * time.Second) {
+			w.t.Errorf("%s does not end", v.name)
+		}
+		if w.t.Failed() {
+			if text, err := os.ReadFile(v.log.Name()); err == nil {
+				w.keep(v.name+".log", text)
+			}
+		}
+		v.log.Close()
+	}
+	w.stop()
+	if err := <-w.ended; err != nil {
+		w.t.Error(err)
+	}
+}
+
+// keep keeps a file of a run that failed.
+func (w *world) keep(name string, text []byte) {
+	dir := filepath.Join(os.TempDir(), "chervilladder-soak", filepath.Base(w.t.Name()))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		w.t.Error(err)
+		return
+	}
+	if err := os.WriteFile(filepath.Join(dir, name), text, 0o600); err != nil {
+		w.t.Error(err)
+		return
+	}
+	w.t.Logf("kept %s", filepath.Join(dir, name))
+}
+
+// note records what was done to the system.
+func (w *world) note(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.events = append(w.events, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+}
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -193,6 +193,14 @@
 	return append([]Order(nil), k.orders...)
 }
 
+// Down reports whether a member is down.
+func (k *Cluster) Down(id chervilladder.UpstreamID) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	m, ok := k.members[id]
+	return !ok || m.faults.Down
+}
+
 // Held returns the term that a member is paused for.
 func (k *Cluster) Held(id chervilladder.UpstreamID) chervilladder.Term {
 	k.mu.Lock()
--- a/internal/standin/cluster/conn.go
+++ b/internal/standin/cluster/conn.go
@@ -420,8 +420,11 @@
 	m.appliedAt = append(m.appliedAt, time.Now())
 	k.replicate()
 	k.wake()
-	for !k.confirmed(e) {
-		if !k.wait(c.broken) || c.isBroken() {
+	for !k.confirmed(m, e) {
+		if m.term != e.Mark.Term || !m.primary {
+			c.breakLocked() // whether the commit is kept is up to the new primary
+		}
+		if c.isBroken() || !k.wait(c.broken) || c.isBroken() {
 			return ErrBroken
 		}
 	}
@@ -433,12 +436,13 @@
 	return nil
 }
 
-// confirmed reports whether enough replicas have received a commit.
-func (k *Cluster) confirmed(e Entry) bool {
+// confirmed reports whether enough replicas have received a commit of a
+// member.
+func (k *Cluster) confirmed(origin *member, e Entry) bool {
 	n := 0
 	for _, m := range k.members {
 		i := int(e.Mark.Position)
-		if !m.primary && len(m.log) >= i && m.log[i-1].Mark == e.Mark {
+		if m != origin && !m.primary && len(m.log) >= i && m.log[i-1].Mark == e.Mark {
 			n++
 		}
 	}
--- a/internal/standin/platform/calls.go
+++ b/internal/standin/platform/calls.go
@@ -79,11 +79,16 @@
 		fail(w, http.StatusBadRequest, "lose-answers must not be negative")
 		return
 	}
-	p.faults.faults.Update(func(f *Faults) { *f = next })
+	p.SetFaults(next)
 	p.log.Infof("platform: Faults set. faults=%+v", next)
 	p.status(w, r)
 }
 
+// SetFaults replaces the faults.
+func (p *Platform) SetFaults(next Faults) {
+	p.faults.faults.Update(func(f *Faults) { *f = next })
+}
+
 func (p *Platform) status(w http.ResponseWriter, _ *http.Request) {
 	answer(w, http.StatusOK, controlStatus{Faults: p.faults.faults.Load(), Calls: p.counts.load()})
 }
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -51,6 +51,9 @@
 	}, nil
 }
 
+// Store returns the objects, for those who write them without a call.
+func (p *Platform) Store() *Store { return p.store }
+
 // Serve answers calls on the listener until the context is done.
 func (p *Platform) Serve(ctx context.Context, l net.Listener) error {
 	server := &http.Server{Handler: p.Handler(), ReadHeaderTimeout: time.Minute}
