Ask for statuses on pooled connections, and crowd by how long one rests

The rule by which idle connections went back from half of an upstream's connections on (tuned on 5 VMs) closed them all the time there.

Change: questions use the pool; a connection goes back by how long it did no work, sooner the more crowded the upstream is; a crowded VM with one opens no more; a read that gets no connection goes elsewhere at once.

--- a/internal/clustertest/world.go
+++ b/internal/clustertest/world.go
@@ -130,7 +130,7 @@
 	vm.Enroll(members...)
 	vm.Pools = link.NewPools(link.PoolsConfig{Board: vm.Board, Linker: vm.Linker})
 	sessions, err1 := session.New(session.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: time.Now})
-	asked, err2 := evidence.New(evidence.Config{Board: vm.Board, Linker: vm.Linker, Pools: vm.Pools, Log: log, Clock: time.Now})
+	asked, err2 := evidence.New(evidence.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: time.Now})
 	failovers, err3 := failover.New(failover.Config{
 		Board: vm.Board, Record: vm.Record, Promoter: cluster.Promoter{Cluster: w.Cluster}, Linker: vm.Linker,
 		Log: log.WithField("vm", vm.Board.Self.ID).Logger, Clock: time.Now, Leave: vm.Leave,
--- a/internal/control/evidence/evidence.go
+++ b/internal/control/evidence/evidence.go
@@ -22,10 +22,9 @@
 
 // Config configures a Controller.
 type Config struct {
-	Board  *blackboard.Board
-	Linker chervilladder.Linker
-	Pools  *link.Pools
-	Log    *logrus.Logger
+	Board *blackboard.Board
+	Pools *link.Pools
+	Log   *logrus.Logger
 	// Clock tells the VM's own time.
 	Clock func() time.Time
 }
@@ -43,8 +42,8 @@
 
 // New returns a controller.
 func New(c Config) (*Controller, error) {
-	if c.Board == nil || c.Linker == nil || c.Pools == nil || c.Log == nil || c.Clock == nil {
-		return nil, errors.New("evidence: a board, a linker, pools, a log and a clock are needed")
+	if c.Board == nil || c.Pools == nil || c.Log == nil || c.Clock == nil {
+		return nil, errors.New("evidence: a board, pools, a log and a clock are needed")
 	}
 	return &Controller{c: c, probers: make(map[chervilladder.UpstreamID]*prober), silent: make(chan *prober)}, nil
 }
--- a/internal/control/evidence/prober.go
+++ b/internal/control/evidence/prober.go
@@ -10,6 +10,7 @@
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/link"
 )
 
 // The pace of the questions.
@@ -33,7 +34,9 @@
 	service  chervilladder.ServiceID
 	cluster  *blackboard.Cluster
 	stop     context.CancelFunc
-	link     chervilladder.Link
+	// failing is set while the last question had no answer. The next one is
+	// asked on a fresh connection.
+	failing bool
 	// unlisted is set while the upstream's entry is gone.
 	unlisted atomic.Bool
 }
@@ -44,7 +47,6 @@
 }
 
 func (p *prober) run(ctx context.Context) {
-	defer p.close()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -66,15 +68,7 @@
 	}
 }
 
-func (p *prober) close() {
-	if p.link != nil {
-		p.link.Close()
-		p.link = nil
-	}
-}
-
-// ask asks once, on a fresh connection if there is none, and reports whether
-// the member told its status.
+// ask asks once and reports whether the member told its status.
 func (p *prober) ask(ctx context.Context) bool {
 	asked := p.k.c.Clock()
 	status, err := p.status(ctx)
@@ -82,15 +76,16 @@
 		return false
 	}
 	if err == nil {
+		p.failing = false
 		p.answered(asked, status)
 		return true
 	}
 	var refused *chervilladder.LinkRefusedError
-	if errors.As(err, &refused) && (refused.Code == chervilladder.CodeBusy || refused.Code == chervilladder.CodeConnectionLimit) {
+	if errors.As(err, &refused) && (refused.Code == chervilladder.CodeBusy || refused.Code == chervilladder.CodeConnectionLimit) || errors.Is(err, link.ErrFull) {
 		p.alive() // too much to do is no sign of death
 		return false
 	}
-	p.close()
+	p.failing = true
 	p.failed(asked, err)
 	if p.unlisted.Load() {
 		select {
@@ -101,18 +96,29 @@
 	return false
 }
 
+// status asks on a connection of the pool.
 func (p *prober) status(ctx context.Context) (chervilladder.LinkStatus, error) {
 	deadline := time.Now().Add(answerTimeout)
-	if p.link == nil {
-		ctx, cancel := context.WithDeadline(ctx, deadline)
-		defer cancel()
-		l, err := p.k.c.Linker.Open(ctx, p.upstream)
-		if err != nil {
-			return chervilladder.LinkStatus{}, err
-		}
-		p.link = l
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	pool := p.k.c.Pools.For(p.upstream)
+	get := func() (*link.Conn, error) { return pool.Get(ctx, nil) }
+	if p.failing {
+		get = func() (*link.Conn, error) { return pool.Fresh(ctx) }
+	}
+	conn, err := get()
+	if err != nil {
+		return chervilladder.LinkStatus{}, err
+	}
+	status, err := conn.Status(deadline, chervilladder.Command{Kind: chervilladder.CommandStatus})
+	var refused *chervilladder.LinkRefusedError
+	if err != nil && !errors.As(err, &refused) {
+		conn.Discard()
+		pool.DiscardOlder(deadline.Add(-answerTimeout))
+		return status, err
 	}
-	return p.link.Status(deadline, chervilladder.Command{Kind: chervilladder.CommandStatus})
+	conn.ReleaseAsked()
+	return status, err
 }
 
 // alive notes a member that has answered and told nothing.
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -39,7 +39,9 @@
 	pool     *Pool
 	values   map[string]string
 	prepared map[string]Prepared
-	usedAt   time.Time
+	// usedAt is when the connection last answered, workedAt when it was last
+	// given back by a session.
+	usedAt, workedAt time.Time
 }
 
 // Setup returns the commands that give the connection a session's values and
@@ -93,7 +95,13 @@
 
 // Release gives the connection back to its pool. It must be outside of a
 // transaction with nothing outstanding.
-func (c *Conn) Release() { c.pool.put(c) }
+func (c *Conn) Release() {
+	c.workedAt = time.Now()
+	c.pool.put(c)
+}
+
+// ReleaseAsked is Release for a connection that did no work for a session.
+func (c *Conn) ReleaseAsked() { c.pool.put(c) }
 
 // Discard closes the connection. An open transaction on it is rolled back.
 func (c *Conn) Discard() { c.pool.discard(c) }
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -14,9 +14,20 @@
 // because it has too many.
 const fullFor = 250 * time.Millisecond
 
-// restingFor is how long a connection must have been idle to be closed in
-// favour of other VMs.
-const restingFor = 300 * time.Millisecond
+// Crowding is how many of an upstream's connections all VMs have open, in
+// percent. From the given share on, a connection that did no work for the time
+// beside it is closed in favour of other VMs; from crowdedPercent on, a VM that
+// has one opens no more.
+var crowding = []struct {
+	percent int
+	resting time.Duration
+}{
+	{percent: 85, resting: 700 * time.Millisecond},
+	{percent: 65, resting: 2 * time.Second},
+	{percent: 45, resting: 6 * time.Second},
+}
+
+const crowdedPercent = 85
 
 // openTimeout bounds the opening of one connection.
 const openTimeout = 700 * time.Millisecond
@@ -40,8 +51,9 @@
 	waiters     []chan *Conn
 	retired     bool
 	// fullUntil is until when the upstream is taken to accept no more
-	// connections.
+	// connections, crowded whether it has few left for all VMs together.
 	fullUntil time.Time
+	crowded   bool
 }
 
 func newPool(u chervilladder.Registered, linker chervilladder.Linker, limit int) *Pool {
@@ -61,7 +73,7 @@
 		c := p.takeIdle(values)
 		p.mu.Unlock()
 		return c, nil
-	case p.open == 0 || p.open < p.limit && time.Now().After(p.fullUntil):
+	case p.mayOpen():
 		p.open++
 		p.mu.Unlock()
 		return p.dial(ctx)
@@ -70,6 +82,29 @@
 	return p.await(ctx)
 }
 
+// mayOpen reports whether one more connection may be opened. A VM without any
+// always tries.
+func (p *Pool) mayOpen() bool {
+	return p.open == 0 || p.open < p.limit && !p.crowded && time.Now().After(p.fullUntil)
+}
+
+// Fresh opens a connection beside those that there are.
+func (p *Pool) Fresh(ctx context.Context) (*Conn, error) {
+	p.mu.Lock()
+	if p.retired {
+		p.mu.Unlock()
+		return nil, ErrRetired
+	}
+	p.open++
+	p.mu.Unlock()
+	l, err := p.linker.Open(ctx, p.upstream)
+	if err != nil {
+		p.forget()
+		return nil, err
+	}
+	return &Conn{Link: l, pool: p}, nil
+}
+
 // await waits for a connection that another session gives back.
 func (p *Pool) await(ctx context.Context) (*Conn, error) {
 	wait := make(chan *Conn, 1)
@@ -199,14 +234,21 @@
 	}
 }
 
-// Trim closes the connection that has been idle for longest, if it has been
-// for a while: another VM needs it more.
-func (p *Pool) Trim() {
+// Crowd tells the pool how many percent of the upstream's connections are open.
+// It closes at most one that rests.
+func (p *Pool) Crowd(percent int) {
 	p.mu.Lock()
+	p.crowded = percent >= crowdedPercent
 	var c *Conn
-	if len(p.idle) > 0 && time.Since(p.idle[0].usedAt) >= restingFor {
-		c = p.idle[0]
-		p.idle = p.idle[1:]
+	for _, level := range crowding {
+		if percent < level.percent {
+			continue
+		}
+		if i := p.resting(level.resting); i >= 0 {
+			c = p.idle[i]
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+		}
+		break
 	}
 	p.mu.Unlock()
 	if c != nil {
@@ -214,6 +256,18 @@
 	}
 }
 
+// resting returns the idle connection that did no work for the longest time,
+// if that is long enough, or -1.
+func (p *Pool) resting(long time.Duration) int {
+	best := -1
+	for i, c := range p.idle {
+		if time.Since(c.workedAt) >= long && (best < 0 || c.workedAt.Before(p.idle[best].workedAt)) {
+			best = i
+		}
+	}
+	return best
+}
+
 // Retire closes all idle connections, and each other one once it is idle.
 func (p *Pool) Retire() {
 	p.mu.Lock()
--- a/internal/link/pool_test.go
+++ b/internal/link/pool_test.go
@@ -165,8 +165,22 @@
 		time.Sleep(time.Second)
 		all.Crowd(u, 3)
 		is.Equal(l.open, 2) // not crowded
+		c := get(t, p, nil)
+		time.Sleep(time.Second)
+		c.ReleaseAsked() // a question is no work
 		all.Crowd(u, 9)
 		is.Equal(l.open, 1)
+
+		// While it is crowded, a VM that has a connection opens no more.
+		d := get(t, p, nil)
+		time.AfterFunc(50*time.Millisecond, d.Release)
+		is.Equal(get(t, p, nil), d)
+		is.Equal(l.opened, 2)
+		all.Crowd(u, 3)
+		e := get(t, p, nil)
+		is.Equal(l.opened, 3)
+		d.Release()
+		e.Release()
 		all.Drop(u.ID)
 	})
 }
--- a/internal/link/pools.go
+++ b/internal/link/pools.go
@@ -66,19 +66,14 @@
 	return max(minConnections, routing.Services[u.Service].MaxConnections/connectionShare)
 }
 
-// crowdedShare is the part of an upstream's connections, in percent, from
-// which on VMs give back those that they don't use. The rest is for VMs that
-// start, also while upstreams still hold the connections of dead ones.
-const crowdedShare = 50
-
 // Crowd tells how many connections all VMs have open to an upstream.
 func (p *Pools) Crowd(u chervilladder.Registered, connections int) {
 	routing := p.c.Board.Routing.Load()
 	if routing == nil {
 		return
 	}
-	if most := routing.Services[u.Service].MaxConnections; most > 0 && connections*100 >= most*crowdedShare {
-		p.For(u).Trim()
+	if most := routing.Services[u.Service].MaxConnections; most > 0 {
+		p.For(u).Crowd(connections * 100 / most)
 	}
 }
 
--- a/internal/session/work.go
+++ b/internal/session/work.go
@@ -28,7 +28,8 @@
 	cluster       *blackboard.Cluster
 	// excluded are the members that have failed this command.
 	excluded map[chervilladder.UpstreamID]bool
-	// behind is set when a replica has refused a read for its lag.
+	// behind is set when a replica has refused a read for its lag, or had
+	// no connection for it.
 	behind bool
 
 	upstream chervilladder.UpstreamID
@@ -103,7 +104,9 @@
 	conn, err := w.connect(ctx, p)
 	if err != nil {
 		w.exclude(p.member.ID)
-		return failure(answer.Unsent(err), err.Error()), answer.Retry
+		code := answer.Unsent(err)
+		w.behind = code == chervilladder.CodeConnectionLimit && !p.primary && w.access == chervilladder.AccessRead
+		return failure(code, err.Error()), answer.Retry
 	}
 	c := w.command
 	c.Since = p.since
