--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -14,7 +14,7 @@
 	v := w.vms[w.rng.IntN(len(w.vms))]
 	id := memberID(w.rng.IntN(3))
 	length := time.Duration(300+w.rng.IntN(3000)) * time.Millisecond
-	switch w.rng.IntN(12) {
+	switch w.rng.IntN(14) {
 	case 0:
 		w.note("%s is killed for %s", v.name, length)
 		v.signal(syscall.SIGKILL)
@@ -36,9 +36,11 @@
 	case 7:
 		w.member(id, "alone", length, func(f *cluster.Faults) { f.Alone = true })
 	case 8:
-		w.member(id, "losing answers", length, func(f *cluster.Faults) { f.LoseAnswers = 5 })
+		w.member(id, "losing answers", length, func(f *cluster.Faults) { f.LoseAnswers = 25 })
 	case 9, 10:
 		w.path(w.members[id], string(id), length)
+	case 11, 12:
+		w.split(length + 2*time.Second)
 	default:
 		if w.rng.IntN(2) == 0 {
 			w.path(w.store, "the store", length)
@@ -75,6 +77,34 @@
 	w.later(d, func() { w.cluster.Set(id, func(f *cluster.Faults) { *f = cluster.Faults{} }) })
 }
 
+// split cuts the primary off from its replicas and from all VMs but one, which
+// in turn reaches nobody else: to that VM all seems well.
+func (w *world) split(d time.Duration) {
+	leader, _ := w.cluster.Leader()
+	fooled := w.rng.IntN(len(w.vms))
+	var others []string
+	for i, v := range w.vms {
+		if i != fooled {
+			others = append(others, v.name)
+		}
+	}
+	w.note("%s is alone with %s for %s", leader, w.vms[fooled].name, d)
+	w.cluster.Set(leader, func(f *cluster.Faults) { f.Alone = true })
+	for id, p := range w.members {
+		t := trouble{toServer: true, toClient: true, refuse: true, only: others}
+		if id != leader {
+			t.only = []string{w.vms[fooled].name}
+		}
+		p.set(t)
+	}
+	w.later(d, func() {
+		w.cluster.Set(leader, func(f *cluster.Faults) { f.Alone = false })
+		for _, p := range w.members {
+			p.set(trouble{})
+		}
+	})
+}
+
 // path harms the connections through a proxy.
 func (w *world) path(p *proxy, name string, d time.Duration) {
 	var t trouble
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -1,8 +1,12 @@
 package soak_test
 
 import (
+	"bufio"
+	"bytes"
 	"io"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +20,13 @@
 	toServer, toClient bool
 	// refuse closes new connections at once.
 	refuse bool
+	// only limits all this to the connections of some VMs; empty is all.
+	only []string
+}
+
+// meets reports whether the connections of a VM are in trouble.
+func (t trouble) meets(vm string) bool {
+	return len(t.only) == 0 || slices.Contains(t.only, vm)
 }
 
 // proxy passes TCP connections on to an address.
@@ -87,16 +98,30 @@
 		if err != nil {
 			return
 		}
-		if t, _, _ := p.now(); t.refuse {
-			c.Close()
-			continue
-		}
 		go p.pass(c)
 	}
 }
 
+// greeting returns the first line that a connection sends to a member, and the
+// VM that it names. Other connections send none that names one.
+func greeting(in *bufio.Reader) (line []byte, vm string, err error) {
+	line, err = in.ReadBytes('\n')
+	if f := strings.Fields(string(line)); len(f) > 2 && f[0] == "CONNECT" {
+		vm = f[2]
+	}
+	return line, vm, err
+}
+
 func (p *proxy) pass(client net.Conn) {
 	defer client.Close()
+	in := bufio.NewReader(client)
+	first, vm, err := greeting(in)
+	if err != nil {
+		return
+	}
+	if t, _, _ := p.now(); t.refuse && t.meets(vm) {
+		return
+	}
 	server, err := net.DialTimeout("tcp", p.target, time.Second)
 	if err != nil {
 		return
@@ -106,8 +131,8 @@
 	p.conns[client], p.conns[server] = struct{}{}, struct{}{}
 	p.mu.Unlock()
 	done := make(chan struct{}, 2)
-	go p.copy(server, client, func(t trouble) bool { return t.toServer }, done)
-	go p.copy(client, server, func(t trouble) bool { return t.toClient }, done)
+	go p.copy(server, io.MultiReader(bytes.NewReader(first), in), vm, func(t trouble) bool { return t.toServer }, done)
+	go p.copy(client, server, vm, func(t trouble) bool { return t.toClient }, done)
 	<-done
 	p.mu.Lock()
 	delete(p.conns, client)
@@ -116,12 +141,12 @@
 }
 
 // copy passes bytes on in one direction while nothing holds them up.
-func (p *proxy) copy(to io.Writer, from io.Reader, cut func(trouble) bool, done chan<- struct{}) {
+func (p *proxy) copy(to io.Writer, from io.Reader, vm string, cut func(trouble) bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	b := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(b)
-		if err != nil || !p.hold(cut) {
+		if err != nil || !p.hold(vm, cut) {
 			return
 		}
 		if _, err := to.Write(b[:n]); err != nil {
@@ -130,12 +155,15 @@
 	}
 }
 
-func (p *proxy) hold(cut func(trouble) bool) bool {
+func (p *proxy) hold(vm string, cut func(trouble) bool) bool {
 	for {
 		t, changed, closed := p.now()
 		if closed {
 			return false
 		}
+		if !t.meets(vm) {
+			return true
+		}
 		if !cut(t) {
 			time.Sleep(t.delay)
 			return true
