Give a late answer's slot to other work, and try its read elsewhere too

Ruled out: a full primary (STATUS showed free slots).

Change: a slot is given back after the larger of 100 ms and half the target; a read that is late by as much runs once more, within the retry budget, and the first good answer counts; the other attempt goes on to its end unwatched.

Test: TestLateAnswers, failed before.

--- a/internal/session/place.go
+++ b/internal/session/place.go
@@ -148,7 +148,7 @@
 // needsProof reports whether the work may read, and what its upstream's log
 // holds does not already tell that it reads enough.
 func (w *work) needsProof(p *placement) bool {
-	if w.session.tx == nil && w.access == chervilladder.AccessWrite {
+	if !w.inTransaction && w.access == chervilladder.AccessWrite {
 		return false
 	}
 	bounded := w.access == chervilladder.AccessRead && w.route.Freshness != chervilladder.FreshPrimary
@@ -175,7 +175,7 @@
 
 // bound returns what a replica's log must hold for the work to run there.
 func (w *work) bound(ctx context.Context, access chervilladder.Access) (floor, error) {
-	own := w.session.floor
+	own := w.floor
 	if access == chervilladder.AccessWrite || w.route.Freshness == chervilladder.FreshPrimary {
 		return own, nil
 	}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/chervilladder/chervilladder"
@@ -72,10 +73,13 @@
 func (s *session) local(c chervilladder.Command) chervilladder.Result {
 	switch c.Kind {
 	case chervilladder.CommandSet:
-		if s.values == nil {
-			s.values = make(map[string]string)
+		// Attempts of earlier commands may still read the old values.
+		values := maps.Clone(s.values)
+		if values == nil {
+			values = make(map[string]string)
 		}
-		s.values[c.Name] = c.Rest
+		values[c.Name] = c.Rest
+		s.values = values
 	case chervilladder.CommandPrepare:
 		if s.prepared == nil {
 			s.prepared = make(map[string]link.Prepared)
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -254,6 +254,39 @@
 	})
 }
 
+// A read whose answer is late runs elsewhere too, and a slot whose answer is
+// late does not hold up other work.
+func TestLateAnswers(t *testing.T) {
+	bubble(t, clustertest.Config{}, func(is *is.I, w *clustertest.World) {
+		s := w.Open(t, 0, clustertest.Bounded)
+		for _, slow := range []int{1, 2} {
+			w.Cluster.Set(clustertest.MemberID(slow), func(f *cluster.Faults) { f.Silent = true })
+			began := time.Now()
+			do(t, s, read(fmt.Sprint("r", slow)))
+			is.True(time.Since(began) < 400*time.Millisecond)
+			w.Cluster.Set(clustertest.MemberID(slow), func(f *cluster.Faults) { f.Silent = false })
+			time.Sleep(2 * time.Second)
+		}
+		// Two writes use up this VM's slots of the primary and get no answer.
+		w.Cluster.Set(clustertest.MemberID(0), func(f *cluster.Faults) { f.WorkTime = 900 * time.Millisecond })
+		ended := make(chan struct{})
+		for i := range 2 {
+			other := w.Open(t, 0, clustertest.Primary)
+			go func() {
+				other.Do(context.Background(), write(fmt.Sprint("slow", i)))
+				ended <- struct{}{}
+			}()
+		}
+		time.Sleep(20 * time.Millisecond)
+		w.Cluster.Set(clustertest.MemberID(0), func(f *cluster.Faults) { f.WorkTime = 0 })
+		began := time.Now()
+		do(t, w.Open(t, 0, clustertest.Primary), write("quick"))
+		is.True(time.Since(began) < 300*time.Millisecond)
+		<-ended
+		<-ended
+	})
+}
+
 // A read waits for the proof that its primary is the newest while another
 // member becomes the primary: the proof of that one must not send the read to
 // the old one. Found by the bench on ncdaf-ladder, scale-2.
--- a/internal/session/work.go
+++ b/internal/session/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/chervilladder/chervilladder"
@@ -32,12 +33,26 @@
 	// no connection for it.
 	behind bool
 
+	// values, floor and inTransaction are the session's when the command
+	// arrived: an attempt may outlast its command.
+	values        map[string]string
+	floor         floor
+	inTransaction bool
+
 	upstream chervilladder.UpstreamID
 	since    chervilladder.Mark
 	tries    int
 	granted  time.Time
 	// sent is when the command was last sent.
 	sent time.Time
+	// running tells others where the command was last sent.
+	running *atomic.Pointer[running]
+}
+
+// running is a command that was sent to a member.
+type running struct {
+	upstream chervilladder.UpstreamID
+	sent     time.Time
 }
 
 // bind looks up what the work depends on.
@@ -49,8 +64,16 @@
 		timeout = defaultTimeout
 	}
 	w.deadline = w.arrived.Add(timeout)
+	w.values, w.floor, w.inTransaction = w.session.values, w.session.floor, w.session.tx != nil
 }
 
+// minPatience is how long an answer is waited for at least before its slot is
+// given to other work, and before a read is tried elsewhere too.
+const minPatience = 100 * time.Millisecond
+
+// patience returns that time for this work.
+func (w *work) patience() time.Duration { return max(minPatience, w.route.Target/2) }
+
 // lone runs an autocommitted statement.
 func (w *work) lone(ctx context.Context) chervilladder.Result {
 	s := w.session
@@ -66,6 +89,20 @@
 	w.bind(route)
 	ctx, cancel := context.WithDeadline(ctx, w.deadline)
 	defer cancel()
+	var r chervilladder.Result
+	if access == chervilladder.AccessRead {
+		r = w.hedged(ctx)
+	} else {
+		r = w.try(ctx)
+	}
+	if r.Code == chervilladder.CodeNone {
+		s.observe(r.Mark, s.m.c.Clock())
+	}
+	return r
+}
+
+// try makes attempts until one ends the statement.
+func (w *work) try(ctx context.Context) chervilladder.Result {
 	for {
 		w.tries++
 		r, next := w.attempt(ctx)
@@ -110,6 +147,9 @@
 	}
 	c := w.command
 	c.Since = p.since
+	// A member that has lost the answer has no use for the slot.
+	late := time.AfterFunc(w.patience(), p.release)
+	defer late.Stop()
 	r, err := w.exchange(conn, c)
 	if err != nil {
 		w.lost(p, conn)
@@ -129,7 +169,6 @@
 func (w *work) judge(p *placement, r chervilladder.Result) (chervilladder.Result, answer.Next) {
 	w.learn(p, r)
 	if r.Code == chervilladder.CodeNone {
-		w.session.observe(r.Mark, w.session.m.c.Clock())
 		w.cluster.Retries.Succeeded()
 		return r, answer.Tell
 	}
@@ -148,6 +187,9 @@
 // exchange sends a command and receives its answer.
 func (w *work) exchange(conn *link.Conn, c chervilladder.Command) (chervilladder.Result, error) {
 	w.sent = time.Now()
+	if w.running != nil {
+		w.running.Store(&running{upstream: w.upstream, sent: w.sent})
+	}
 	if err := conn.Send(w.deadline, c); err != nil {
 		return chervilladder.Result{}, err
 	}
@@ -156,11 +198,11 @@
 
 // connect returns a connection to the member that is set up for the session.
 func (w *work) connect(ctx context.Context, p *placement) (*link.Conn, error) {
-	conn, err := p.pool.Get(ctx, w.session.values)
+	conn, err := p.pool.Get(ctx, w.values)
 	if err != nil {
 		return nil, err
 	}
-	if err := w.setUp(conn, conn.Setup(w.session.values, w.need)); err != nil {
+	if err := w.setUp(conn, conn.Setup(w.values, w.need)); err != nil {
 		conn.Discard()
 		return nil, err
 	}
