--- /dev/null
+++ b/internal/capacity/line_test.go
@@ -0,0 +1,113 @@
+package capacity_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/clock"
+	"github.com/chervilladder/chervilladder/internal/control/evidence"
+	"github.com/chervilladder/chervilladder/internal/link"
+	"github.com/chervilladder/chervilladder/internal/observe"
+	"github.com/chervilladder/chervilladder/internal/session"
+	"github.com/chervilladder/chervilladder/internal/standin/cluster"
+	"github.com/chervilladder/chervilladder/internal/standin/lineserver"
+	"github.com/chervilladder/chervilladder/platform"
+)
+
+// startLine starts a VM's path by the line protocol before a stand-in of three
+// members in this process, and returns where callers connect.
+func startLine(b *testing.B) string {
+	b.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	b.Cleanup(stop)
+	c := cluster.Config{Service: "s", Confirmations: 1, Queue: 100}
+	var listeners []net.Listener
+	for i := range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		check(b, err)
+		listeners = append(listeners, l)
+		c.Members = append(c.Members, chervilladder.Registered{
+			ID: chervilladder.UpstreamID(fmt.Sprint("m", i)), Service: "s", Address: chervilladder.Address(l.Addr().String()), Slots: 50,
+		})
+	}
+	k, err := cluster.New(c)
+	check(b, err)
+	for i, l := range listeners {
+		go func() { _ = lineserver.Serve(ctx, l, k, c.Members[i].ID) }()
+	}
+	board := blackboard.New(chervilladder.VM{ID: "vm"})
+	board.Routing.Store(&chervilladder.Routing{
+		Routes: map[chervilladder.DatabaseID]chervilladder.Route{
+			"db": {Database: "db", Service: "s", Freshness: chervilladder.FreshBounded, Timeout: time.Second, Target: time.Second, MaxAge: 2 * time.Second, Attempts: 2},
+		},
+		Services: map[chervilladder.ServiceID]chervilladder.ServiceLimits{"s": {ID: "s", MaxConnections: 100, SyncReplicas: 1}},
+	})
+	u := blackboard.Upstreams{ByID: make(map[chervilladder.UpstreamID]blackboard.Enrolled), Known: true}
+	for _, m := range c.Members {
+		u.ByID[m.ID] = blackboard.Enrolled{Registered: m}
+	}
+	board.Upstreams.Store(u)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	pools := link.NewPools(link.PoolsConfig{Board: board, Linker: platform.Linker{Name: "vm"}})
+	sessions, err := session.New(session.Config{
+		Board: board, Pools: pools, Log: log, Clock: clock.Boot,
+		Observer: observe.New(observe.Config{Output: io.Discard, Metrics: metrics.NewSet()}),
+	})
+	check(b, err)
+	asked, err := evidence.New(evidence.Config{Board: board, Pools: pools, Log: log, Clock: clock.Boot})
+	check(b, err)
+	go func() { _ = asked.Run(ctx) }()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	check(b, err)
+	front, err := platform.NewFront(platform.FrontConfig{Listener: l, Sessions: sessions, Log: log})
+	check(b, err)
+	go func() { _ = front.Run(ctx) }()
+	time.Sleep(time.Second)
+	return l.Addr().String()
+}
+
+// BenchmarkLineStatement measures a statement through a VM by the line
+// protocol, the stand-in's share included.
+func BenchmarkLineStatement(b *testing.B) {
+	for _, text := range []string{"READ 1a4", "WRITE 1a4 x"} {
+		b.Run(strings.Fields(text)[0], func(b *testing.B) {
+			conn, err := net.Dial("tcp", startLine(b))
+			check(b, err)
+			defer conn.Close()
+			in := bufio.NewReader(conn)
+			say := func(line string) {
+				_, err := fmt.Fprintf(conn, "%s\r\n", line)
+				check(b, err)
+				for {
+					got, err := in.ReadString('\n')
+					check(b, err)
+					if strings.HasPrefix(got, "ERROR") {
+						b.Fatal(got)
+					}
+					if strings.HasPrefix(got, "READY") {
+						return
+					}
+				}
+			}
+			say("CONNECT db c")
+			b.ReportAllocs()
+			processor := processorTime()
+			for b.Loop() {
+				say("QUERY 1 " + text)
+			}
+			b.ReportMetric(float64((processorTime()-processor).Nanoseconds())/1e3/float64(b.N), "cpu-us/op")
+		})
+	}
+}
--- /dev/null
+++ b/internal/control/evidence/evidence_test.go
@@ -0,0 +1,90 @@
+package evidence_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/clustertest"
+	"github.com/chervilladder/chervilladder/internal/standin/cluster"
+)
+
+func bubble(t *testing.T, c clustertest.Config, f func(t *testing.T, is *is.I, w *clustertest.World, view func() blackboard.ClusterView)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := clustertest.New(t, c)
+		f(t, is.New(t), w, func() blackboard.ClusterView {
+			return w.VMs[0].Board.Clusters.Get(clustertest.Service).View.Load()
+		})
+	})
+}
+
+func TestMembersAreSeen(t *testing.T) {
+	bubble(t, clustertest.Config{}, func(_ *testing.T, is *is.I, _ *clustertest.World, view func() blackboard.ClusterView) {
+		v := view()
+		is.Equal(v.Primary, clustertest.MemberID(0))
+		is.Equal(v.Term, chervilladder.Term(1))
+		is.Equal(v.Confirmations, 1)
+		is.Equal(len(v.Members), 3)
+		for _, s := range v.Members {
+			is.True(s.Answers())
+			is.True(time.Since(s.Asked) < time.Second)
+		}
+	})
+}
+
+func TestSilentMemberIsNoticedAndRegained(t *testing.T) {
+	bubble(t, clustertest.Config{}, func(_ *testing.T, is *is.I, w *clustertest.World, view func() blackboard.ClusterView) {
+		m := clustertest.MemberID(1)
+		w.Cluster.Set(m, func(f *cluster.Faults) { f.Silent = true })
+		time.Sleep(1500 * time.Millisecond)
+		is.True(!view().Members[m].Answers())
+		is.True(view().Members[m].Failures >= 2)
+		w.Cluster.Set(m, func(f *cluster.Faults) { f.Silent = false })
+		time.Sleep(time.Second)
+		is.True(view().Members[m].Answers())
+	})
+}
+
+// A member whose entry is gone stays in the evidence while it answers, since it
+// may confirm commits, and gets no work.
+func TestUnlistedMemberStaysWhileItAnswers(t *testing.T) {
+	bubble(t, clustertest.Config{}, func(t *testing.T, is *is.I, w *clustertest.World, view func() blackboard.ClusterView) {
+		m := clustertest.MemberID(2)
+		w.VMs[0].Enroll(clustertest.Member(0), clustertest.Member(1))
+		time.Sleep(2 * time.Second)
+		is.True(view().Members[m].Unlisted)
+		is.True(view().Members[m].Answers())
+		w.Cluster.Set(m, func(f *cluster.Faults) { f.Down = true })
+		time.Sleep(2 * time.Second)
+		_, known := view().Members[m]
+		is.True(!known)
+		is.True(view().DepartedSince.IsZero()) // the primary was asked since
+	})
+}
+
+// An upstream that starts again under its id knows nothing of before.
+func TestMemberThatStartsAgainIsAskedAnew(t *testing.T) {
+	bubble(t, clustertest.Config{}, func(_ *testing.T, is *is.I, w *clustertest.World, view func() blackboard.ClusterView) {
+		again := clustertest.Member(2)
+		again.Born = time.UnixMilli(7)
+		w.VMs[0].Enroll(clustertest.Member(0), clustertest.Member(1), again)
+		time.Sleep(time.Second)
+		is.Equal(view().Members[again.ID].Born, again.Born)
+		is.True(view().Members[again.ID].Answers())
+	})
+}
+
+func TestAFullUpstreamIsNotDead(t *testing.T) {
+	bubble(t, clustertest.Config{Connections: 2, VMs: 3}, func(_ *testing.T, is *is.I, w *clustertest.World, view func() blackboard.ClusterView) {
+		time.Sleep(5 * time.Second)
+		is.Equal(len(w.Cluster.Orders()), 0)
+		for _, s := range view().Members {
+			is.Equal(s.Failures, 0)
+		}
+	})
+}
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -256,7 +256,10 @@
 // copyLog makes a replica's log that of its primary.
 func (k *Cluster) copyLog(p, r *member) {
 	r.term = p.term
-	common := 0
+	common := len(r.log)
+	if common == 0 || common > len(p.log) || r.log[common-1].Mark != p.log[common-1].Mark {
+		common = 0 // the logs part somewhere
+	}
 	for common < len(r.log) && common < len(p.log) && r.log[common].Mark == p.log[common].Mark {
 		common++
 	}
