Give a leaving primary no work beyond its limit

Ruled out: the replacement itself; it rightly waited.

Change: a member that leaves has no slots from 1.5 s before the limit of the settings on.

Test: TestLeavingPrimaryGetsNoWorkBeyondItsLimit, failed before.

--- a/internal/clustertest/world.go
+++ b/internal/clustertest/world.go
@@ -33,6 +33,9 @@
 // MaxAge is the age that reads of Bounded and Own accept.
 const MaxAge = 1500 * time.Millisecond
 
+// DrainLimit is how soon a member that leaves must get no more work.
+const DrainLimit = 7 * time.Second
+
 // Config configures a World.
 type Config struct {
 	// Members is how many members the service has; zero means three.
@@ -131,7 +134,7 @@
 	vm.Enroll(members...)
 	vm.Pools = link.NewPools(link.PoolsConfig{Board: vm.Board, Linker: vm.Linker})
 	sessions, err1 := session.New(session.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: time.Now})
-	asked, err2 := evidence.New(evidence.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: time.Now})
+	asked, err2 := evidence.New(evidence.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: time.Now, DrainLimit: DrainLimit})
 	failovers, err3 := failover.New(failover.Config{
 		Board: vm.Board, Record: vm.Record, Promoter: vm.Promoter, Linker: vm.Linker,
 		Log: log.WithField("vm", vm.Board.Self.ID).Logger, Clock: time.Now, Leave: vm.Leave,
--- a/internal/control/evidence/evidence.go
+++ b/internal/control/evidence/evidence.go
@@ -27,8 +27,15 @@
 	Log   *logrus.Logger
 	// Clock tells the VM's own time.
 	Clock func() time.Time
+	// DrainLimit is how soon an upstream that leaves must get no more work;
+	// zero means that a primary may go on until it is replaced.
+	DrainLimit time.Duration
 }
 
+// drainMargin is how long before that limit a primary gets no more work: what
+// it was announced at is not known exactly, and work may be on its way.
+const drainMargin = 1500 * time.Millisecond
+
 // Controller asks all registered upstreams. It is the one writer of the
 // clusters' views and of their queues' capacities.
 type Controller struct {
@@ -147,13 +154,18 @@
 			"service": service, "primary": after.Primary, "term": after.Term, "was": before.Primary,
 		}).Info("evidence: primary")
 	}
-	c.Queue.Configure(capacities(after))
+	c.Queue.Configure(k.capacities(after))
 }
 
-// capacities returns the slots that this VM uses at each member.
-func capacities(v blackboard.ClusterView) []schedule.Capacity {
+// capacities returns the slots that this VM uses at each member. A primary that
+// leaves works until shortly before its limit.
+func (k *Controller) capacities(v blackboard.ClusterView) []schedule.Capacity {
+	now := k.c.Clock()
 	var list []schedule.Capacity
 	for id, s := range v.Members {
+		if k.c.DrainLimit > 0 && !s.DrainingSince.IsZero() && now.Sub(s.DrainingSince) >= k.c.DrainLimit-drainMargin {
+			continue
+		}
 		if !s.Answers() || s.Unlisted || id != v.Primary && s.Leaves() {
 			continue
 		}
--- a/internal/control/evidence/evidence_test.go
+++ b/internal/control/evidence/evidence_test.go
@@ -1,6 +1,7 @@
 package evidence_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,6 +80,27 @@
 	})
 }
 
+// A primary that leaves and can't be replaced gets no work beyond its limit.
+// Found by a hunt on salas-valle, upstreams-reborn varied by 179963319623.
+func TestLeavingPrimaryGetsNoWorkBeyondItsLimit(t *testing.T) {
+	bubble(t, clustertest.Config{}, func(t *testing.T, is *is.I, w *clustertest.World, _ func() blackboard.ClusterView) {
+		w.VMs[0].Record.Off.Store(true) // nobody can be promoted
+		left := clustertest.Member(0)
+		left.Draining = true
+		began := time.Now()
+		w.VMs[0].Enroll(left, clustertest.Member(1), clustertest.Member(2))
+		s := w.Open(t, 0, clustertest.Primary)
+		for time.Since(began) < 10*time.Second {
+			s.Do(context.Background(), chervilladder.Command{Kind: chervilladder.CommandRead, ID: "r", Rest: "1a4"})
+			time.Sleep(50 * time.Millisecond)
+		}
+		runs := w.Cluster.Runs()
+		last := runs[len(runs)-1].At.Sub(began)
+		is.True(last < clustertest.DrainLimit)
+		is.True(last > clustertest.DrainLimit/2) // it works until then
+	})
+}
+
 func TestAFullUpstreamIsNotDead(t *testing.T) {
 	bubble(t, clustertest.Config{Connections: 2, VMs: 3}, func(_ *testing.T, is *is.I, w *clustertest.World, view func() blackboard.ClusterView) {
 		time.Sleep(5 * time.Second)
--- a/internal/daemon/onplatform.go
+++ b/internal/daemon/onplatform.go
@@ -130,7 +130,7 @@
 	if err != nil {
 		return nil, err
 	}
-	asked, err := evidence.New(evidence.Config{Board: board, Pools: pools, Log: c.Log, Clock: clock.Boot})
+	asked, err := evidence.New(evidence.Config{Board: board, Pools: pools, Log: c.Log, Clock: clock.Boot, DrainLimit: c.Settings.UpstreamDrain})
 	if err != nil {
 		return nil, err
 	}
