Follow both sources by one loop, and split the stand-in's commits off

Routing and registry had the same loop of calls, pauses and log lines; it is internal/control/follow now. No behaviour changes; the tests of both pass unchanged.

--- /dev/null
+++ b/internal/control/follow/follow.go
@@ -0,0 +1,61 @@
+// Package follow keeps a controller in touch with a source that may be away.
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilladder/chervilladder/internal/decide/retry"
+)
+
+// Loop makes calls to a source again and again. A call that fails is followed
+// by a pause, and the loss and return of the source are logged.
+type Loop struct {
+	// Name is the prefix of the log lines.
+	Name string
+	Log  *logrus.Logger
+	// RetryAfter is the mean pause after a call that failed.
+	RetryAfter time.Duration
+	// Step makes one call and applies what it tells.
+	Step func(context.Context) error
+
+	lost bool
+}
+
+// Run goes on until the context ends.
+func (l *Loop) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := l.Step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		l.note(err)
+		if err != nil {
+			pause(ctx, retry.Spread(l.RetryAfter))
+		}
+	}
+}
+
+func (l *Loop) note(err error) {
+	lost := err != nil
+	if lost == l.lost {
+		return
+	}
+	l.lost = lost
+	if lost {
+		l.Log.WithError(err).Warn(l.Name + ": store lost")
+	} else {
+		l.Log.Info(l.Name + ": store regained")
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -11,7 +11,7 @@
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
-	"github.com/chervilladder/chervilladder/internal/decide/retry"
+	"github.com/chervilladder/chervilladder/internal/control/follow"
 )
 
 // The pace of the calls.
@@ -41,7 +41,6 @@
 type Controller struct {
 	c     Config
 	after chervilladder.Revision
-	lost  bool
 }
 
 // New returns a controller.
@@ -60,16 +59,8 @@
 		k.sweep(ctx)
 	}()
 	defer func() { <-swept }()
-	for ctx.Err() == nil {
-		err := k.step(ctx)
-		if ctx.Err() != nil {
-			return nil
-		}
-		k.note(err)
-		if err != nil {
-			pause(ctx, retry.Spread(retryAfter))
-		}
-	}
+	loop := follow.Loop{Name: "registry", Log: k.c.Log, RetryAfter: retryAfter, Step: k.step}
+	loop.Run(ctx)
 	return nil
 }
 
@@ -219,24 +210,3 @@
 		return next
 	})
 }
-
-// note logs that the store was lost or has come back.
-func (k *Controller) note(err error) {
-	if lost := err != nil; lost != k.lost {
-		k.lost = lost
-		if lost {
-			k.c.Log.WithError(err).Warn("registry: store lost")
-		} else {
-			k.c.Log.Info("registry: store regained")
-		}
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/control/routing/routing.go
+++ b/internal/control/routing/routing.go
@@ -10,7 +10,7 @@
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
-	"github.com/chervilladder/chervilladder/internal/decide/retry"
+	"github.com/chervilladder/chervilladder/internal/control/follow"
 )
 
 // The pace of the calls.
@@ -35,7 +35,6 @@
 	c Config
 	// after is where the watch goes on; zero asks for the whole again.
 	after chervilladder.Revision
-	lost  bool
 }
 
 // New returns a controller.
@@ -48,16 +47,8 @@
 
 // Run follows the configuration until the context ends.
 func (k *Controller) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		err := k.step(ctx)
-		if ctx.Err() != nil {
-			return nil
-		}
-		k.note(err)
-		if err != nil {
-			pause(ctx, retry.Spread(retryAfter))
-		}
-	}
+	loop := follow.Loop{Name: "routing", Log: k.c.Log, RetryAfter: retryAfter, Step: k.step}
+	loop.Run(ctx)
 	return nil
 }
 
@@ -101,24 +92,3 @@
 		"version": r.Version, "revision": r.Revision, "routes": len(r.Routes), "services": len(r.Services),
 	}).Info("routing: configuration in force")
 }
-
-// note logs that the source was lost or has come back.
-func (k *Controller) note(err error) {
-	if lost := err != nil; lost != k.lost {
-		k.lost = lost
-		if lost {
-			k.c.Log.WithError(err).Warn("routing: store lost")
-		} else {
-			k.c.Log.Info("routing: store regained")
-		}
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/internal/standin/cluster/commit.go
@@ -0,0 +1,79 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// commit ends the transaction and keeps its writes.
+func (c *Conn) commit(cmd chervilladder.Command) (chervilladder.Result, error) {
+	t := c.tx
+	switch {
+	case t == nil:
+		return c.fail(chervilladder.CodeMalformed, "no transaction is open"), nil
+	case t.failed:
+		c.tx = nil
+		return c.fail(chervilladder.CodeAborted, "rolled back"), nil
+	case len(t.writes) > 0 && (!c.m.primary || c.m.term != t.term):
+		return c.fail(chervilladder.CodeReadOnly, string(c.m.ID)), nil
+	}
+	ok, err := c.takeSlot()
+	if err != nil {
+		return chervilladder.Result{}, err
+	}
+	if !ok {
+		return chervilladder.Result{Code: chervilladder.CodeBusy, Text: string(c.m.ID)}, nil
+	}
+	c.note(cmd, "")
+	if err := c.work(); err != nil {
+		return chervilladder.Result{}, err
+	}
+	c.tx = nil
+	r := done(c.signature(cmd))
+	if len(t.writes) == 0 {
+		return r, c.lose()
+	}
+	return r, c.append(t.writes, &r)
+}
+
+// append adds a commit to the log, and returns once it may be acknowledged.
+func (c *Conn) append(writes []chervilladder.Command, r *chervilladder.Result) error {
+	m, k := c.m, c.k
+	if !m.primary {
+		*r = c.fail(chervilladder.CodeReadOnly, string(m.ID))
+		return nil
+	}
+	e := Entry{Mark: chervilladder.Mark{Term: m.term, Position: chervilladder.Position(len(m.log) + 1)}, Commands: writes, Acked: new(bool)}
+	m.log = append(m.log, e)
+	m.appliedAt = append(m.appliedAt, time.Now())
+	k.replicate()
+	k.wake()
+	for !k.confirmed(m, e) {
+		if m.term != e.Mark.Term || !m.primary {
+			c.breakLocked() // whether the commit is kept is up to the new primary
+		}
+		if c.isBroken() || !k.wait(c.broken) || c.isBroken() {
+			return ErrBroken
+		}
+	}
+	if err := c.lose(); err != nil {
+		return err
+	}
+	*e.Acked = true
+	r.Mark = e.Mark
+	return nil
+}
+
+// confirmed reports whether enough replicas have received a commit of a
+// member.
+func (k *Cluster) confirmed(origin *member, e Entry) bool {
+	n := 0
+	for _, m := range k.members {
+		i := int(e.Mark.Position)
+		if m != origin && !m.primary && len(m.log) >= i && m.log[i-1].Mark == e.Mark {
+			n++
+		}
+	}
+	return n >= k.c.Confirmations
+}
