--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -17,12 +17,12 @@
 	switch w.rng.IntN(14) {
 	case 0:
 		w.note("%s is killed for %s", v.name, length)
-		v.signal(syscall.SIGKILL)
-		w.later(length, func() { w.restart(v) })
+		exited := v.signal(syscall.SIGKILL)
+		w.later(length, func() { w.restart(v, exited) })
 	case 1:
 		w.note("%s is told to end", v.name)
-		v.signal(syscall.SIGTERM)
-		w.later(length, func() { w.restart(v) })
+		exited := v.signal(syscall.SIGTERM)
+		w.later(length, func() { w.restart(v, exited) })
 	case 2:
 		w.note("%s is stopped for %s", v.name, length)
 		v.signal(syscall.SIGSTOP)
@@ -61,14 +61,16 @@
 	})
 }
 
-// restart starts a VM again once its process is gone.
-func (w *world) restart(v *vm) {
+// restart starts a VM again once the process that was told to end is gone. Of
+// two harms to the same process, one starts it again.
+func (w *world) restart(v *vm, exited <-chan struct{}) {
 	v.signal(syscall.SIGCONT)
-	if !v.await(10 * time.Second) {
+	if !await(exited, 10*time.Second) {
 		w.t.Errorf("%s does not end within ten seconds", v.name)
 	}
-	w.note("%s starts again", v.name)
-	v.start()
+	if v.start(exited) {
+		w.note("%s starts again", v.name)
+	}
 }
 
 func (w *world) member(id chervilladder.UpstreamID, what string, d time.Duration, change func(*cluster.Faults)) {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -66,7 +66,7 @@
 
 	mu      sync.Mutex
 	process *exec.Cmd
-	exited  chan struct{}
+	exited  <-chan struct{}
 }
 
 func memberID(i int) chervilladder.UpstreamID {
@@ -122,7 +122,7 @@
 	}
 	t.Cleanup(w.close)
 	for _, v := range w.vms {
-		v.start()
+		v.start(nil)
 	}
 	for _, v := range w.vms {
 		w.awaitReady(v)
@@ -174,38 +174,42 @@
 	return v
 }
 
-// start starts the daemon.
-func (v *vm) start() {
+// start starts the daemon in place of the process that has exited, and reports
+// whether it did: another one may run already.
+func (v *vm) start(exited <-chan struct{}) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.exited != exited {
+		return false
+	}
 	cmd := exec.Command(daemon, "platform", "--settings", v.settings)
 	cmd.Stdout, cmd.Stderr = v.log, v.log
 	if err := cmd.Start(); err != nil {
 		v.w.t.Error(err)
-		return
+		return false
 	}
-	exited := make(chan struct{})
-	v.process, v.exited = cmd, exited
+	ended := make(chan struct{})
+	v.process, v.exited = cmd, ended
 	go func() {
 		_ = cmd.Wait() // killed or told to end
-		close(exited)
+		close(ended)
 	}()
+	return true
 }
 
-// signal sends a signal to the daemon if it runs.
-func (v *vm) signal(s syscall.Signal) {
+// signal sends a signal to the daemon if it runs, and returns what is closed
+// once that process is gone.
+func (v *vm) signal(s syscall.Signal) <-chan struct{} {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.process != nil {
 		_ = v.process.Process.Signal(s) // it may have ended
 	}
+	return v.exited
 }
 
-// await waits for the daemon's end.
-func (v *vm) await(limit time.Duration) bool {
-	v.mu.Lock()
-	exited := v.exited
-	v.mu.Unlock()
+// await waits for a process's end.
+func await(exited <-chan struct{}, limit time.Duration) bool {
 	select {
 	case <-exited:
 		return true
@@ -232,8 +236,7 @@
 func (w *world) close() {
 	for _, v := range w.vms {
 		v.signal(syscall.SIGCONT)
-		v.signal(syscall.SIGKILL)
-		if !v.await(5 * time.Second) {
+		if !await(v.signal(syscall.SIGKILL), 5*time.Second) {
 			w.t.Errorf("%s does not end", v.name)
 		}
 		if w.t.Failed() {
