Follow the bounds of the settings file while the VM runs

Cause: SIGHUP read the settings and changed nothing, a file that changes without a signal was never read, and the watches' waits were constants that fit bounds of 3 s for a configuration and 7 s for a leaving upstream. On a deployment that demands a configuration within 1.5 s, a watch that has fallen silent would be noticed after 2.7 s. A deployment without drain_ms would not have started at all.

Change: what the deployment demands (grace, drain, configuration in force, memory) is a section of the blackboard with a controller of its own, which reads the file on SIGHUP and every two seconds; faults keep the old values and are told once. Routing and registry derive their waits from it, within the old ones; evidence, the end of the VM and the memory limit follow it.

Failed first: TestConfigurationIsInForceWithinATighterBound with the constant wait. Tests: TestBoundsFollowTheirSource, TestSettings.

--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -31,6 +31,9 @@
 	// Routing is the operator's configuration on a platform that keeps one;
 	// nil until it is known. Written by control/routing.
 	Routing Section[*chervilladder.Routing]
+	// Bounds is what the deployment demands of this VM. Written by
+	// control/bounds, and once before anything runs.
+	Bounds Section[chervilladder.Bounds]
 	// Upstreams is the upstreams that have registered at the platform.
 	// Written by control/registry.
 	Upstreams Section[Upstreams]
--- a/internal/clustertest/world.go
+++ b/internal/clustertest/world.go
@@ -131,10 +131,11 @@
 		Leave: make(chan struct{}), stop: stop, ended: make(chan error, 1),
 	}
 	vm.Board.Routing.Store(routing())
+	vm.Board.Bounds.Store(chervilladder.Bounds{UpstreamDrain: DrainLimit})
 	vm.Enroll(members...)
 	vm.Pools = link.NewPools(link.PoolsConfig{Board: vm.Board, Linker: vm.Linker})
 	sessions, err1 := session.New(session.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: time.Now})
-	asked, err2 := evidence.New(evidence.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: time.Now, DrainLimit: DrainLimit})
+	asked, err2 := evidence.New(evidence.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: time.Now})
 	failovers, err3 := failover.New(failover.Config{
 		Board: vm.Board, Record: vm.Record, Promoter: vm.Promoter, Linker: vm.Linker,
 		Log: log.WithField("vm", vm.Board.Self.ID).Logger, Clock: time.Now, Leave: vm.Leave,
--- a/internal/control/evidence/evidence.go
+++ b/internal/control/evidence/evidence.go
@@ -27,15 +27,20 @@
 	Log   *logrus.Logger
 	// Clock tells the VM's own time.
 	Clock func() time.Time
-	// DrainLimit is how soon an upstream that leaves must get no more work;
-	// zero means that a primary may go on until it is replaced.
-	DrainLimit time.Duration
 }
 
-// drainMargin is how long before that limit a primary gets no more work: what
-// it was announced at is not known exactly, and work may be on its way.
+// drainMargin is how long before the end of an upstream's drain a primary gets
+// no more work: what it was announced at is not known exactly, and work may be
+// on its way.
 const drainMargin = 1500 * time.Millisecond
 
+// drainLimit returns for how long a primary that leaves gets work, and whether
+// there is a limit.
+func (k *Controller) drainLimit() (time.Duration, bool) {
+	drain := k.c.Board.Bounds.Load().UpstreamDrain
+	return max(drain-drainMargin, drain/2), drain > 0
+}
+
 // Controller asks all registered upstreams. It is the one writer of the
 // clusters' views and of their queues' capacities.
 type Controller struct {
@@ -161,9 +166,10 @@
 // leaves works until shortly before its limit.
 func (k *Controller) capacities(v blackboard.ClusterView) []schedule.Capacity {
 	now := k.c.Clock()
+	limit, limited := k.drainLimit()
 	var list []schedule.Capacity
 	for id, s := range v.Members {
-		if k.c.DrainLimit > 0 && !s.DrainingSince.IsZero() && now.Sub(s.DrainingSince) >= k.c.DrainLimit-drainMargin {
+		if limited && !s.DrainingSince.IsZero() && now.Sub(s.DrainingSince) >= limit {
 			continue
 		}
 		if !s.Answers() || s.Unlisted || id != v.Primary && s.Leaves() {
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -16,8 +16,11 @@
 
 // The pace of the calls.
 const (
-	// watchWait is how long a watch waits for a change.
-	watchWait = 3 * time.Second
+	// maxWait and minWait bound how long a watch waits for a change. Within
+	// them it waits for half of the time after which an upstream that leaves
+	// must get no more work.
+	maxWait = 3 * time.Second
+	minWait = 300 * time.Millisecond
 	// retryAfter is the mean pause after a call that failed.
 	retryAfter = 200 * time.Millisecond
 	// lapseGrace is how long an upstream is kept whose entry is missing.
@@ -74,7 +77,7 @@
 		k.replace(list)
 		return nil
 	}
-	events, revision, err := k.c.Source.Watch(ctx, k.after, watchWait)
+	events, revision, err := k.c.Source.Watch(ctx, k.after, k.watchWait())
 	var gone *chervilladder.HistoryLostError
 	if errors.As(err, &gone) {
 		k.c.Log.WithField("after", k.after).Info("registry: history is gone, listing anew")
@@ -92,6 +95,16 @@
 	return nil
 }
 
+// watchWait returns how long a watch waits; one that has fallen silent is only
+// noticed after it.
+func (k *Controller) watchWait() time.Duration {
+	drain := k.c.Board.Bounds.Load().UpstreamDrain
+	if drain <= 0 {
+		return maxWait
+	}
+	return min(maxWait, max(minWait, drain/2))
+}
+
 // replace takes over a whole list.
 func (k *Controller) replace(list []chervilladder.Registered) {
 	events := make([]chervilladder.RegistryEvent, 0, len(list))
--- a/internal/control/routing/routing.go
+++ b/internal/control/routing/routing.go
@@ -15,10 +15,12 @@
 
 // The pace of the calls.
 const (
-	// watchWait is how long a watch waits for a change. A watch that has
-	// fallen silent is only noticed after it, and a configuration has to be
-	// in force within three seconds.
-	watchWait = 2 * time.Second
+	// maxWait and minWait bound how long a watch waits for a change.
+	maxWait = 2 * time.Second
+	minWait = 300 * time.Millisecond
+	// silentReserve is what it may take beyond that wait to notice a watch
+	// that has fallen silent and to read the configuration.
+	silentReserve = time.Second
 	// retryAfter is the mean pause after a call that failed.
 	retryAfter = 100 * time.Millisecond
 )
@@ -63,7 +65,7 @@
 		k.apply(r)
 		return nil
 	}
-	r, revision, err := k.c.Source.Next(ctx, k.after, watchWait)
+	r, revision, err := k.c.Source.Next(ctx, k.after, k.watchWait())
 	var gone *chervilladder.HistoryLostError
 	if errors.As(err, &gone) {
 		k.c.Log.WithField("after", k.after).Info("routing: history is gone, reading anew")
@@ -81,6 +83,16 @@
 	return nil
 }
 
+// watchWait returns how long a watch waits: so short that a configuration is in
+// force in time though the watch that should tell of it has fallen silent.
+func (k *Controller) watchWait() time.Duration {
+	limit := k.c.Board.Bounds.Load().ConfigInForce
+	if limit <= 0 {
+		return maxWait
+	}
+	return min(maxWait, max(minWait, limit-silentReserve))
+}
+
 // apply puts a configuration in force unless a newer one already is.
 func (k *Controller) apply(r *chervilladder.Routing) {
 	old := k.c.Board.Routing.Load()
--- a/internal/control/routing/routing_test.go
+++ b/internal/control/routing/routing_test.go
@@ -72,6 +72,30 @@
 	return nil, after, nil
 }
 
+// A deployment that demands less time gets shorter watches.
+func TestConfigurationIsInForceWithinATighterBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const bound = 1500 * time.Millisecond
+		s := &source{version: 5}
+		board := blackboard.New(chervilladder.VM{ID: "vm"})
+		board.Bounds.Store(chervilladder.Bounds{ConfigInForce: bound})
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		k, err := routing.New(routing.Config{Board: board, Source: s, Log: log})
+		is.NoErr(err)
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- k.Run(ctx) }()
+		time.Sleep(2100 * time.Millisecond) // a long watch has just begun
+		s.set(func() { s.silent, s.version = true, 9 })
+		time.Sleep(bound)
+		is.Equal(board.Routing.Load().Revision, chervilladder.Revision(9))
+		stop()
+		is.NoErr(<-ended)
+	})
+}
+
 // inForceWithin is the bound on a change of configuration.
 const inForceWithin = 3 * time.Second
 
--- a/internal/daemon/onplatform.go
+++ b/internal/daemon/onplatform.go
@@ -19,6 +19,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/clock"
+	"github.com/chervilladder/chervilladder/internal/control/bounds"
 	"github.com/chervilladder/chervilladder/internal/control/evidence"
 	"github.com/chervilladder/chervilladder/internal/control/failover"
 	"github.com/chervilladder/chervilladder/internal/control/registry"
@@ -51,9 +52,9 @@
 // RunOnPlatform serves callers on the prepared platform until a signal comes.
 func RunOnPlatform(c PlatformConfig) error {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(float64(c.Settings.MemoryBytes) * memoryShare))
 	board := blackboard.New(chervilladder.VM{ID: c.Settings.VM, DataCentre: c.Settings.DataCentre})
-	leaving := &leave{c: c, resting: make(chan struct{}), began: make(chan struct{})}
+	board.Bounds.Store(c.Settings.Bounds)
+	leaving := &leave{c: c, board: board, resting: make(chan struct{}), began: make(chan struct{}), reread: make(chan struct{}, 1)}
 	actors, err := buildOnPlatform(c, board, leaving)
 	if err != nil {
 		return err
@@ -130,7 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
-	asked, err := evidence.New(evidence.Config{Board: board, Pools: pools, Log: c.Log, Clock: clock.Boot, DrainLimit: c.Settings.UpstreamDrain})
+	asked, err := evidence.New(evidence.Config{Board: board, Pools: pools, Log: c.Log, Clock: clock.Boot})
 	if err != nil {
 		return nil, err
 	}
@@ -140,7 +141,29 @@
 	if err != nil {
 		return nil, err
 	}
-	return []actor{failovers, routes, upstreams, asked, c.Lines}, nil
+	demands, err := bounds.New(bounds.Config{Board: board, Source: platform.SettingsFile(c.SettingsPath), Log: c.Log, Reload: leaving.reread})
+	if err != nil {
+		return nil, err
+	}
+	return []actor{failovers, routes, upstreams, asked, demands, memory{board}, c.Lines}, nil
+}
+
+// memory keeps the runtime within the memory that the process may use.
+type memory struct{ board *blackboard.Board }
+
+// Run follows the bounds until the context ends.
+func (m memory) Run(ctx context.Context) error {
+	for {
+		b, changed := m.board.Bounds.Watch()
+		if b.MemoryBytes > 0 {
+			debug.SetMemoryLimit(int64(float64(b.MemoryBytes) * memoryShare))
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
 }
 
 // serves reports whether callers could be served: the configuration is known,
@@ -177,7 +200,10 @@
 // that it takes no callers; once that is known, it closes the sessions that
 // rest, and ends when none is left.
 type leave struct {
-	c PlatformConfig
+	c     PlatformConfig
+	board *blackboard.Board
+	// reread asks for the settings to be read again.
+	reread chan struct{}
 	// began is closed at the signal, resting when sessions that rest are
 	// to be closed.
 	began, resting chan struct{}
@@ -205,15 +231,19 @@
 	}
 }
 
-// reload reads the settings again. What they name is fixed while the process
-// runs, so a change is told and takes effect at the next start.
+// reload has the bounds read again. All else that the settings name is fixed
+// while the process runs, so a change of it is told and takes effect at the next
+// start.
 func (l *leave) reload() {
+	select {
+	case l.reread <- struct{}{}:
+	default: // they are about to be read
+	}
 	s, err := platform.ReadSettings(l.c.SettingsPath)
-	if err != nil {
-		l.c.Log.WithError(err).Error("daemon: settings not reloaded")
-		return
+	s.Bounds = l.c.Settings.Bounds
+	if err == nil && s != l.c.Settings {
+		l.c.Log.Warn("daemon: settings have changed that take effect at the next start")
 	}
-	l.c.Log.WithField("changed", s != l.c.Settings).Info("daemon: settings read again")
 }
 
 func (l *leave) drain(ctx context.Context) error {
@@ -221,7 +251,7 @@
 	l.started.Store(true)
 	close(l.began)
 	l.c.Log.WithField("connected", l.connected()).Info("daemon: leaving")
-	grace := l.c.Settings.Grace
+	grace := l.board.Bounds.Load().Grace
 	if !l.wait(ctx, began.Add(grace*restingAfter/graceParts), false) {
 		return nil
 	}
