Let VMs tell each other what the store can't

Change: each VM announces itself in the store's list of VMs (one write at its start) and looks at the list every 10 s (a stale read). It offers what it knows (routes, upstreams, the store's revisions) by the product's own peer protocol. A VM to which the store has answered nothing for 2.5 s asks one of at most eight peers every 500 ms for what is newer; routing and registry take over what is newer than they know, and nothing else. No ports for VMs, no relay.

Failed first: TestVMThatIsTurnedAwayLearnsFromPeers without the relay. Tests also: peers are asked only while the store is away and send nothing that is known; unreadable knowledge is ignored.

--- /dev/null
+++ b/directory.go
@@ -0,0 +1,11 @@
+package chervilladder
+
+import "context"
+
+// Directory lists the VMs of the system, so that they find each other.
+type Directory interface {
+	// VMs returns the list, which lags, and which names VMs that are gone.
+	VMs(ctx context.Context) ([]VM, error)
+	// Announce enters a VM, or replaces its entry.
+	Announce(ctx context.Context, v VM) error
+}
--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -12,7 +12,8 @@
 	Self chervilladder.VM
 
 	// Published is the configuration in force in the form in which peers
-	// relay it. Written by control/configuration.
+	// relay it. Written by control/configuration, and on the prepared
+	// platform by control/relay.
 	Published Section[Published]
 	// Catalogue is the configuration in force, resolved for look-up; nil
 	// until the first one is known. Written by control/configuration.
@@ -37,6 +38,16 @@
 	// Upstreams is the upstreams that have registered at the platform.
 	// Written by control/registry.
 	Upstreams Section[Upstreams]
+	// StoreAnswered is when the platform's store last answered, by the VM's
+	// own clock. Raised by control/routing and control/registry.
+	StoreAnswered Moment
+	// Peers is the other VMs of the platform's list. Written by
+	// control/relay.
+	Peers Section[[]chervilladder.VM]
+	// Heard is what a peer has last told of the store. Written by
+	// control/relay; control/routing and control/registry take over what is
+	// newer than they know.
+	Heard Section[Knowledge]
 	// Clusters holds what is known of each replicated service that VMs
 	// serve without an owner. Its sections name their own writers.
 	Clusters Table[chervilladder.ServiceID, Cluster]
--- a/internal/blackboard/cluster.go
+++ b/internal/blackboard/cluster.go
@@ -16,6 +16,8 @@
 	ByID map[chervilladder.UpstreamID]Enrolled
 	// Known is set once a list has been read.
 	Known bool
+	// At is the store's revision that the list was last brought up to.
+	At chervilladder.Revision
 }
 
 // Enrolled is one registered upstream.
--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -20,6 +20,8 @@
 	RetryAfter time.Duration
 	// Step makes one call and applies what it tells.
 	Step func(context.Context) error
+	// Answered is called after each step that succeeded.
+	Answered func()
 
 	lost bool
 }
@@ -32,6 +34,9 @@
 			return
 		}
 		l.note(err)
+		if err == nil {
+			l.Answered()
+		}
 		if err != nil {
 			pause(ctx, retry.Spread(l.RetryAfter))
 		}
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"maps"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -42,8 +43,10 @@
 
 // Controller is the one writer of the board's Upstreams.
 type Controller struct {
-	c     Config
-	after chervilladder.Revision
+	c Config
+	// applying keeps the store's and the peers' words apart.
+	applying sync.Mutex
+	after    chervilladder.Revision
 }
 
 // New returns a controller.
@@ -62,11 +65,40 @@
 		k.sweep(ctx)
 	}()
 	defer func() { <-swept }()
-	loop := follow.Loop{Name: "registry", Log: k.c.Log, RetryAfter: retryAfter, Step: k.step}
+	listened := make(chan struct{})
+	go func() {
+		defer close(listened)
+		k.listen(ctx)
+	}()
+	defer func() { <-listened }()
+	answered := func() { k.c.Board.StoreAnswered.Raise(k.c.Clock()) }
+	loop := follow.Loop{Name: "registry", Log: k.c.Log, RetryAfter: retryAfter, Step: k.step, Answered: answered}
 	loop.Run(ctx)
 	return nil
 }
 
+// listen takes over what peers tell while the store is away.
+func (k *Controller) listen(ctx context.Context) {
+	for {
+		heard, changed := k.c.Board.Heard.Watch()
+		k.hear(heard)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// hear takes over a peer's list if it is newer than what this VM knows.
+func (k *Controller) hear(heard blackboard.Knowledge) {
+	k.applying.Lock()
+	defer k.applying.Unlock()
+	if heard.UpstreamsAt > k.c.Board.Upstreams.Load().At {
+		k.replace(heard.Upstreams, heard.UpstreamsAt)
+	}
+}
+
 func (k *Controller) step(ctx context.Context) error {
 	if k.after == 0 {
 		list, revision, err := k.c.Source.List(ctx)
@@ -74,7 +106,9 @@
 			return err
 		}
 		k.after = revision
-		k.replace(list)
+		k.applying.Lock()
+		defer k.applying.Unlock()
+		k.replace(list, revision)
 		return nil
 	}
 	events, revision, err := k.c.Source.Watch(ctx, k.after, k.watchWait())
@@ -90,7 +124,9 @@
 	}
 	k.after = revision
 	if len(events) > 0 {
-		k.change(events)
+		k.applying.Lock()
+		defer k.applying.Unlock()
+		k.change(events, revision)
 	}
 	return nil
 }
@@ -106,7 +142,7 @@
 }
 
 // replace takes over a whole list.
-func (k *Controller) replace(list []chervilladder.Registered) {
+func (k *Controller) replace(list []chervilladder.Registered, at chervilladder.Revision) {
 	events := make([]chervilladder.RegistryEvent, 0, len(list))
 	listed := make(map[chervilladder.UpstreamID]bool, len(list))
 	for i := range list {
@@ -118,18 +154,18 @@
 			events = append(events, chervilladder.RegistryEvent{ID: id, Removed: true})
 		}
 	}
-	k.change(events)
+	k.change(events, at)
 }
 
 // change applies events in order. Heartbeats that change nothing are ignored.
-func (k *Controller) change(events []chervilladder.RegistryEvent) {
+func (k *Controller) change(events []chervilladder.RegistryEvent, at chervilladder.Revision) {
 	now := k.c.Clock()
 	old := k.c.Board.Upstreams.Load()
-	next := blackboard.Upstreams{ByID: maps.Clone(old.ByID), Known: true}
+	next := blackboard.Upstreams{ByID: maps.Clone(old.ByID), Known: true, At: max(old.At, at)}
 	if next.ByID == nil {
 		next.ByID = make(map[chervilladder.UpstreamID]blackboard.Enrolled)
 	}
-	changed := !old.Known
+	changed := !old.Known || next.At != old.At
 	for _, e := range events {
 		before, known := next.ByID[e.ID]
 		after, keep := k.apply(before, known, e, now)
@@ -201,6 +237,8 @@
 }
 
 func (k *Controller) dropLapsed() {
+	k.applying.Lock()
+	defer k.applying.Unlock()
 	now := k.c.Clock()
 	expired := func(e blackboard.Enrolled) bool {
 		return !e.LapsedSince.IsZero() && now.Sub(e.LapsedSince) >= lapseGrace
@@ -213,7 +251,7 @@
 		return
 	}
 	k.c.Board.Upstreams.Update(func(u blackboard.Upstreams) blackboard.Upstreams {
-		next := blackboard.Upstreams{ByID: maps.Clone(u.ByID), Known: u.Known}
+		next := blackboard.Upstreams{ByID: maps.Clone(u.ByID), Known: u.Known, At: u.At}
 		for id, e := range next.ByID {
 			if expired(e) {
 				delete(next.ByID, id)
--- /dev/null
+++ b/internal/control/relay/relay_test.go
@@ -0,0 +1,254 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/control/registry"
+	"github.com/chervilladder/chervilladder/internal/control/relay"
+	"github.com/chervilladder/chervilladder/internal/control/routing"
+)
+
+var errTurnedAway = errors.New("turned away")
+
+// store is the platform's store, of which tests change the contents.
+type store struct {
+	mu        sync.Mutex
+	revision  chervilladder.Revision
+	routing   *chervilladder.Routing
+	upstreams []chervilladder.Registered
+	vms       map[chervilladder.VMID]chervilladder.VM
+}
+
+// route puts a configuration with one database in place.
+func (s *store) route(db chervilladder.DatabaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.routing = &chervilladder.Routing{Revision: s.revision, Routes: map[chervilladder.DatabaseID]chervilladder.Route{db: {Database: db, Timeout: time.Second}}}
+}
+
+// register replaces the registered upstreams.
+func (s *store) register(ids ...chervilladder.UpstreamID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.upstreams = nil
+	for _, id := range ids {
+		s.upstreams = append(s.upstreams, chervilladder.Registered{ID: id, Service: "s", Slots: 2, Born: time.UnixMilli(7)})
+	}
+}
+
+// view is one VM's way to the store.
+type view struct {
+	s  *store
+	mu sync.Mutex
+	// away is set while the store turns the VM away.
+	away bool
+}
+
+func (v *view) turnAway(away bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.away = away
+}
+
+// call locks the store unless the VM is turned away.
+func (v *view) call() (func(), error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.away {
+		return nil, errTurnedAway
+	}
+	v.s.mu.Lock()
+	return v.s.mu.Unlock, nil
+}
+
+func (v *view) Current(context.Context) (*chervilladder.Routing, chervilladder.Revision, error) {
+	done, err := v.call()
+	if err != nil {
+		return nil, 0, err
+	}
+	defer done()
+	return v.s.routing, v.s.revision, nil
+}
+
+// Next and Watch end without news, so that each reader reads anew.
+func (v *view) Next(ctx context.Context, after chervilladder.Revision, wait time.Duration) (*chervilladder.Routing, chervilladder.Revision, error) {
+	time.Sleep(wait)
+	return nil, after, &chervilladder.HistoryLostError{After: after}
+}
+
+func (v *view) List(context.Context) ([]chervilladder.Registered, chervilladder.Revision, error) {
+	done, err := v.call()
+	if err != nil {
+		return nil, 0, err
+	}
+	defer done()
+	return v.s.upstreams, v.s.revision, nil
+}
+
+func (v *view) Watch(_ context.Context, after chervilladder.Revision, wait time.Duration) ([]chervilladder.RegistryEvent, chervilladder.Revision, error) {
+	time.Sleep(wait)
+	return nil, after, &chervilladder.HistoryLostError{After: after}
+}
+
+func (v *view) VMs(context.Context) ([]chervilladder.VM, error) {
+	done, err := v.call()
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	var list []chervilladder.VM
+	for _, vm := range v.s.vms {
+		list = append(list, vm)
+	}
+	return list, nil
+}
+
+func (v *view) Announce(_ context.Context, vm chervilladder.VM) error {
+	done, err := v.call()
+	if err != nil {
+		return err
+	}
+	defer done()
+	v.s.vms[vm.ID] = vm
+	return nil
+}
+
+// vm is one VM with the controllers that deal in knowledge.
+type vm struct {
+	view  *view
+	board *blackboard.Board
+}
+
+// fleet is VMs that reach each other.
+type fleet struct {
+	vms map[chervilladder.Address]*vm
+	// pulls and bytes count what peers were asked for and have told.
+	pulls, bytes atomic.Int64
+}
+
+// Pull answers for the peer as its server does.
+func (f *fleet) Pull(_ context.Context, peer chervilladder.Address, newerThan chervilladder.Revision) (chervilladder.Relayed, error) {
+	r := f.vms[peer].board.Published.Load().For(newerThan)
+	f.pulls.Add(1)
+	f.bytes.Add(int64(len(r.Encoded)))
+	return r, nil
+}
+
+func bubble(t *testing.T, size int, f func(is *is.I, s *store, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		s, all := &store{vms: make(map[chervilladder.VMID]chervilladder.VM)}, &fleet{vms: make(map[chervilladder.Address]*vm)}
+		s.route("first")
+		s.register("a", "b")
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		ctx, stop := context.WithCancel(context.Background())
+		var parts errgroup.Group
+		for i := range size {
+			id := chervilladder.VMID(rune('a' + i))
+			v := &vm{view: &view{s: s}, board: blackboard.New(chervilladder.VM{ID: id, Peer: chervilladder.Address(id)})}
+			all.vms[v.board.Self.Peer] = v
+			routes, err1 := routing.New(routing.Config{Board: v.board, Source: v.view, Log: log, Clock: time.Now})
+			upstreams, err2 := registry.New(registry.Config{Board: v.board, Source: v.view, Log: log, Clock: time.Now})
+			relays, err3 := relay.New(relay.Config{Board: v.board, Directory: v.view, Relay: all, Log: log, Clock: time.Now})
+			if err := errors.Join(err1, err2, err3); err != nil {
+				t.Fatal(err)
+			}
+			parts.Go(func() error { return routes.Run(ctx) })
+			parts.Go(func() error { return upstreams.Run(ctx) })
+			parts.Go(func() error { return relays.Run(ctx) })
+		}
+		time.Sleep(20 * time.Second)
+		f(is.New(t), s, all)
+		stop()
+		if err := parts.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// knows reports whether a VM has a route and exactly these upstreams.
+func (v *vm) knows(db chervilladder.DatabaseID, ids ...chervilladder.UpstreamID) bool {
+	u := v.board.Upstreams.Load()
+	for _, id := range ids {
+		if _, ok := u.ByID[id]; !ok {
+			return false
+		}
+	}
+	_, ok := v.board.Routing.Load().Routes[db]
+	return ok && len(u.ByID) == len(ids)
+}
+
+// learnsWithin bounds how long a VM that the store turns away takes to learn
+// what changes.
+const learnsWithin = 8 * time.Second
+
+// A VM that the store turns away learns routes and upstreams from its peers,
+// and what it learns never goes back.
+func TestVMThatIsTurnedAwayLearnsFromPeers(t *testing.T) {
+	bubble(t, 3, func(is *is.I, s *store, f *fleet) {
+		cut := f.vms["b"]
+		is.True(cut.knows("first", "a", "b"))
+		cut.view.turnAway(true)
+		time.Sleep(5 * time.Second)
+		s.route("second")
+		s.register("b", "c")
+		time.Sleep(learnsWithin)
+		is.True(cut.knows("second", "b", "c"))
+
+		// All are turned away, and a peer that starts late knows less.
+		for _, v := range f.vms {
+			v.view.turnAway(true)
+		}
+		time.Sleep(10 * time.Second)
+		f.vms["a"].board.Published.Store(blackboard.Published{Revision: 99, Encoded: []byte(`{"Routing":{"Revision":1},"UpstreamsAt":1}`)})
+		time.Sleep(10 * time.Second)
+		is.True(cut.knows("second", "b", "c"))
+
+		cut.view.turnAway(false)
+		s.register("c")
+		time.Sleep(learnsWithin)
+		is.True(cut.knows("second", "c"))
+	})
+}
+
+// While the store is well nobody asks, and where all know the same little is
+// sent.
+func TestPeersAreAskedOnlyWhileTheStoreIsAway(t *testing.T) {
+	bubble(t, 12, func(is *is.I, _ *store, f *fleet) {
+		is.Equal(f.pulls.Load(), int64(0))
+		for _, v := range f.vms {
+			is.True(len(v.board.Peers.Load()) <= 8)
+			v.view.turnAway(true)
+		}
+		time.Sleep(30 * time.Second)
+		is.True(f.pulls.Load() > 0)
+		is.Equal(f.bytes.Load(), int64(0))
+	})
+}
+
+// What can't be read disturbs nothing.
+func TestUnreadableKnowledgeIsIgnored(t *testing.T) {
+	for _, text := range []string{"", "{", `{"Routing":null,"UpstreamsAt":9}`, `{"Routing":{},"Upstreams":"x"}`, "\x00\xff"} {
+		bubble(t, 2, func(is *is.I, _ *store, f *fleet) {
+			f.vms["a"].board.Published.Store(blackboard.Published{Revision: 99, Encoded: []byte(text)})
+			f.vms["b"].view.turnAway(true)
+			time.Sleep(10 * time.Second)
+			is.True(f.vms["b"].knows("first", "a", "b"))
+		})
+	}
+}
--- a/internal/control/routing/routing.go
+++ b/internal/control/routing/routing.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -30,30 +31,56 @@
 	Board  *blackboard.Board
 	Source chervilladder.RoutingSource
 	Log    *logrus.Logger
+	// Clock tells the VM's own time.
+	Clock func() time.Time
 }
 
 // Controller is the one writer of the board's Routing.
 type Controller struct {
 	c Config
+	// applying keeps the store's and the peers' words apart.
+	applying sync.Mutex
 	// after is where the watch goes on; zero asks for the whole again.
 	after chervilladder.Revision
 }
 
 // New returns a controller.
 func New(c Config) (*Controller, error) {
-	if c.Board == nil || c.Source == nil || c.Log == nil {
-		return nil, errors.New("routing: a board, a source and a log are needed")
+	if c.Board == nil || c.Source == nil || c.Log == nil || c.Clock == nil {
+		return nil, errors.New("routing: a board, a source, a log and a clock are needed")
 	}
 	return &Controller{c: c}, nil
 }
 
 // Run follows the configuration until the context ends.
 func (k *Controller) Run(ctx context.Context) error {
-	loop := follow.Loop{Name: "routing", Log: k.c.Log, RetryAfter: retryAfter, Step: k.step}
+	listened := make(chan struct{})
+	go func() {
+		defer close(listened)
+		k.listen(ctx)
+	}()
+	answered := func() { k.c.Board.StoreAnswered.Raise(k.c.Clock()) }
+	loop := follow.Loop{Name: "routing", Log: k.c.Log, RetryAfter: retryAfter, Step: k.step, Answered: answered}
 	loop.Run(ctx)
+	<-listened
 	return nil
 }
 
+// listen takes over what peers tell while the store is away.
+func (k *Controller) listen(ctx context.Context) {
+	for {
+		heard, changed := k.c.Board.Heard.Watch()
+		if heard.Routing != nil {
+			k.apply(heard.Routing)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // step makes one call and applies what it tells.
 func (k *Controller) step(ctx context.Context) error {
 	if k.after == 0 {
@@ -95,6 +122,8 @@
 
 // apply puts a configuration in force unless a newer one already is.
 func (k *Controller) apply(r *chervilladder.Routing) {
+	k.applying.Lock()
+	defer k.applying.Unlock()
 	old := k.c.Board.Routing.Load()
 	if old != nil && old.Revision >= r.Revision {
 		return
--- a/internal/daemon/onplatform.go
+++ b/internal/daemon/onplatform.go
@@ -23,10 +23,12 @@
 	"github.com/chervilladder/chervilladder/internal/control/evidence"
 	"github.com/chervilladder/chervilladder/internal/control/failover"
 	"github.com/chervilladder/chervilladder/internal/control/registry"
+	"github.com/chervilladder/chervilladder/internal/control/relay"
 	"github.com/chervilladder/chervilladder/internal/control/routing"
 	"github.com/chervilladder/chervilladder/internal/link"
 	"github.com/chervilladder/chervilladder/internal/logs"
 	"github.com/chervilladder/chervilladder/internal/observe"
+	"github.com/chervilladder/chervilladder/internal/peer"
 	"github.com/chervilladder/chervilladder/internal/session"
 	"github.com/chervilladder/chervilladder/platform"
 )
@@ -52,7 +54,7 @@
 // RunOnPlatform serves callers on the prepared platform until a signal comes.
 func RunOnPlatform(c PlatformConfig) error {
 	debug.SetGCPercent(gcPercent)
-	board := blackboard.New(chervilladder.VM{ID: c.Settings.VM, DataCentre: c.Settings.DataCentre})
+	board := blackboard.New(chervilladder.VM{ID: c.Settings.VM, DataCentre: c.Settings.DataCentre, Peer: c.Settings.Peers})
 	board.Bounds.Store(c.Settings.Bounds)
 	leaving := &leave{c: c, board: board, resting: make(chan struct{}), began: make(chan struct{}), reread: make(chan struct{}, 1)}
 	actors, err := buildOnPlatform(c, board, leaving)
@@ -123,7 +125,7 @@
 }
 
 func buildControllers(c PlatformConfig, board *blackboard.Board, client *platform.Client, linker platform.Linker, pools *link.Pools, leaving *leave) ([]actor, error) {
-	routes, err := routing.New(routing.Config{Board: board, Source: client.Routing(), Log: c.Log})
+	routes, err := routing.New(routing.Config{Board: board, Source: client.Routing(), Log: c.Log, Clock: clock.Boot})
 	if err != nil {
 		return nil, err
 	}
@@ -145,7 +147,29 @@
 	if err != nil {
 		return nil, err
 	}
-	return []actor{failovers, routes, upstreams, asked, demands, memory{board}, c.Lines}, nil
+	peers, err := buildRelay(c, board, client)
+	if err != nil {
+		return nil, err
+	}
+	return append([]actor{failovers, routes, upstreams, asked, demands, memory{board}}, append(peers, c.Lines)...), nil
+}
+
+// buildRelay returns the parts by which VMs tell each other what the store
+// can't.
+func buildRelay(c PlatformConfig, board *blackboard.Board, client *platform.Client) ([]actor, error) {
+	if c.Settings.Peers == "" {
+		c.Log.Warn("daemon: the settings name no ports for peers, so VMs pass nothing on")
+		return nil, nil
+	}
+	listener, err := listen(c.Settings.Peers)
+	if err != nil {
+		return nil, err
+	}
+	relays, err := relay.New(relay.Config{Board: board, Directory: client, Relay: peer.NewClient(board), Log: c.Log, Clock: clock.Boot})
+	if err != nil {
+		return nil, err
+	}
+	return []actor{relays, peer.NewServer(peer.ServerConfig{Board: board, Listener: listener})}, nil
 }
 
 // memory keeps the runtime within the memory that the process may use.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -20,7 +20,8 @@
 
 // ServerConfig says what a Server serves.
 type ServerConfig struct {
-	Board    *blackboard.Board
+	Board *blackboard.Board
+	// Executor runs work of peers; nil refuses it.
 	Executor chervilladder.Executor
 	// Callers gets the cancel requests for sessions at this VM.
 	Callers  chervilladder.Canceller
@@ -88,6 +89,9 @@
 
 // Run serves one exchange.
 func (s *service) Run(stream grpc.BidiStreamingServer[peerpb.RunRequest, peerpb.RunResponse]) error {
+	if s.Executor == nil {
+		return status.Error(codes.Unimplemented, "this VM runs no work of peers")
+	}
 	first, err := stream.Recv()
 	if err != nil {
 		return err
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -144,6 +144,7 @@
 const settings = `node_name = %q
 ip = %q
 zone = "a"
+port_range = [7010, 7015]
 [listen]
 front = "%s:7001"
 ready = "%s:7002"
