Pass a service's work to a few VMs where its upstreams take few connections

Cause: each VM holds a connection to each upstream and asks each for its status.

Change: control/hosting decides from the store's list of VMs and the configuration which VMs hold connections to a service's upstreams: all of them while there are three connections for two VMs (as on all sites so far), else a few chosen by rendezvous hashing. The others neither ask for status nor connect; a session's values, prepared statements and floor stay at its own VM, and each lone statement, or each transaction, runs at a host by the product's peer protocol, under the route of the session's VM. What is known of passed work that gets no answer is decided in one place, decide/answer, for both protocols. A host that gives no answer is asked last for 3 s, late reads are tried at another one, a host that leaves refuses what has not begun, and a VM that is asked for a service which it does not host takes it up for 15 s.

TestHostThatIsDark failed first: a retry went back to the dark host.

--- a/executor.go
+++ b/executor.go
@@ -32,3 +32,10 @@
 	// rolled back.
 	Close()
 }
+
+// Remote opens exchanges at other VMs.
+type Remote interface {
+	// Open opens an exchange at a VM. Its error is a *NotRunError: nothing
+	// was sent.
+	Open(ctx context.Context, vm VMID, w Work) (Exchange, error)
+}
--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -44,6 +44,13 @@
 	// Peers is the other VMs of the platform's list. Written by
 	// control/relay.
 	Peers Section[[]chervilladder.VM]
+	// Hosting says which VMs hold connections to which service's upstreams.
+	// Written by control/hosting.
+	Hosting Section[Hosting]
+	// Asked is when peers last asked this VM for the work of a service that
+	// it did not host, by the VM's own clock. Written by the path of a peer's
+	// request.
+	Asked Section[map[chervilladder.ServiceID]time.Time]
 	// Heard is what a peer has last told of the store. Written by
 	// control/relay; control/routing and control/registry take over what is
 	// newer than they know.
--- /dev/null
+++ b/internal/blackboard/hosting.go
@@ -0,0 +1,25 @@
+package blackboard
+
+import "github.com/chervilladder/chervilladder"
+
+// Hosting says which VMs hold connections to the upstreams of each service.
+type Hosting struct {
+	// Deciding is set until that is known for the first time.
+	Deciding bool
+	// Elsewhere holds the hosts of the services that this VM does not host.
+	Elsewhere map[chervilladder.ServiceID]Hosts
+}
+
+// Hosts is the VMs to pass a service's work to.
+type Hosts struct {
+	// VMs are in the order in which they are asked. The first Steady ones
+	// hold connections all the time, the others once they are asked.
+	VMs    []chervilladder.VMID
+	Steady int
+}
+
+// Here reports whether this VM holds connections to a service's upstreams.
+func (h Hosting) Here(s chervilladder.ServiceID) bool {
+	_, elsewhere := h.Elsewhere[s]
+	return !elsewhere && !h.Deciding
+}
--- a/internal/clustertest/world.go
+++ b/internal/clustertest/world.go
@@ -67,6 +67,7 @@
 	Promoter *CutPromoter
 	// Leave is closed to let the VM give up its duty.
 	Leave chan struct{}
+	passing
 	stop  context.CancelFunc
 	ended chan error
 	once  sync.Once
@@ -134,7 +135,7 @@
 	vm.Board.Bounds.Store(chervilladder.Bounds{UpstreamDrain: DrainLimit})
 	vm.Enroll(members...)
 	vm.Pools = link.NewPools(link.PoolsConfig{Board: vm.Board, Linker: vm.Linker})
-	sessions, err1 := session.New(session.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: time.Now})
+	sessions, err1 := session.New(session.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: time.Now, Remote: hops{w}})
 	asked, err2 := evidence.New(evidence.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: time.Now})
 	failovers, err3 := failover.New(failover.Config{
 		Board: vm.Board, Record: vm.Record, Promoter: vm.Promoter, Linker: vm.Linker,
@@ -146,6 +147,10 @@
 		}
 	}
 	vm.Sessions = sessions
+	vm.host, err1 = session.NewHost(session.HostConfig{Manager: sessions, Leaving: vm.Leaving.Load})
+	if err1 != nil {
+		t.Fatal(err1)
+	}
 	var parts errgroup.Group
 	parts.Go(func() error { return asked.Run(ctx) })
 	parts.Go(func() error { return failovers.Run(ctx) })
--- a/internal/control/evidence/evidence.go
+++ b/internal/control/evidence/evidence.go
@@ -65,9 +65,12 @@
 	defer k.running.Wait()
 	for {
 		upstreams, changed := k.c.Board.Upstreams.Watch()
-		k.follow(ctx, upstreams)
+		hosting, moved := k.c.Board.Hosting.Watch()
+		k.leave(hosting)
+		k.follow(ctx, hosted(upstreams, hosting))
 		select {
 		case <-changed:
+		case <-moved:
 		case p := <-k.silent:
 			k.drop(p)
 		case <-ctx.Done():
@@ -76,6 +79,29 @@
 	}
 }
 
+// leave forgets the members of services that other VMs host now.
+func (k *Controller) leave(h blackboard.Hosting) {
+	for _, p := range k.probers {
+		if !h.Here(p.service) {
+			k.drop(p)
+		}
+	}
+}
+
+// hosted returns the upstreams of the services that this VM hosts.
+func hosted(u blackboard.Upstreams, h blackboard.Hosting) blackboard.Upstreams {
+	if len(h.Elsewhere) == 0 && !h.Deciding {
+		return u
+	}
+	here := blackboard.Upstreams{ByID: make(map[chervilladder.UpstreamID]blackboard.Enrolled), Known: u.Known, At: u.At}
+	for id, e := range u.ByID {
+		if h.Here(e.Service) {
+			here.ByID[id] = e
+		}
+	}
+	return here
+}
+
 // follow starts and ends probers as upstreams come and go, and takes over
 // what has changed about the others.
 func (k *Controller) follow(ctx context.Context, u blackboard.Upstreams) {
--- /dev/null
+++ b/internal/control/hosting/hosting.go
@@ -0,0 +1,104 @@
+// Package hosting keeps on the blackboard which VMs hold connections to the
+// upstreams of which service.
+package hosting
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/hosting"
+)
+
+// The pace of the controller.
+const (
+	// lookEvery is how often it is looked whether peers still ask.
+	lookEvery = time.Second
+	// askedFor is how long a service is hosted after a peer has asked for it.
+	askedFor = 15 * time.Second
+	// aloneAfter is how long the list of VMs is waited for at the start.
+	aloneAfter = time.Second
+)
+
+// Config configures a Controller.
+type Config struct {
+	Board *blackboard.Board
+	Log   *logrus.Logger
+	// Clock tells the VM's own time.
+	Clock func() time.Time
+}
+
+// Controller is the one writer of the board's Hosting.
+type Controller struct {
+	c Config
+	// alone is set once the list of VMs is waited for no more.
+	alone bool
+}
+
+// New returns a controller.
+func New(c Config) (*Controller, error) {
+	if c.Board == nil || c.Log == nil || c.Clock == nil {
+		return nil, errors.New("hosting: a board, a log and a clock are needed")
+	}
+	return &Controller{c: c}, nil
+}
+
+// Run follows the routes and the list of VMs until the context ends.
+func (k *Controller) Run(ctx context.Context) error {
+	t := time.NewTicker(lookEvery)
+	defer t.Stop()
+	alone := time.NewTimer(aloneAfter)
+	defer alone.Stop()
+	for {
+		routing, routed := k.c.Board.Routing.Watch()
+		members, listed := k.c.Board.Members.Watch()
+		_, asked := k.c.Board.Asked.Watch()
+		if routing != nil && (members.Members != nil || k.alone) {
+			k.decide(routing, members)
+		}
+		select {
+		case <-routed:
+		case <-listed:
+		case <-asked:
+		case <-t.C:
+		case <-alone.C:
+			k.alone = true
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// decide names the hosts of each service.
+func (k *Controller) decide(routing *chervilladder.Routing, members blackboard.Membership) {
+	self := k.c.Board.Self.ID
+	vms := append(members.Candidates(), self)
+	next := make(map[chervilladder.ServiceID]blackboard.Hosts)
+	for service, limits := range routing.Services {
+		list, steady := hosting.Of(service, vms, limits.MaxConnections)
+		if len(list) == 0 || slices.Contains(list[:steady], self) || k.asked(service) {
+			continue
+		}
+		list = slices.DeleteFunc(list, func(id chervilladder.VMID) bool { return id == self })
+		next[service] = blackboard.Hosts{VMs: list, Steady: steady}
+	}
+	before := k.c.Board.Hosting.Load()
+	same := func(a, b blackboard.Hosts) bool { return a.Steady == b.Steady && slices.Equal(a.VMs, b.VMs) }
+	if !before.Deciding && maps.EqualFunc(before.Elsewhere, next, same) {
+		return
+	}
+	k.c.Board.Hosting.Store(blackboard.Hosting{Elsewhere: next})
+	k.c.Log.WithFields(logrus.Fields{"vms": len(vms), "services": len(routing.Services), "elsewhere": len(next)}).Info("hosting: hosts of services decided")
+}
+
+// asked reports whether a peer has lately asked this VM for a service's work.
+func (k *Controller) asked(service chervilladder.ServiceID) bool {
+	at, ok := k.c.Board.Asked.Load()[service]
+	return ok && k.c.Clock().Sub(at) < askedFor
+}
--- a/internal/control/relay/relay.go
+++ b/internal/control/relay/relay.go
@@ -3,25 +3,28 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/rendezvous"
 	"github.com/chervilladder/chervilladder/internal/decide/retry"
 )
 
 // The pace of the controller.
 const (
-	// listEvery is the mean time between two looks at the list of VMs.
+	// listEvery is the mean time between two looks at the list of VMs while
+	// there are few; listEach is what each VM on it adds. The first looks
+	// come sooner, since all VMs may start together.
 	listEvery = 10 * time.Second
+	listEach  = 100 * time.Millisecond
+	firstLook = 500 * time.Millisecond
 	// announceAgain is the mean pause after a failed announcement.
 	announceAgain = 2 * time.Second
 	// awayAfter is how long the store must have answered nothing before
@@ -46,8 +49,8 @@
 	Clock func() time.Time
 }
 
-// Controller is the one writer of the board's Published, Peers and Heard on the
-// prepared platform.
+// Controller is the one writer of the board's Published, Members, Peers and Heard
+// on the prepared platform.
 type Controller struct {
 	c Config
 	// away is set while the store is away and peers are asked.
@@ -107,32 +110,55 @@
 			return
 		}
 	}
-	for {
+	for wait := firstLook; ; wait = min(2*wait, k.listEvery()) {
 		vms, err := k.c.Directory.VMs(ctx)
 		if err == nil {
-			k.c.Board.Peers.Store(k.others(vms))
+			k.note(k.others(vms))
 		} else if ctx.Err() == nil {
 			k.c.Log.WithError(err).Debug("relay: list of VMs not read")
 		}
-		if !pause(ctx, retry.Spread(listEvery)) {
+		if !pause(ctx, retry.Spread(wait)) {
 			return
 		}
 	}
 }
 
-// others returns the peers to ask. Each VM asks others, and the same ones while
-// the list stays the same.
+// listEvery returns the mean time between two looks at the list of VMs. The more
+// there are, the longer each list and the more VMs that read it.
+func (k *Controller) listEvery() time.Duration {
+	return max(listEvery, time.Duration(len(k.c.Board.Peers.Load()))*listEach)
+}
+
+// note takes over a list that has changed.
+func (k *Controller) note(peers []chervilladder.VM) {
+	if k.c.Board.Members.Load().Members != nil && slices.Equal(peers, k.c.Board.Peers.Load()) {
+		return
+	}
+	members := make(map[chervilladder.VMID]blackboard.Member, len(peers))
+	for _, v := range peers {
+		members[v.ID] = blackboard.Member{VM: v}
+	}
+	k.c.Board.Members.Store(blackboard.Membership{Members: members})
+	k.c.Board.Peers.Store(peers)
+}
+
+// others returns the peers. Those that this VM asks come first: each VM asks
+// others, and the same ones while the list stays the same.
 func (k *Controller) others(vms []chervilladder.VM) []chervilladder.VM {
 	self := k.c.Board.Self.ID
-	var list []chervilladder.VM
+	byID := make(map[chervilladder.VMID]chervilladder.VM, len(vms))
+	ids := make([]chervilladder.VMID, 0, len(vms))
 	for _, v := range vms {
 		if v.ID != self && v.Peer != "" {
-			list = append(list, v)
+			byID[v.ID] = v
+			ids = append(ids, v.ID)
 		}
 	}
-	weight := func(v chervilladder.VM) uint64 { return xxhash.Sum64String(string(self) + "\x00" + string(v.ID)) }
-	slices.SortFunc(list, func(a, b chervilladder.VM) int { return cmp.Compare(weight(a), weight(b)) })
-	return list[:min(len(list), maxPeers)]
+	list := make([]chervilladder.VM, 0, len(ids))
+	for _, id := range rendezvous.Ranked(rendezvous.Task("relay/"+self), ids) {
+		list = append(list, byID[id])
+	}
+	return list
 }
 
 // ask asks peers while the store answers nothing.
@@ -155,7 +181,7 @@
 	if len(peers) == 0 {
 		return
 	}
-	peer := peers[rand.IntN(len(peers))]
+	peer := peers[rand.IntN(min(len(peers), maxPeers))]
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	r, err := k.c.Relay.Pull(ctx, peer.Peer, k.c.Board.Knowledge().Revision())
--- a/internal/control/relay/relay_test.go
+++ b/internal/control/relay/relay_test.go
@@ -232,7 +232,7 @@
 	bubble(t, 12, func(is *is.I, _ *store, f *fleet) {
 		is.Equal(f.pulls.Load(), int64(0))
 		for _, v := range f.vms {
-			is.True(len(v.board.Peers.Load()) <= 8)
+			is.Equal(len(v.board.Peers.Load()), 11)
 			v.view.turnAway(true)
 		}
 		time.Sleep(30 * time.Second)
--- a/internal/daemon/onplatform.go
+++ b/internal/daemon/onplatform.go
@@ -22,6 +22,7 @@
 	"github.com/chervilladder/chervilladder/internal/control/bounds"
 	"github.com/chervilladder/chervilladder/internal/control/evidence"
 	"github.com/chervilladder/chervilladder/internal/control/failover"
+	"github.com/chervilladder/chervilladder/internal/control/hosting"
 	"github.com/chervilladder/chervilladder/internal/control/registry"
 	"github.com/chervilladder/chervilladder/internal/control/relay"
 	"github.com/chervilladder/chervilladder/internal/control/routing"
@@ -86,8 +87,9 @@
 	linker := platform.Linker{Name: c.Settings.VM}
 	pools := link.NewPools(link.PoolsConfig{Board: board, Linker: linker})
 	counted := metrics.NewSet()
+	remote := peer.NewClient(board)
 	sessions, err := session.New(session.Config{
-		Board: board, Pools: pools, Log: c.Log, Clock: clock.Boot,
+		Board: board, Pools: pools, Log: c.Log, Clock: clock.Boot, Remote: remote,
 		Observer: observe.New(observe.Config{Output: c.Lines, Metrics: counted}),
 	})
 	if err != nil {
@@ -116,12 +118,16 @@
 	if err != nil {
 		return nil, err
 	}
+	between, err := buildBetween(c, board, client, remote, sessions, leaving)
+	if err != nil {
+		return nil, err
+	}
 	return append([]actor{
 		leaving,
 		front,
 		platform.Readiness{Listener: ready, Ready: func() bool { return serves(board) && !leaving.hasBegun() }},
 		platform.Metrics{Listener: exposed, Sets: []*metrics.Set{counted}},
-	}, controllers...), nil
+	}, append(between, controllers...)...), nil
 }
 
 func buildControllers(c PlatformConfig, board *blackboard.Board, client *platform.Client, linker platform.Linker, pools *link.Pools, leaving *leave) ([]actor, error) {
@@ -147,16 +153,12 @@
 	if err != nil {
 		return nil, err
 	}
-	peers, err := buildRelay(c, board, client)
-	if err != nil {
-		return nil, err
-	}
-	return append([]actor{failovers, routes, upstreams, asked, demands, memory{board}}, append(peers, c.Lines)...), nil
+	return []actor{failovers, routes, upstreams, asked, demands, memory{board}, c.Lines}, nil
 }
 
-// buildRelay returns the parts by which VMs tell each other what the store
-// can't.
-func buildRelay(c PlatformConfig, board *blackboard.Board, client *platform.Client) ([]actor, error) {
+// buildBetween returns the parts by which VMs tell each other what the store
+// can't, and pass work to each other.
+func buildBetween(c PlatformConfig, board *blackboard.Board, client *platform.Client, remote *peer.Client, sessions *session.Manager, leaving *leave) ([]actor, error) {
 	if c.Settings.Peers == "" {
 		c.Log.Warn("daemon: the settings name no ports for peers, so VMs pass nothing on")
 		return nil, nil
@@ -165,11 +167,21 @@
 	if err != nil {
 		return nil, err
 	}
-	relays, err := relay.New(relay.Config{Board: board, Directory: client, Relay: peer.NewClient(board), Log: c.Log, Clock: clock.Boot})
+	relays, err := relay.New(relay.Config{Board: board, Directory: client, Relay: remote, Log: c.Log, Clock: clock.Boot})
 	if err != nil {
 		return nil, err
 	}
-	return []actor{relays, peer.NewServer(peer.ServerConfig{Board: board, Listener: listener})}, nil
+	hosts, err := hosting.New(hosting.Config{Board: board, Log: c.Log, Clock: clock.Boot})
+	if err != nil {
+		return nil, err
+	}
+	host, err := session.NewHost(session.HostConfig{Manager: sessions, Leaving: leaving.hasBegun})
+	if err != nil {
+		return nil, err
+	}
+	board.Hosting.Store(blackboard.Hosting{Deciding: true})
+	server := peer.NewServer(peer.ServerConfig{Board: board, Listener: listener, Executor: host})
+	return []actor{relays, hosts, server}, nil
 }
 
 // memory keeps the runtime within the memory that the process may use.
@@ -196,6 +208,9 @@
 	if board.Routing.Load() == nil || !board.Upstreams.Load().Known {
 		return false
 	}
+	if len(board.Hosting.Load().Elsewhere) > 0 {
+		return true // some service is hosted elsewhere
+	}
 	for _, c := range board.Clusters.All() {
 		for _, s := range c.View.Load().Members {
 			if s.Answers() {
--- a/internal/decide/rendezvous/rendezvous.go
+++ b/internal/decide/rendezvous/rendezvous.go
@@ -3,6 +3,9 @@
 package rendezvous
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/chervilladder/chervilladder"
@@ -51,3 +54,17 @@
 	_, _ = d.WriteString(string(vm))
 	return d.Sum64()
 }
+
+// Ranked returns the VMs in the order of their weights for a task, the highest
+// first.
+func Ranked(t Task, vms []chervilladder.VMID) []chervilladder.VMID {
+	weights := make(map[chervilladder.VMID]uint64, len(vms))
+	for _, vm := range vms {
+		weights[vm] = weight(string(t), vm)
+	}
+	ranked := slices.Clone(vms)
+	slices.SortFunc(ranked, func(a, b chervilladder.VMID) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
+	})
+	return ranked
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/answer"
 	"github.com/chervilladder/chervilladder/internal/peer/peerpb"
 )
 
@@ -78,7 +79,7 @@
 		cancel()
 		return nil, &chervilladder.NotRunError{Database: w.Database, Reason: chervilladder.ReasonNoOwner, Err: err}
 	}
-	return &exchange{database: w.Database, read: w.Access == chervilladder.AccessRead, stream: stream, stop: cancel}, nil
+	return &exchange{database: w.Database, passed: answer.Passed{Reads: w.Access == chervilladder.AccessRead}, stream: stream, stop: cancel}, nil
 }
 
 // Pull asks a peer for a configuration newer than a revision.
@@ -132,19 +133,17 @@
 // exchange runs work at a peer.
 type exchange struct {
 	database chervilladder.DatabaseID
-	read     bool
-	stream   grpc.BidiStreamingClient[peerpb.RunRequest, peerpb.RunResponse]
-	stop     context.CancelFunc
-	sending  sync.Mutex // guards Send against Cancel
-	sent     bool       // a batch of the exchange has left
-	open     bool       // a transaction block is open
-	commits  bool       // the last batch may commit
+	// passed is what the owner has been sent.
+	passed  answer.Passed
+	stream  grpc.BidiStreamingClient[peerpb.RunRequest, peerpb.RunResponse]
+	stop    context.CancelFunc
+	sending sync.Mutex // guards Send against Cancel
 }
 
 // Send passes on a batch. A stream that the owner has ended already holds the
 // reason, which Recv returns.
 func (x *exchange) Send(b chervilladder.Batch) error {
-	x.sent, x.commits = true, b.Commits
+	x.passed.Sent, x.passed.Commits = true, b.Commits
 	err := x.send(&peerpb.RunRequest{Kind: &peerpb.RunRequest_Batch{Batch: encodeBatch(b)}})
 	if err != nil && !errors.Is(err, io.EOF) {
 		return x.lost(err)
@@ -163,7 +162,7 @@
 	}
 	r := decodeReply(m.GetReply())
 	if r.Last {
-		x.open = r.Open
+		x.passed.Open = r.Open
 	}
 	return r, nil
 }
@@ -187,12 +186,5 @@
 // lost says what is known of work whose owner could not be reached or went
 // away.
 func (x *exchange) lost(err error) error {
-	switch {
-	case !x.sent || x.read:
-		return &chervilladder.NotRunError{Database: x.database, Reason: chervilladder.ReasonNoOwner, Err: err}
-	case x.open && !x.commits:
-		return &chervilladder.NotRunError{Database: x.database, Reason: chervilladder.ReasonRolledBack, Err: err}
-	default:
-		return &chervilladder.UnknownError{Database: x.database, Err: err}
-	}
+	return x.passed.Lost(x.database, err)
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -107,7 +107,7 @@
 	batches := make(chan chervilladder.Batch)
 	go receive(stream, x, batches)
 	for b := range batches {
-		if err := answer(stream, x, b); err != nil {
+		if err := reply(stream, x, b); err != nil {
 			return ended(err)
 		}
 	}
@@ -135,8 +135,8 @@
 	}
 }
 
-// answer runs one batch and sends the whole answer.
-func answer(stream grpc.BidiStreamingServer[peerpb.RunRequest, peerpb.RunResponse], x chervilladder.Exchange, b chervilladder.Batch) error {
+// reply runs one batch and sends the whole answer.
+func reply(stream grpc.BidiStreamingServer[peerpb.RunRequest, peerpb.RunResponse], x chervilladder.Exchange, b chervilladder.Batch) error {
 	if err := x.Send(b); err != nil {
 		return errors.Join(io.EOF, stream.Send(encodeFailure(err)))
 	}
--- a/internal/route/executor.go
+++ b/internal/route/executor.go
@@ -11,16 +11,11 @@
 	"github.com/chervilladder/chervilladder/internal/decide/retry"
 )
 
-// Remote opens exchanges at other VMs.
-type Remote interface {
-	Open(ctx context.Context, vm chervilladder.VMID, w chervilladder.Work) (chervilladder.Exchange, error)
-}
-
 // Config says what an Executor works with.
 type Config struct {
 	Board  *blackboard.Board
 	Local  chervilladder.Executor
-	Remote Remote
+	Remote chervilladder.Remote
 }
 
 // Executor runs work here if this VM owns the database, and at the owner
--- a/internal/session/hedge.go
+++ b/internal/session/hedge.go
@@ -19,7 +19,7 @@
 // end without anybody waiting for it, so that no upstream is broken off.
 func (w *work) hedged(ctx context.Context) chervilladder.Result {
 	ended := make(chan tried, 2)
-	first := w.attemptOf(ctx, "", ended)
+	first := w.attemptOf(ctx, running{}, ended)
 	outstanding := 1
 	timer := time.NewTimer(w.patience())
 	defer timer.Stop()
@@ -42,20 +42,21 @@
 				continue
 			}
 			if outstanding == 1 && w.cluster.Retries.Spend() {
-				w.attemptOf(ctx, r.upstream, ended)
+				w.attemptOf(ctx, *r, ended)
 				outstanding++
 			}
 		}
 	}
 }
 
-// attemptOf starts a copy of the work that keeps off a member.
-func (w *work) attemptOf(ctx context.Context, except chervilladder.UpstreamID, ended chan<- tried) *work {
+// attemptOf starts a copy of the work that keeps off where another one runs.
+func (w *work) attemptOf(ctx context.Context, other running, ended chan<- tried) *work {
 	c := *w
 	c.running = new(atomic.Pointer[running])
 	c.excluded = nil
-	if except != "" {
-		c.exclude(except)
+	c.avoid = other.host
+	if other.upstream != "" {
+		c.exclude(other.upstream)
 	}
 	go func() {
 		r := c.try(ctx)
--- a/internal/session/manager.go
+++ b/internal/session/manager.go
@@ -21,6 +21,9 @@
 	Log   *logrus.Logger
 	// Clock tells the VM's own time, by which evidence is dated.
 	Clock func() time.Time
+	// Remote passes work to VMs that host services which this one doesn't;
+	// nil if there are none.
+	Remote chervilladder.Remote
 	// Observer is told of each command that has ended; nil means nobody.
 	Observer Observer
 }
@@ -50,7 +53,11 @@
 }
 
 // Manager opens sessions. It implements chervilladder.Sessions.
-type Manager struct{ c Config }
+type Manager struct {
+	c Config
+	// shunned are the VMs that have given no answer, and when.
+	shunned blackboard.Table[chervilladder.VMID, blackboard.Moment]
+}
 
 var _ chervilladder.Sessions = (*Manager)(nil)
 
--- /dev/null
+++ b/internal/session/remote.go
@@ -0,0 +1,283 @@
+package session
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/decide/answer"
+	"github.com/chervilladder/chervilladder/internal/link"
+)
+
+// The times of work that is passed to a host.
+const (
+	// openTimeout bounds the opening of an exchange.
+	openTimeout = 250 * time.Millisecond
+	// shunFor is how long a host that gave no answer is asked last.
+	shunFor = 3 * time.Second
+	// passMargin is how much longer than its timeout a passed command is
+	// waited for: the host answers for the timeout.
+	passMargin = 100 * time.Millisecond
+)
+
+// errNoHost reports a service without a VM to pass its work to.
+var errNoHost = errors.New("no VM is known that hosts the service")
+
+// elsewhere reports whether the work's service is hosted by other VMs.
+func (w *work) elsewhere() bool {
+	_, elsewhere := w.session.m.c.Board.Hosting.Load().Elsewhere[w.route.Service]
+	return elsewhere && !w.session.hosted
+}
+
+// host returns the host for the next attempt. Callers are spread over the steady
+// hosts; those that lately gave no answer are asked last.
+func (w *work) host() (chervilladder.VMID, error) {
+	m := w.session.m
+	h := m.c.Board.Hosting.Load().Elsewhere[w.route.Service]
+	if len(h.VMs) == 0 {
+		return "", errNoHost
+	}
+	first := int(xxhash.Sum64String(w.session.caller) % uint64(max(1, min(h.Steady, len(h.VMs)))))
+	var last []chervilladder.VMID
+	for i := range h.VMs {
+		vm := h.VMs[(first+i)%len(h.VMs)]
+		at, ok := m.shunned.Find(vm)
+		if vm == w.avoid || ok && m.c.Clock().Sub(at.Load()) < shunFor {
+			last = append(last, vm)
+			continue
+		}
+		return vm, nil
+	}
+	return last[w.tries%len(last)], nil
+}
+
+// exchangeAt opens an exchange at a host.
+func (w *work) exchangeAt(ctx context.Context, vm chervilladder.VMID, access chervilladder.Access) (chervilladder.Exchange, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	late := time.AfterFunc(openTimeout, cancel)
+	x, err := w.session.m.c.Remote.Open(ctx, vm, chervilladder.Work{
+		Database: w.session.db, Service: w.route.Service, Caller: w.session.caller,
+		Access: access, Seen: w.floor.mark, Deadline: w.deadline,
+	})
+	if err == nil && late.Stop() {
+		return &bounded{Exchange: x, cancel: cancel}, nil
+	}
+	cancel()
+	w.shun(vm)
+	if err == nil {
+		x.Close()
+		err = context.DeadlineExceeded
+	}
+	return nil, &chervilladder.NotRunError{Database: w.session.db, Reason: chervilladder.ReasonNoOwner, Err: err}
+}
+
+// bounded is an exchange with a context of its own.
+type bounded struct {
+	chervilladder.Exchange
+	cancel context.CancelFunc
+}
+
+// Close ends the exchange and its context.
+func (b *bounded) Close() {
+	b.Exchange.Close()
+	b.cancel()
+}
+
+// shun has a host asked last for a while.
+func (w *work) shun(vm chervilladder.VMID) {
+	w.session.m.shunned.Get(vm).Raise(w.session.m.c.Clock())
+}
+
+// pass runs commands by an exchange. If it fails, the exchange is closed.
+func (w *work) pass(x chervilladder.Exchange, vm chervilladder.VMID, commands ...chervilladder.Command) (chervilladder.Result, error) {
+	p := passed{Route: w.route, Values: w.values, Commands: commands}
+	if w.need != nil {
+		p.Prepared = map[string]link.Prepared{w.needName: *w.need}
+	}
+	payload, err := encode(p)
+	if err != nil {
+		return chervilladder.Result{}, err
+	}
+	if w.running != nil {
+		w.running.Store(&running{host: vm, sent: time.Now()})
+	}
+	late := time.AfterFunc(time.Until(w.deadline)+passMargin, x.Close)
+	defer late.Stop()
+	commits := commands[len(commands)-1].Kind == chervilladder.CommandCommit || w.access == chervilladder.AccessWrite && !w.inTransaction
+	if err := x.Send(chervilladder.Batch{Payload: payload, Commits: commits}); err != nil {
+		w.shun(vm)
+		return chervilladder.Result{}, err
+	}
+	reply, err := x.Recv()
+	if err != nil {
+		w.shun(vm)
+		return chervilladder.Result{}, err
+	}
+	r, err := decodeReturned(reply.Payload)
+	w.upstream, w.granted = r.Upstream, w.arrived
+	return r.Result, err
+}
+
+// attemptElsewhere runs a lone statement at a host.
+func (w *work) attemptElsewhere(ctx context.Context) (chervilladder.Result, answer.Next) {
+	vm, err := w.host()
+	if err != nil {
+		return failure(chervilladder.CodeBusy, err.Error()), answer.Tell
+	}
+	x, err := w.exchangeAt(ctx, vm, w.access)
+	if err != nil {
+		return failure(chervilladder.CodeBusy, err.Error()), answer.Retry
+	}
+	defer x.Close()
+	r, err := w.pass(x, vm, w.command)
+	if err == nil {
+		if r.Code == chervilladder.CodeNone {
+			w.cluster.Retries.Succeeded()
+		}
+		return r, answer.Tell
+	}
+	var notRun *chervilladder.NotRunError
+	if errors.As(err, &notRun) && w.access == chervilladder.AccessWrite {
+		return failure(chervilladder.CodeBusy, err.Error()), answer.Retry
+	}
+	next, code := answer.LoneLost(w.access)
+	return failure(code, err.Error()), next
+}
+
+// remoteTransaction is an open transaction of a service that another VM hosts.
+type remoteTransaction struct {
+	session *session
+	route   chervilladder.Route
+	// begun is the caller's command that began it.
+	begun chervilladder.Command
+	// vm and exchange are where it is open; nil before its first statement
+	// and once it has failed.
+	vm       chervilladder.VMID
+	exchange chervilladder.Exchange
+	// failed is set once only a rollback can end it, wrote once a write was
+	// passed on.
+	failed, wrote bool
+}
+
+func (t *remoteTransaction) state() chervilladder.TransactionState {
+	if t.failed {
+		return chervilladder.StateFailed
+	}
+	return chervilladder.StateOpen
+}
+
+// do runs a command within the transaction.
+func (t *remoteTransaction) do(ctx context.Context, w *work) chervilladder.Result {
+	w.bind(t.route)
+	switch kind := w.command.Kind; {
+	case kind == chervilladder.CommandRollback:
+		t.end()
+		return chervilladder.Result{Signature: chervilladder.NoSignature}
+	case kind == chervilladder.CommandCommit && t.failed:
+		t.end()
+		return failure(chervilladder.CodeAborted, "the transaction had failed and was rolled back")
+	case t.failed:
+		return failure(chervilladder.CodeMalformed, "the transaction has failed; roll it back")
+	case kind == chervilladder.CommandSet, kind == chervilladder.CommandPrepare, kind == chervilladder.CommandDeallocate, kind == chervilladder.CommandNone:
+		return t.session.local(w.command)
+	case kind == chervilladder.CommandExecute:
+		p, ok := t.session.prepared[w.command.Name]
+		if !ok {
+			t.fail()
+			return failure(chervilladder.CodeNoStatement, w.command.Name)
+		}
+		w.need, w.needName, w.access = &p, w.command.Name, p.Access
+	case kind == chervilladder.CommandRead:
+		w.access = chervilladder.AccessRead
+	}
+	return t.run(ctx, w)
+}
+
+// run passes a command to the host, which begins the transaction with the first
+// one.
+func (t *remoteTransaction) run(ctx context.Context, w *work) chervilladder.Result {
+	t.wrote = t.wrote || w.command.Kind != chervilladder.CommandCommit && w.access == chervilladder.AccessWrite
+	var r chervilladder.Result
+	var err error
+	if t.exchange == nil {
+		r, err = t.open(ctx, w)
+	} else {
+		r, err = w.pass(t.exchange, t.vm, w.command)
+	}
+	switch {
+	case err != nil:
+		t.fail()
+		return t.lost(w, err)
+	case w.command.Kind == chervilladder.CommandCommit:
+		t.end()
+		if r.Code == chervilladder.CodeNone {
+			t.session.observe(r.Mark, t.session.m.c.Clock())
+		}
+	case r.State != chervilladder.StateOpen:
+		t.failed = true
+	}
+	return r
+}
+
+// open begins the transaction at a host and runs its first command there, at
+// another host if nothing has run at the first.
+func (t *remoteTransaction) open(ctx context.Context, w *work) (chervilladder.Result, error) {
+	for {
+		w.tries++
+		vm, err := w.host()
+		if err != nil {
+			return chervilladder.Result{}, err
+		}
+		// The exchange outlives the command that opens it.
+		x, err := w.exchangeAt(context.WithoutCancel(ctx), vm, chervilladder.AccessWrite)
+		if err == nil {
+			t.vm, t.exchange = vm, x
+			var r chervilladder.Result
+			if r, err = w.pass(x, vm, t.begun, w.command); err == nil {
+				return r, nil
+			}
+			t.abandon()
+		}
+		var notRun *chervilladder.NotRunError
+		if !errors.As(err, &notRun) || !w.again(ctx) {
+			return chervilladder.Result{}, err
+		}
+	}
+}
+
+// lost is the answer to a command whose exchange has failed. Without a COMMIT
+// that was passed on, the host rolls back.
+func (t *remoteTransaction) lost(w *work, err error) chervilladder.Result {
+	if w.command.Kind != chervilladder.CommandCommit {
+		return failure(chervilladder.CodeAborted, err.Error())
+	}
+	t.end()
+	var notRun *chervilladder.NotRunError
+	if errors.As(err, &notRun) {
+		return failure(chervilladder.CodeAborted, err.Error())
+	}
+	return failure(answer.CommitLost(t.wrote), err.Error())
+}
+
+// fail leaves only the rollback; the host rolls back now.
+func (t *remoteTransaction) fail() {
+	t.failed = true
+	t.abandon()
+}
+
+// end ends the transaction.
+func (t *remoteTransaction) end() {
+	t.abandon()
+	t.session.tx = nil
+}
+
+// abandon ends the exchange, and with it an open transaction at the host.
+func (t *remoteTransaction) abandon() {
+	if t.exchange != nil {
+		t.exchange.Close()
+		t.exchange = nil
+	}
+}
--- /dev/null
+++ b/internal/session/remote_test.go
@@ -0,0 +1,168 @@
+package session_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/clustertest"
+	"github.com/chervilladder/chervilladder/internal/standin/cluster"
+)
+
+// passing has the last of three VMs pass its work to the first two.
+func passing(t *testing.T, f func(is *is.I, w *clustertest.World)) {
+	t.Helper()
+	bubble(t, clustertest.Config{VMs: 3, Lag: 60 * time.Millisecond}, func(is *is.I, w *clustertest.World) {
+		w.Pass(2, 0, 1)
+		time.Sleep(100 * time.Millisecond)
+		f(is, w)
+	})
+}
+
+func TestPassedWorkKeepsItsSession(t *testing.T) {
+	passing(t, func(is *is.I, w *clustertest.World) {
+		is.Equal(len(w.VMs[2].Board.Clusters.Get(clustertest.Service).View.Load().Members), 0) // asks nobody itself
+		s := w.Open(t, 2, clustertest.Own)
+		do(t, s, chervilladder.Command{Kind: chervilladder.CommandSet, ID: "s", Name: "lang", Rest: "es"})
+		do(t, s, chervilladder.Command{Kind: chervilladder.CommandPrepare, ID: "p", Name: "s1", Access: chervilladder.AccessWrite, Rest: "q2c"})
+		r := do(t, s, chervilladder.Command{Kind: chervilladder.CommandExecute, ID: "e", Name: "s1", Rest: "1a4 \xff\x00x"})
+		run := runOf(t, w.Cluster, "e")
+		is.Equal(run.Values["lang"], "es")
+		is.Equal(run.Shape, "q2c")
+		is.Equal(run.Command.Rest, "1a4 \xff\x00x") // byte for byte
+		for i := range 10 {                         // sees its own write wherever it reads
+			id := fmt.Sprint("r", i)
+			do(t, s, read(id))
+			is.True(runOf(t, w.Cluster, id).Log.Covers(r.Mark))
+		}
+		miss := s.Do(context.Background(), chervilladder.Command{Kind: chervilladder.CommandExecute, ID: "m", Name: "s2", Rest: "1a4"})
+		is.Equal(miss.Code, chervilladder.CodeNoStatement)
+
+		do(t, s, begin())
+		is.Equal(do(t, s, write("t1")).State, chervilladder.StateOpen)
+		do(t, s, chervilladder.Command{Kind: chervilladder.CommandSet, ID: "s", Name: "lang", Rest: "en"})
+		do(t, s, read("t2"))
+		first, second := runOf(t, w.Cluster, "t1"), runOf(t, w.Cluster, "t2")
+		is.Equal(first.Transaction, second.Transaction)
+		is.Equal(second.Values["lang"], "en")
+		is.Equal(do(t, s, commit()).State, chervilladder.StateIdle)
+		is.Equal(kept(w.Cluster, clustertest.MemberID(0), "t1"), 1)
+
+		do(t, s, begin())
+		do(t, s, write("gone"))
+		do(t, s, rollback())
+		do(t, s, begin())
+		do(t, s, write("left"))
+		s.Close()
+		time.Sleep(time.Second)
+		is.Equal(kept(w.Cluster, clustertest.MemberID(0), "gone"), 0)
+		is.Equal(kept(w.Cluster, clustertest.MemberID(0), "left"), 0)
+	})
+}
+
+// A session goes on at another host, and sees what it wrote by the first one.
+func TestHostThatIsDark(t *testing.T) {
+	passing(t, func(is *is.I, w *clustertest.World) {
+		s := w.Open(t, 2, clustertest.Own)
+		r := do(t, s, write("w"))
+		w.VMs[0].Dark.Store(true)
+		began := time.Now()
+		do(t, s, read("r"))
+		is.True(time.Since(began) < 600*time.Millisecond)
+		is.True(runOf(t, w.Cluster, "r").Log.Covers(r.Mark))
+		began = time.Now()
+		do(t, s, write("w2")) // the dark one is asked last by now
+		is.True(time.Since(began) < 100*time.Millisecond)
+		is.Equal(kept(w.Cluster, clustertest.MemberID(0), "w2"), 1)
+	})
+}
+
+// What is told of work whose host gave no answer is true, and no write runs
+// twice.
+func TestHostThatLosesAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		commands []chervilladder.Command
+		last     chervilladder.Command
+		want     chervilladder.Code
+	}{
+		"read":            {nil, read("x"), chervilladder.CodeNone},
+		"write":           {nil, write("x"), chervilladder.CodeInDoubt},
+		"in transaction":  {[]chervilladder.Command{begin(), write("y")}, write("x"), chervilladder.CodeAborted},
+		"first statement": {[]chervilladder.Command{begin()}, write("x"), chervilladder.CodeAborted},
+		"commit":          {[]chervilladder.Command{begin(), write("x")}, commit(), chervilladder.CodeInDoubt},
+		"commit of reads": {[]chervilladder.Command{begin(), read("y")}, commit(), chervilladder.CodeAborted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			passing(t, func(is *is.I, w *clustertest.World) {
+				s := w.Open(t, 2, clustertest.Primary)
+				for _, before := range c.commands {
+					do(t, s, before)
+				}
+				w.VMs[0].LoseAnswers.Store(true)
+				r := s.Do(context.Background(), c.last)
+				is.Equal(r.Code, c.want)
+				w.VMs[0].LoseAnswers.Store(false)
+				if r.State != chervilladder.StateIdle {
+					do(t, s, rollback())
+				}
+				time.Sleep(2 * time.Second)
+				n := kept(w.Cluster, clustertest.MemberID(0), "x")
+				is.True(n <= 1)
+				if r.Code.Promises() {
+					is.Equal(n, 0)
+				}
+				do(t, s, write("after"))
+			})
+		})
+	}
+}
+
+// A host that leaves refuses what has not begun there, which then runs at
+// another one; what has begun ends.
+func TestHostThatLeaves(t *testing.T) {
+	passing(t, func(is *is.I, w *clustertest.World) {
+		s, open := w.Open(t, 2, clustertest.Primary), w.Open(t, 2, clustertest.Primary)
+		do(t, open, begin())
+		do(t, open, write("begun"))
+		w.VMs[0].Leaving.Store(true)
+		do(t, s, write("w"))
+		do(t, s, begin())
+		do(t, s, write("t"))
+		do(t, s, commit())
+		do(t, open, commit())
+		for _, id := range []string{"begun", "w", "t"} {
+			is.Equal(kept(w.Cluster, clustertest.MemberID(0), id), 1)
+		}
+	})
+}
+
+// A primary that dies is replaced by the hosts, and passed work goes on.
+func TestPassedWorkOutlivesThePrimary(t *testing.T) {
+	passing(t, func(is *is.I, w *clustertest.World) {
+		s := w.Open(t, 2, clustertest.Primary)
+		do(t, s, write("before"))
+		w.Cluster.Set(clustertest.MemberID(0), func(f *cluster.Faults) { f.Down = true })
+		time.Sleep(6 * time.Second)
+		do(t, s, write("after"))
+		leader, _ := w.Cluster.Leader()
+		is.Equal(kept(w.Cluster, leader, "before"), 1)
+	})
+}
+
+// A VM that is asked for a service which it does not host notes that.
+func TestHostThatIsAskedTakesNote(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 3}, func(is *is.I, w *clustertest.World) {
+		w.Pass(1, 0)
+		w.Pass(2, 1)
+		s := w.Open(t, 2, clustertest.Primary)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		s.Do(ctx, read("r"))
+		_, noted := w.VMs[1].Board.Asked.Load()[clustertest.Service]
+		is.True(noted)
+	})
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -17,7 +17,30 @@
 	values   map[string]string
 	prepared map[string]link.Prepared
 	floor    floor
-	tx       *transaction
+	tx       openTransaction
+	// hosted is set at the VM that a session's work was passed to, and
+	// pinned is the route by which the session's own VM serves it.
+	hosted bool
+	pinned *chervilladder.Route
+	// answered is the upstream that answered last.
+	answered chervilladder.UpstreamID
+}
+
+// openTransaction is a session's open transaction, wherever it runs.
+type openTransaction interface {
+	// do runs a command within it, and ends it if the command does.
+	do(ctx context.Context, w *work) chervilladder.Result
+	state() chervilladder.TransactionState
+	// abandon rolls it back for a caller that is gone.
+	abandon()
+}
+
+// route returns the session's route as it is in force now.
+func (s *session) route() (chervilladder.Route, error) {
+	if s.pinned != nil {
+		return *s.pinned, nil
+	}
+	return s.m.route(s.db)
 }
 
 // floor is the latest mark that the session has seen, and when.
@@ -57,6 +80,7 @@
 	} else {
 		r.State = chervilladder.StateIdle
 	}
+	s.answered = w.upstream
 	w.report(r)
 	return r
 }
@@ -99,11 +123,15 @@
 // begin opens a transaction. It takes a connection only with its first
 // statement.
 func (s *session) begin(w *work) chervilladder.Result {
-	route, err := s.m.route(s.db)
+	route, err := s.route()
 	if err != nil {
 		return failure(chervilladder.CodeNoDatabase, "no route to the database")
 	}
 	w.route = route
+	if w.elsewhere() {
+		s.tx = &remoteTransaction{session: s, route: route, begun: w.command}
+		return chervilladder.Result{Signature: chervilladder.NoSignature}
+	}
 	s.tx = &transaction{
 		session:  s,
 		route:    route,
--- a/internal/session/work.go
+++ b/internal/session/work.go
@@ -21,7 +21,10 @@
 	command chervilladder.Command
 	route   chervilladder.Route
 	access  chervilladder.Access
-	need    *link.Prepared
+	// need is the prepared statement that the command runs, and needName
+	// the session's name for it.
+	need     *link.Prepared
+	needName string
 	// arrived dates the command for timeouts, seen for evidence: the
 	// latter by the VM's own clock.
 	arrived, seen time.Time
@@ -29,6 +32,8 @@
 	cluster       *blackboard.Cluster
 	// excluded are the members that have failed this command.
 	excluded map[chervilladder.UpstreamID]bool
+	// avoid is the host that another attempt waits for.
+	avoid chervilladder.VMID
 	// behind is set when a replica has refused a read for its lag, or had
 	// no connection for it.
 	behind bool
@@ -52,7 +57,9 @@
 // running is a command that was sent to a member.
 type running struct {
 	upstream chervilladder.UpstreamID
-	sent     time.Time
+	// host is the VM that it was passed to instead.
+	host chervilladder.VMID
+	sent time.Time
 }
 
 // bind looks up what the work depends on.
@@ -77,7 +84,7 @@
 // lone runs an autocommitted statement.
 func (w *work) lone(ctx context.Context) chervilladder.Result {
 	s := w.session
-	route, err := s.m.route(s.db)
+	route, err := s.route()
 	if err != nil {
 		return failure(chervilladder.CodeNoDatabase, "no route to the database")
 	}
@@ -85,8 +92,12 @@
 	if !ok {
 		return failure(chervilladder.CodeNoStatement, w.command.Name)
 	}
-	w.command, w.access, w.need = command, access, need
+	w.needName = w.command.Name
+	w.access, w.need = access, need
 	w.bind(route)
+	if !w.elsewhere() {
+		w.command = command
+	}
 	ctx, cancel := context.WithDeadline(ctx, w.deadline)
 	defer cancel()
 	var r chervilladder.Result
@@ -133,6 +144,9 @@
 
 // attempt places the statement at a member and runs it there.
 func (w *work) attempt(ctx context.Context) (chervilladder.Result, answer.Next) {
+	if w.elsewhere() {
+		return w.attemptElsewhere(ctx)
+	}
 	p, err := w.place(ctx, w.access)
 	if err != nil {
 		return w.refused(err), answer.Tell
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -49,6 +49,24 @@
 	21, // the soak's own: two harms to one process, and the second awaited the new one's end
 }
 
+// shape is the size of what a seed runs.
+type shape struct {
+	// vms is how many VMs serve, connections how many each member takes.
+	vms, connections int
+}
+
+// plenty is connections for each VM to hold some.
+const plenty = 30
+
+// TestSoakOfPassedWork has so few connections that two of five VMs hold them all
+// and the others pass their work to these.
+func TestSoakOfPassedWork(t *testing.T) {
+	for n := range *seedsFlag {
+		seed := *fromFlag + n
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, seed, shape{vms: 5, connections: 7}) })
+	}
+}
+
 func TestSoak(t *testing.T) {
 	seeds := append([]uint64(nil), regressions...)
 	for n := range *seedsFlag {
@@ -57,13 +75,13 @@
 		}
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, seed) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, seed, shape{vms: *vmsFlag, connections: plenty}) })
 	}
 }
 
 // soak does harm for a time, lets the system come to rest, and checks.
-func soak(t *testing.T, seed uint64) {
-	w := start(t, seed, *vmsFlag)
+func soak(t *testing.T, seed uint64, s shape) {
+	w := start(t, seed, s)
 	stop := make(chan struct{})
 	var ended sync.WaitGroup
 	var callers []*caller
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -85,11 +85,11 @@
 }
 
 // start starts the stand-ins and the VMs, and waits until all are ready.
-func start(t *testing.T, seed uint64, vms int) *world {
+func start(t *testing.T, seed uint64, s shape) *world {
 	t.Helper()
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), members: make(map[chervilladder.UpstreamID]*proxy), ended: make(chan error, 1)}
 	c := cluster.Config{
-		Service: service, Confirmations: 1, Connections: 30, Queue: 24, Lag: 40 * time.Millisecond,
+		Service: service, Confirmations: 1, Connections: s.connections, Queue: 24, Lag: 40 * time.Millisecond,
 		ConnectTime: 2 * time.Millisecond, WorkTime: 2 * time.Millisecond, PromoteTime: 400 * time.Millisecond,
 	}
 	announce := make(map[chervilladder.UpstreamID]chervilladder.Address)
@@ -117,7 +117,7 @@
 	go func() { w.ended <- w.prep.Serve(ctx, l) }()
 	// Each run has loopback addresses of its own for its VMs.
 	net16 := fmt.Sprintf("127.%d.%d", 10+w.rng.IntN(200), 1+os.Getpid()%250)
-	for i := range vms {
+	for i := range s.vms {
 		w.vms = append(w.vms, w.newVM(i, fmt.Sprintf("%s.%d", net16, i+1), l.Addr().String()))
 	}
 	t.Cleanup(w.close)
