Take back that a few VMs read the store for many

Cause, as far as seen: a question names one revision for routes and upstreams together, so each change of an upstream's entry sends the whole configuration again to each VM that asks, 16 VMs send it to 84, and within 300 ms a question is given up and the whole sent again. What would have to change: a revision for each part.

--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -51,9 +51,6 @@
 	// it did not host, by the VM's own clock. Written by the path of a peer's
 	// request.
 	Asked Section[map[chervilladder.ServiceID]time.Time]
-	// Reading says whether this VM reads the store itself. Written by
-	// control/relay.
-	Reading Section[Reading]
 	// Heard is what a peer has last told of the store. Written by
 	// control/relay; control/routing and control/registry take over what is
 	// newer than they know.
--- a/internal/blackboard/hosting.go
+++ b/internal/blackboard/hosting.go
@@ -23,9 +23,3 @@
 	_, elsewhere := h.Elsewhere[s]
 	return !elsewhere && !h.Deciding
 }
-
-// Reading says how this VM learns of the store.
-type Reading struct {
-	// Elsewhere is set while it learns from peers alone.
-	Elsewhere bool
-}
--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -7,7 +7,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/decide/retry"
 )
 
@@ -21,8 +20,6 @@
 	RetryAfter time.Duration
 	// Step makes one call and applies what it tells.
 	Step func(context.Context) error
-	// Reading says whether the source is read at all for now.
-	Reading *blackboard.Section[blackboard.Reading]
 	// Answered is called after each step that succeeded.
 	Answered func()
 
@@ -31,7 +28,7 @@
 
 // Run goes on until the context ends.
 func (l *Loop) Run(ctx context.Context) {
-	for l.await(ctx) {
+	for ctx.Err() == nil {
 		err := l.Step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -46,22 +43,6 @@
 	}
 }
 
-// await waits until the source is to be read, and reports whether the context
-// goes on.
-func (l *Loop) await(ctx context.Context) bool {
-	for ctx.Err() == nil {
-		r, changed := l.Reading.Watch()
-		if !r.Elsewhere {
-			return true
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-		}
-	}
-	return false
-}
-
 func (l *Loop) note(err error) {
 	lost := err != nil
 	if lost == l.lost {
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -72,7 +72,7 @@
 	}()
 	defer func() { <-listened }()
 	answered := func() { k.c.Board.StoreAnswered.Raise(k.c.Clock()) }
-	loop := follow.Loop{Name: "registry", Log: k.c.Log, RetryAfter: retryAfter, Step: k.step, Reading: &k.c.Board.Reading, Answered: answered}
+	loop := follow.Loop{Name: "registry", Log: k.c.Log, RetryAfter: retryAfter, Step: k.step, Answered: answered}
 	loop.Run(ctx)
 	return nil
 }
--- a/internal/control/relay/relay.go
+++ b/internal/control/relay/relay.go
@@ -13,7 +13,6 @@
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
-	"github.com/chervilladder/chervilladder/internal/decide/hosting"
 	"github.com/chervilladder/chervilladder/internal/decide/rendezvous"
 	"github.com/chervilladder/chervilladder/internal/decide/retry"
 )
@@ -50,14 +49,12 @@
 	Clock func() time.Time
 }
 
-// Controller is the one writer of the board's Published, Members, Peers,
-// Reading and Heard on the prepared platform.
+// Controller is the one writer of the board's Published, Members, Peers and Heard
+// on the prepared platform.
 type Controller struct {
 	c Config
-	// asking is set while peers are asked, and told is when one last
-	// answered, or when they were first asked.
-	asking bool
-	told   time.Time
+	// away is set while the store is away and peers are asked.
+	away bool
 }
 
 // New returns a controller.
@@ -167,73 +164,38 @@
 // ask asks peers while the store answers nothing.
 func (k *Controller) ask(ctx context.Context) {
 	for pause(ctx, askEvery) {
-		now := k.c.Clock()
-		readers := k.readers()
-		away := now.Sub(k.c.Board.StoreAnswered.Load()) >= awayAfter
-		asking := away || len(readers) > 0
-		if asking != k.asking {
-			k.asking, k.told = asking, now
-			k.c.Log.WithFields(logrus.Fields{"asking": asking, "peers": len(k.c.Board.Peers.Load()), "readers": len(readers)}).Info("relay: peers are asked for what is in the store")
+		away := k.c.Clock().Sub(k.c.Board.StoreAnswered.Load()) >= awayAfter
+		if away != k.away {
+			k.away = away
+			k.c.Log.WithFields(logrus.Fields{"asking": away, "peers": len(k.c.Board.Peers.Load())}).Info("relay: peers are asked for what the store can't tell")
 		}
-		if !asking {
-			continue
+		if away {
+			k.askOne(ctx)
 		}
-		if len(readers) == 0 {
-			readers = k.c.Board.Peers.Load()
-			readers = readers[:min(len(readers), maxPeers)]
-		}
-		if k.askOne(ctx, readers) {
-			k.told = k.c.Clock()
-		}
-	}
-}
-
-// readers returns the peers that read the store for this VM, or none if it reads
-// for itself. It does so too while they tell nothing.
-func (k *Controller) readers() []chervilladder.VM {
-	byID := make(map[chervilladder.VMID]chervilladder.VM)
-	vms := []chervilladder.VMID{k.c.Board.Self.ID}
-	for _, v := range k.c.Board.Peers.Load() {
-		byID[v.ID] = v
-		vms = append(vms, v.ID)
-	}
-	var list []chervilladder.VM
-	ids := hosting.Readers(vms)
-	if slices.Contains(ids, k.c.Board.Self.ID) {
-		ids = nil
-	}
-	for _, id := range ids {
-		list = append(list, byID[id])
-	}
-	elsewhere := len(list) > 0 && (!k.asking || k.c.Clock().Sub(k.told) < awayAfter)
-	if elsewhere != k.c.Board.Reading.Load().Elsewhere {
-		k.c.Board.Reading.Store(blackboard.Reading{Elsewhere: elsewhere})
 	}
-	return list
 }
 
-// askOne asks a peer, drawn anew each time, for what is newer than this VM knows,
-// and reports whether the peer answered.
-func (k *Controller) askOne(ctx context.Context, peers []chervilladder.VM) bool {
+// askOne asks a peer, drawn anew each time, for what is newer than this VM knows.
+func (k *Controller) askOne(ctx context.Context) {
+	peers := k.c.Board.Peers.Load()
 	if len(peers) == 0 {
-		return false
+		return
 	}
-	peer := peers[rand.IntN(len(peers))]
+	peer := peers[rand.IntN(min(len(peers), maxPeers))]
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	r, err := k.c.Relay.Pull(ctx, peer.Peer, k.c.Board.Knowledge().Revision())
 	if err != nil || len(r.Encoded) == 0 {
-		return err == nil // another one is asked soon
+		return // the next one is asked soon
 	}
 	heard, err := decode(r.Encoded)
 	log := k.c.Log.WithField("peer", peer.ID)
 	if err != nil {
 		log.WithError(err).Warn("relay: what a peer told can't be read")
-		return false
+		return
 	}
 	k.c.Board.Heard.Store(heard)
 	log.WithFields(logrus.Fields{"revision": heard.Revision(), "upstreams": len(heard.Upstreams), "upstreams-at": heard.UpstreamsAt}).Info("relay: learnt from a peer")
-	return true
 }
 
 // pause lets time pass, and reports whether the context goes on.
--- a/internal/control/relay/relay_test.go
+++ b/internal/control/relay/relay_test.go
@@ -30,7 +30,6 @@
 	routing   *chervilladder.Routing
 	upstreams []chervilladder.Registered
 	vms       map[chervilladder.VMID]chervilladder.VM
-	calls     atomic.Int64
 }
 
 // route puts a configuration with one database in place.
@@ -70,7 +69,6 @@
 func (v *view) call() (func(), error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.s.calls.Add(1)
 	if v.away {
 		return nil, errTurnedAway
 	}
@@ -141,15 +139,10 @@
 	vms map[chervilladder.Address]*vm
 	// pulls and bytes count what peers were asked for and have told.
 	pulls, bytes atomic.Int64
-	// dark is set while no peer answers.
-	dark atomic.Bool
 }
 
 // Pull answers for the peer as its server does.
 func (f *fleet) Pull(_ context.Context, peer chervilladder.Address, newerThan chervilladder.Revision) (chervilladder.Relayed, error) {
-	if f.dark.Load() {
-		return chervilladder.Relayed{}, errTurnedAway
-	}
 	r := f.vms[peer].board.Published.Load().For(newerThan)
 	f.pulls.Add(1)
 	f.bytes.Add(int64(len(r.Encoded)))
@@ -248,41 +241,6 @@
 	})
 }
 
-// Of many VMs a few read the store, and the others learn from these in time. If
-// these are gone, the others read for themselves.
-func TestFewReadTheStoreForMany(t *testing.T) {
-	bubble(t, 60, func(is *is.I, s *store, f *fleet) {
-		reading := func() (n int) {
-			for _, v := range f.vms {
-				if !v.board.Reading.Load().Elsewhere {
-					n++
-				}
-			}
-			return n
-		}
-		is.Equal(reading(), 16)
-		calls := s.calls.Load()
-		time.Sleep(10 * time.Second)
-		is.True(s.calls.Load()-calls <= 16*10+60*2) // one a second for each reader, and the lists of VMs
-		s.route("second")
-		time.Sleep(3 * time.Second)
-		for _, v := range f.vms {
-			is.True(v.knows("second", "a", "b"))
-		}
-		f.dark.Store(true)
-		time.Sleep(4 * time.Second)
-		is.Equal(reading(), 60)
-		s.route("third")
-		time.Sleep(3 * time.Second)
-		for _, v := range f.vms {
-			is.True(v.knows("third", "a", "b"))
-		}
-		f.dark.Store(false)
-		time.Sleep(4 * time.Second)
-		is.Equal(reading(), 16)
-	})
-}
-
 // What can't be read disturbs nothing.
 func TestUnreadableKnowledgeIsIgnored(t *testing.T) {
 	for _, text := range []string{"", "{", `{"Routing":null,"UpstreamsAt":9}`, `{"Routing":{},"Upstreams":"x"}`, "\x00\xff"} {
--- a/internal/control/routing/routing.go
+++ b/internal/control/routing/routing.go
@@ -60,7 +60,7 @@
 		k.listen(ctx)
 	}()
 	answered := func() { k.c.Board.StoreAnswered.Raise(k.c.Clock()) }
-	loop := follow.Loop{Name: "routing", Log: k.c.Log, RetryAfter: retryAfter, Step: k.step, Reading: &k.c.Board.Reading, Answered: answered}
+	loop := follow.Loop{Name: "routing", Log: k.c.Log, RetryAfter: retryAfter, Step: k.step, Answered: answered}
 	loop.Run(ctx)
 	<-listened
 	return nil
--- a/internal/decide/hosting/hosting.go
+++ b/internal/decide/hosting/hosting.go
@@ -1,6 +1,6 @@
 // Package hosting decides which VMs hold connections to the upstreams of a
-// service, and which read the store. While there are few VMs all do; else a few,
-// and the others pass their work to these or learn from them.
+// service. Where an upstream takes enough connections, all do; else a few, and
+// the others pass their work to these.
 package hosting
 
 import (
@@ -42,19 +42,3 @@
 	ranked := rendezvous.Ranked(rendezvous.Task("hosting/"+service), vms)
 	return ranked[:min(len(ranked), hosts+spareHosts)], hosts
 }
-
-const (
-	// manyVMs is from how many VMs on a few read the store for all.
-	manyVMs = 50
-	// readers is how many do.
-	readers = 16
-)
-
-// Readers returns the VMs that read the store, of which the others learn. It is
-// empty if each reads for itself.
-func Readers(vms []chervilladder.VMID) []chervilladder.VMID {
-	if len(vms) < manyVMs {
-		return nil
-	}
-	return rendezvous.Ranked("readers", vms)[:readers]
-}
--- a/internal/decide/hosting/hosting_test.go
+++ b/internal/decide/hosting/hosting_test.go
@@ -63,14 +63,3 @@
 	is.Equal(len(none), 0)
 	is.Equal(hosts, 5)
 }
-
-func TestReaders(t *testing.T) {
-	is := is.New(t)
-	var vms []chervilladder.VMID
-	for i := range 300 {
-		vms = append(vms, chervilladder.VMID(fmt.Sprint("vm-", i)))
-	}
-	is.Equal(len(hosting.Readers(vms[:37])), 0)
-	is.Equal(len(hosting.Readers(vms)), 16)
-	is.Equal(hosting.Readers(vms), hosting.Readers(vms))
-}
