Have the old primary step down before its successor is ordered

At 15.5 a new replica of a release, i-fe04…, started: nobody knew it yet (registered at 15.519), so it was not paused, it reached the old primary and confirmed what had waited there, 1/217 to 1/243.

Change: once the replicas are paused and one of them is chosen, the old primary is told to step down, within the time that the leases need anyway; only a planned replacement, in which the old primary goes on with the confirmations of the very replica that takes over, does it as before.

Failed first: TestNewReplicaConfirmsNothingToAPrimaryThatIsReplaced. Open: the same where the VM that replaces doesn't reach the old primary.

--- a/internal/control/failover/failover_test.go
+++ b/internal/control/failover/failover_test.go
@@ -452,3 +452,36 @@
 		checkKept(t, w, acked)
 	})
 }
+
+// A primary that works and reaches none of its replicas is replaced, and meanwhile
+// a new replica starts, which reaches it and confirms its commits. Found by a hunt
+// on salas-valle, mix 262433238841: five acknowledged commits were lost.
+func TestNewReplicaConfirmsNothingToAPrimaryThatIsReplaced(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 2}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		old := clustertest.MemberID(0)
+		for i := 1; i < 3; i++ {
+			w.Cluster.Set(clustertest.MemberID(i), func(f *cluster.Faults) { f.Alone = true })
+		}
+		for _, vm := range w.VMs {
+			vm.Promoter.Ordered = func(chervilladder.UpstreamID) { w.Cluster.Add(clustertest.Member(3)) }
+		}
+		var acked []string
+		s := w.Open(t, 0, clustertest.Primary)
+		for i := range 100 {
+			id := fmt.Sprint("w", i)
+			if write(w, s, id).Code == chervilladder.CodeNone {
+				acked = append(acked, id)
+			}
+			time.Sleep(20 * time.Millisecond)
+			if leader, _ := w.Cluster.Leader(); leader != old && leader != "" {
+				for i := 1; i < 3; i++ {
+					w.Cluster.Set(clustertest.MemberID(i), func(f *cluster.Faults) { f.Alone = false })
+				}
+			}
+		}
+		is.True(len(w.Cluster.Orders()) > 0)
+		is.True(len(acked) > 0)
+		time.Sleep(3 * time.Second)
+		checkKept(t, w, acked)
+	})
+}
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -115,6 +115,12 @@
 		best = find(paused, spared)
 	}
 	r.log.WithFields(logrus.Fields{"candidate": best.Upstream, "received": best.Received.String(), "paused": len(paused)}).Info("failover: replicas paused")
+	if !best.Received.Covers(r.cluster.View.Load().Departed) {
+		return best, errBehind
+	}
+	if best.Upstream != r.spared() {
+		r.depose(ctx)
+	}
 	if err := r.sleepUntil(ctx, settled); err != nil {
 		return best, err
 	}
@@ -124,6 +130,15 @@
 	return best, nil
 }
 
+// depose makes the old primary a replica before its successor is ordered, if it can
+// be reached. All replicas are paused, but one that is new to the service is not,
+// and would confirm to the old primary what the candidate lacks.
+func (r *replacement) depose(ctx context.Context) {
+	if old, ok := r.view.Members[r.view.Primary]; ok {
+		r.tell(ctx, old, chervilladder.Command{Kind: chervilladder.CommandStepDown, Term: r.term})
+	}
+}
+
 // hopeless returns why a replacement can't succeed by what is known.
 func (r *replacement) hopeless() error {
 	for id, s := range r.view.Members {
