Replace no missing primary while an order may still show

Change: a primary counts as missing once none was seen for 2.5 s, and no promotion is ordered once another member is seen to lead a later term. TestAssess asks for none at 1.5 s (failed first) and for missing at 2.6 s.

Packages failover, lead, session and evidence pass.

--- a/internal/blackboard/cluster.go
+++ b/internal/blackboard/cluster.go
@@ -107,7 +107,9 @@
 	// that primary; empty while none was seen.
 	Term    chervilladder.Term
 	Primary chervilladder.UpstreamID
-	Members map[chervilladder.UpstreamID]Sighting
+	// MissingSince is since when no primary is seen; zero while one is.
+	MissingSince time.Time
+	Members      map[chervilladder.UpstreamID]Sighting
 	// Departed is what the primary's log held when a replica was last found
 	// gone. That replica may have been the one that confirmed it, so no
 	// member that lacks it may be promoted. While DepartedSince is set, the
--- a/internal/control/evidence/evidence.go
+++ b/internal/control/evidence/evidence.go
@@ -178,6 +178,12 @@
 		}
 		change(&after)
 		after.Primary, after.Term = lead.Primary(after)
+		switch {
+		case after.Primary != "":
+			after.MissingSince = time.Time{}
+		case after.MissingSince.IsZero():
+			after.MissingSince = k.c.Clock()
+		}
 		return after
 	})
 	if before.Primary != after.Primary || before.Term != after.Term {
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -32,6 +32,7 @@
 	errBehind      = errors.New("no replica holds all that a replica which is gone may have confirmed")
 	errNoCandidate = errors.New("no replica can be promoted")
 	errTooLate     = errors.New("the duty was recorded too long ago to order a promotion")
+	errSuperseded  = errors.New("another member leads a later term by now")
 	errNoEffect    = errors.New("the promotion does not show")
 )
 
@@ -318,6 +319,9 @@
 // was recorded recently enough that nobody can have taken it over.
 func (r *replacement) promote(ctx context.Context, d chervilladder.Duty, until time.Time, id chervilladder.UpstreamID) error {
 	for {
+		if v := r.cluster.View.Load(); v.Term > r.view.Term && v.Primary != "" && v.Primary != id {
+			return errSuperseded // somebody's earlier order has taken effect
+		}
 		if !r.k.c.Clock().Before(until) {
 			var err error
 			if d, until, err = r.k.duty.begin(ctx, r.service, r.term); err != nil {
--- a/internal/decide/lead/lead.go
+++ b/internal/decide/lead/lead.go
@@ -113,6 +113,9 @@
 	stalledAfter    = 1200 * time.Millisecond
 	unfinishedAfter = 2 * time.Second
 	forgottenAfter  = 400 * time.Millisecond
+	// missingAfter is longer than an order to promote takes to show: the old
+	// primary steps down before its successor is ordered.
+	missingAfter = 2500 * time.Millisecond
 	// deadFailures is how many questions in a row a dead primary has left
 	// without an answer, all but the first on fresh connections.
 	deadFailures = 3
@@ -210,7 +213,7 @@
 			answering++
 		}
 	}
-	if answering < 2 || v.Term == 0 {
+	if answering < 2 || v.Term == 0 || v.MissingSince.IsZero() || now.Sub(v.MissingSince) < missingAfter {
 		return CauseNone
 	}
 	return CauseMissing
--- a/internal/decide/lead/lead_test.go
+++ b/internal/decide/lead/lead_test.go
@@ -143,8 +143,12 @@
 		t.Errorf("left paused beside an older primary: %q", got)
 	}
 	missing := two()
-	missing.Primary = ""
+	missing.Primary, missing.MissingSince = "", at(now-1500)
 	missing.Members["p"] = replica(now, 3, 0)
+	if got := lead.Assess(missing, at(now)); got != lead.CauseNone {
+		t.Errorf("no primary for a moment: %q", got)
+	}
+	missing.MissingSince = at(now - 2600)
 	if got := lead.Assess(missing, at(now)); got != lead.CauseMissing {
 		t.Errorf("no primary: %q", got)
 	}
