Keep the soak from a split while no member leads

The trace shows connections of the stand-in that wait for the cluster's lock after their client is gone. The soak's split asks for the leader and changes its faults; since the old primary steps down before its successor is ordered, there is none for some hundred milliseconds, and the change of a member "" panicked with the lock held. The testing package runs clean-ups before it prints a panic, and these waited for the lock for ever, so the panic was never seen.

Ruled out: a lost wake-up of the stand-in (the frame is the deferred close, not a wait); callers and restarts (all bounded).

Change: a split without a primary is noted and skipped; the stand-in gives its lock up when it panics; clean-up and readiness questions have bounds.

Failed first: TestSplitWhileNoMemberLeads (panic in Cluster.Set).

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -80,10 +80,15 @@
 }
 
 // split cuts the primary off from its replicas and from all VMs but one, which
-// in turn reaches nobody else: to that VM all seems well.
+// in turn reaches nobody else: to that VM all seems well. While a replacement
+// goes on there may be no primary to cut off.
 func (w *world) split(d time.Duration) {
 	leader, _ := w.cluster.Leader()
 	fooled := w.rng.IntN(len(w.vms))
+	if leader == "" {
+		w.note("no member leads that a split could cut off")
+		return
+	}
 	var others []string
 	for i, v := range w.vms {
 		if i != fooled {
--- /dev/null
+++ b/internal/soak/world_rules_test.go
@@ -0,0 +1,34 @@
+package soak_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/standin/cluster"
+)
+
+// While a replacement goes on, the old primary has stepped down and no member
+// leads: a split then has nobody to cut off, and must not end the run.
+func TestSplitWhileNoMemberLeads(t *testing.T) {
+	is := is.New(t)
+	k, err := cluster.New(cluster.Config{Service: service, Members: []chervilladder.Registered{{ID: memberID(0), Service: service}}})
+	is.NoErr(err)
+	conn, err := k.Connect(memberID(0), service, "", nil)
+	is.NoErr(err)
+	_, err = conn.Order(chervilladder.Command{Kind: chervilladder.CommandStepDown, Term: 2})
+	is.NoErr(err)
+	conn.Close()
+	leader, _ := k.Leader()
+	is.Equal(leader, chervilladder.UpstreamID(""))
+
+	w := &world{
+		t: t, rng: rand.New(rand.NewPCG(1, 1)), cluster: k, vms: []*vm{{name: "vm-0"}, {name: "vm-1"}},
+		members: map[chervilladder.UpstreamID]*proxy{memberID(0): startProxy(t, freeAddress(t))},
+	}
+	w.split(time.Millisecond)
+	w.pending.Wait()
+}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -221,8 +221,9 @@
 
 func (w *world) awaitReady(v *vm) {
 	w.t.Helper()
+	client := &http.Client{Timeout: time.Second}
 	for range 200 {
-		resp, err := http.Get("http://" + v.ip + ":7002/chervilladder/readiness")
+		resp, err := client.Get("http://" + v.ip + ":7002/chervilladder/readiness")
 		if err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
@@ -248,8 +249,13 @@
 		v.log.Close()
 	}
 	w.stop()
-	if err := <-w.ended; err != nil {
-		w.t.Error(err)
+	select {
+	case err := <-w.ended:
+		if err != nil {
+			w.t.Error(err)
+		}
+	case <-time.After(10 * time.Second):
+		w.t.Error("the stand-ins do not end within ten seconds")
 	}
 }
 
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -126,6 +126,7 @@
 // connections.
 func (k *Cluster) Set(id chervilladder.UpstreamID, change func(*Faults)) {
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	m := k.members[id]
 	wasDown := m.faults.Down
 	change(&m.faults)
@@ -148,7 +149,6 @@
 	}
 	k.replicate()
 	k.wake()
-	k.mu.Unlock()
 }
 
 // Add starts a new member, a replica with the log that it is sent.
