Keep the duty while a replacement goes on, and look again before acting

Change: the duty is given up once no replacement goes on; evidence from before the duty was taken over, or from before this VM last acted, is gathered again first; a member that answers an order to pause as the primary of a later term ends the replacement, and the paused replicas follow it.

--- a/internal/control/failover/duty.go
+++ b/internal/control/failover/duty.go
@@ -67,6 +67,13 @@
 	return !d.ordered[s] && !d.heldSince.IsZero() && d.clock().Sub(d.heldSince) >= orderedFor
 }
 
+// since returns since when this process has held the duty without a break.
+func (d *duty) since() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.heldSince
+}
+
 // notMineError reports a duty that another VM holds.
 type notMineError struct{ Holder chervilladder.VMID }
 
--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -59,7 +59,10 @@
 	mu       sync.Mutex
 	busy     map[chervilladder.ServiceID]bool
 	notUntil map[chervilladder.ServiceID]time.Time
-	running  sync.WaitGroup
+	// acted is when a replacement of a cluster last ended.
+	acted map[chervilladder.ServiceID]time.Time
+	// running is all that Run has started, replacing the replacements alone.
+	running, replacing sync.WaitGroup
 }
 
 // New returns a controller.
@@ -72,6 +75,7 @@
 		duty:     &duty{self: c.Board.Self.ID, record: c.Record, log: c.Log, clock: c.Clock},
 		busy:     make(map[chervilladder.ServiceID]bool),
 		notUntil: make(map[chervilladder.ServiceID]time.Time),
+		acted:    make(map[chervilladder.ServiceID]time.Time),
 	}, nil
 }
 
@@ -90,7 +94,10 @@
 			}
 		case <-leave:
 			leave = nil
-			k.running.Go(func() { k.duty.giveUp(ctx) })
+			k.running.Go(func() {
+				k.replacing.Wait() // another holder would order what is ordered
+				k.duty.giveUp(ctx)
+			})
 		case <-ctx.Done():
 			return nil
 		}
@@ -102,42 +109,52 @@
 	now := k.c.Clock()
 	for service, c := range k.c.Board.Clusters.All() {
 		cause := lead.Assess(c.View.Load(), now)
-		if cause == lead.CauseNone || !k.claim(service, now) {
+		if cause == lead.CauseNone {
 			continue
 		}
-		k.running.Go(func() { k.replace(ctx, service, c, cause) })
+		acted, ok := k.claim(service, now)
+		if !ok {
+			continue
+		}
+		k.replacing.Add(1)
+		k.running.Go(func() {
+			defer k.replacing.Done()
+			k.replace(ctx, service, c, cause, acted)
+		})
 	}
 }
 
-// claim marks a cluster as worked on unless it is, or is to be left alone.
-func (k *Controller) claim(service chervilladder.ServiceID, now time.Time) bool {
+// claim marks a cluster as worked on unless it is, or is to be left alone, and
+// returns when it was last acted on.
+func (k *Controller) claim(service chervilladder.ServiceID, now time.Time) (time.Time, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.busy[service] || now.Before(k.notUntil[service]) {
-		return false
+		return time.Time{}, false
 	}
 	k.busy[service] = true
-	return true
+	return k.acted[service], true
 }
 
 func (k *Controller) done(service chervilladder.ServiceID, pause time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.busy[service] = false
-	k.notUntil[service] = k.c.Clock().Add(pause)
+	k.acted[service] = k.c.Clock()
+	k.notUntil[service] = k.acted[service].Add(pause)
 }
 
 // done says what was done, by whether the primary was to be replaced.
 var done = map[bool]string{true: "primary replaced", false: "members put right"}
 
 // replace tries once to give a cluster a new primary.
-func (k *Controller) replace(ctx context.Context, service chervilladder.ServiceID, c *blackboard.Cluster, cause lead.Cause) {
+func (k *Controller) replace(ctx context.Context, service chervilladder.ServiceID, c *blackboard.Cluster, cause lead.Cause, acted time.Time) {
 	began := k.c.Clock()
 	view := c.View.Load()
 	log := k.c.Log.WithFields(logrus.Fields{
 		"service": service, "cause": cause, "primary": view.Primary, "term": view.Term,
 	})
-	r := &replacement{k: k, service: service, cluster: c, view: view, cause: cause, log: log}
+	r := &replacement{k: k, service: service, cluster: c, view: view, cause: cause, log: log, acted: acted}
 	err := r.run(ctx)
 	pause := backOff
 	if err == nil && cause == lead.CauseCutOff {
--- a/internal/control/failover/failover_test.go
+++ b/internal/control/failover/failover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -339,6 +340,54 @@
 	})
 }
 
+// A holder that leaves between its order and the order's effect keeps the duty
+// until then: another VM would find no primary and order a second promotion. Found
+// by a hunt on salas-valle, leaving-while-holder-is-frozen 94302765638.
+func TestLeavingHolderKeepsTheDutyWhileItReplaces(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 3}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		old, holder := clustertest.MemberID(0), w.VMs[holderOf(w)]
+		var left sync.Once
+		holder.Promoter.Ordered = func(chervilladder.UpstreamID) { left.Do(func() { close(holder.Leave) }) }
+		w.Cluster.Set(old, func(f *cluster.Faults) { f.Down = true })
+		for began := time.Now(); time.Since(began) < replacedWithin; time.Sleep(10 * time.Millisecond) {
+			if id, _ := w.Cluster.Leader(); id != old {
+				break
+			}
+			d, err := w.VMs[0].Record.Read(t.Context())
+			is.NoErr(err)
+			is.Equal(d.Holder, holder.Board.Self.ID) // while its replacement goes on
+		}
+		time.Sleep(time.Second)
+		d, err := w.VMs[0].Record.Read(t.Context())
+		is.NoErr(err)
+		is.True(d.Holder != holder.Board.Self.ID) // given up once it shows
+		is.Equal(len(w.Cluster.Orders()), 1)
+	})
+}
+
+// An order of a former holder shows while its successor has paused the replicas.
+// The successor orders nothing, and lets the replicas follow the new primary.
+func TestOrderOfAFormerHolderThatShowsLate(t *testing.T) {
+	for _, effect := range []time.Duration{1500, 1600, 1700, 1800, 1900} {
+		c := clustertest.Config{VMs: 2, Adjust: func(c *cluster.Config) { c.PromoteTime = effect * time.Millisecond }}
+		bubble(t, c, func(t *testing.T, is *is.I, w *clustertest.World) {
+			old, first := clustertest.MemberID(0), holderOf(w)
+			holder := w.VMs[first]
+			holder.Promoter.Ordered = func(chervilladder.UpstreamID) { go holder.Stop() }
+			w.Cluster.Set(old, func(f *cluster.Faults) { f.Down = true })
+			awaitLeader(t, w, old)
+			began := time.Now()
+			s := w.Open(t, 1-first, clustertest.Primary)
+			for i := 0; write(w, s, fmt.Sprint("w", i)).Code != chervilladder.CodeNone && time.Since(began) < replacedWithin; i++ {
+				time.Sleep(20 * time.Millisecond)
+			}
+			is.True(time.Since(began) < 1500*time.Millisecond)
+			time.Sleep(5 * time.Second)
+			is.Equal(len(w.Cluster.Orders()), 1)
+		})
+	}
+}
+
 // A replica whose order to go on was lost is found paused and resumed.
 func TestForgottenReplicaGoesOn(t *testing.T) {
 	bubble(t, clustertest.Config{VMs: 1}, func(t *testing.T, is *is.I, w *clustertest.World) {
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -22,6 +22,8 @@
 	view    blackboard.ClusterView
 	cause   lead.Cause
 	log     *logrus.Entry
+	// acted is when this VM last acted on the cluster.
+	acted time.Time
 	// term is that of the new primary.
 	term chervilladder.Term
 }
@@ -32,20 +34,38 @@
 	errBehind      = errors.New("no replica holds all that a replica which is gone may have confirmed")
 	errNoCandidate = errors.New("no replica can be promoted")
 	errTooLate     = errors.New("the duty was recorded too long ago to order a promotion")
-	errSuperseded  = errors.New("another member leads a later term by now")
+	errChanged     = errors.New("the cluster looks different by now")
 	errNoEffect    = errors.New("the promotion does not show")
 )
 
+// supersededError reports a member that leads a later term by now: an earlier order
+// has taken effect.
+type supersededError struct {
+	By   chervilladder.UpstreamID
+	Term chervilladder.Term
+}
+
+// Error names the member.
+func (e *supersededError) Error() string {
+	return fmt.Sprintf("%s leads term %d by now", e.By, e.Term)
+}
+
 // run pauses the replicas, promotes the one that holds most, and lets the
 // others follow it.
 func (r *replacement) run(ctx context.Context) error {
+	r.term = r.nextTerm()
+	if err := r.lookAgain(ctx, r.acted); err != nil {
+		return err
+	}
 	if r.replaces() {
 		if err := r.hopeless(); err != nil {
 			return err // before a replica is paused for nothing
 		}
 	}
-	r.term = r.nextTerm()
 	duty, until, err := r.k.duty.begin(ctx, r.service, r.term)
+	if err == nil {
+		err = r.lookAgain(ctx, r.k.duty.since())
+	}
 	if err != nil {
 		return err
 	}
@@ -58,19 +78,55 @@
 	case lead.CauseOutdated:
 		return r.stepDown(ctx, lead.Outdated(r.view))
 	}
+	leader, err := r.succeed(ctx, duty, until)
+	var superseded *supersededError
+	if errors.As(err, &superseded) {
+		leader = superseded.By // the paused replicas are to follow it
+	}
+	if leader != "" {
+		r.release(ctx, leader)
+	}
+	return err
+}
+
+// succeed pauses the replicas and promotes the one that holds most. It returns the
+// new primary.
+func (r *replacement) succeed(ctx context.Context, duty chervilladder.Duty, until time.Time) (chervilladder.UpstreamID, error) {
 	best, err := r.choose(ctx)
+	var superseded *supersededError
+	if err != nil && !errors.As(err, &superseded) {
+		return "", errors.Join(err, r.giveUp(ctx, until))
+	}
 	if err != nil {
-		return errors.Join(err, r.giveUp(ctx, until))
+		return "", err
 	}
 	r.k.duty.order(r.service)
 	if err := r.promote(ctx, duty, until, best.Upstream); err != nil {
-		return err
+		return "", err
 	}
 	if err := r.awaitEffect(ctx, best.Upstream); err != nil {
-		return err
+		return "", err
 	}
 	r.k.duty.settleOrder(r.service)
-	r.release(ctx, best.Upstream)
+	return best.Upstream, nil
+}
+
+// lookAgain makes sure that what is to be done follows from evidence gathered since
+// a moment: when this VM last acted, or took the duty over. Until then somebody may
+// have done it. Members that are too busy to tell are waited for only so long; each
+// is asked again by the order to pause.
+func (r *replacement) lookAgain(ctx context.Context, since time.Time) error {
+	if lead.SeenSince(r.view, since) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	r.cluster.Wanted.Ask()
+	r.cluster.Await(ctx, func(v blackboard.ClusterView) bool { return lead.SeenSince(v, since) })
+	r.view = r.cluster.View.Load()
+	if lead.Assess(r.view, r.k.c.Clock()) != r.cause || r.nextTerm() != r.term {
+		return errChanged
+	}
 	return nil
 }
 
@@ -211,9 +267,12 @@
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
-				failed = fmt.Errorf("%w: %w", errOutOfSight, err)
+				failed = errors.Join(failed, fmt.Errorf("%w: %w", errOutOfSight, err))
 				return
 			}
+			if status.Primary && status.Term > r.view.Term {
+				failed = errors.Join(failed, &supersededError{By: id, Term: status.Term})
+			}
 			list = append(list, lead.Paused{Upstream: id, Received: status.Received, Leaving: s.Leaves()})
 		})
 	}
@@ -319,8 +378,8 @@
 // was recorded recently enough that nobody can have taken it over.
 func (r *replacement) promote(ctx context.Context, d chervilladder.Duty, until time.Time, id chervilladder.UpstreamID) error {
 	for {
-		if v := r.cluster.View.Load(); v.Term > r.view.Term && v.Primary != "" && v.Primary != id {
-			return errSuperseded // somebody's earlier order has taken effect
+		if v := r.cluster.View.Load(); v.Term > r.view.Term && v.Primary != "" {
+			return &supersededError{By: v.Primary, Term: v.Term}
 		}
 		if !r.k.c.Clock().Before(until) {
 			var err error
@@ -387,7 +446,7 @@
 	var orders sync.WaitGroup
 	defer orders.Wait()
 	steppedDown := make(chan struct{})
-	if old, ok := r.view.Members[r.view.Primary]; ok {
+	if old, ok := r.view.Members[r.view.Primary]; ok && r.view.Primary != leader {
 		down := chervilladder.Command{Kind: chervilladder.CommandStepDown, Term: r.cluster.View.Load().Term}
 		orders.Go(func() {
 			defer close(steppedDown)
--- a/internal/decide/lead/lead.go
+++ b/internal/decide/lead/lead.go
@@ -180,6 +180,16 @@
 	return cause
 }
 
+// SeenSince reports whether all members that answer were asked after a moment.
+func SeenSince(v blackboard.ClusterView, moment time.Time) bool {
+	for _, s := range v.Members {
+		if s.Answers() && s.Asked.Before(moment) {
+			return false
+		}
+	}
+	return true
+}
+
 // Forgotten returns the replicas that are paused for no later term than the
 // primary's.
 func Forgotten(v blackboard.ClusterView) []chervilladder.UpstreamID {
