--- /dev/null
+++ b/internal/control/failover/duty_test.go
@@ -0,0 +1,167 @@
+package failover_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/clustertest"
+	"github.com/chervilladder/chervilladder/internal/standin/cluster"
+)
+
+// The holder of the duty fails at the same moment as the primary.
+func TestAnotherVMTakesTheDutyOver(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 3}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		holder := holderOf(w)
+		w.VMs[holder].Stop()
+		w.Cluster.Set(clustertest.MemberID(0), func(f *cluster.Faults) { f.Down = true })
+		_, took := awaitLeader(t, w, clustertest.MemberID(0))
+		is.True(took < replacedWithin)
+		checkOrders(t, w)
+	})
+}
+
+func holderOf(w *clustertest.World) int {
+	d, err := w.VMs[0].Record.Read(context.Background())
+	if err != nil {
+		panic(err)
+	}
+	for i, vm := range w.VMs {
+		if vm.Board.Self.ID == d.Holder {
+			return i
+		}
+	}
+	panic("nobody holds the duty")
+}
+
+// checkOrders fails if epochs fall, or if two holders share one.
+func checkOrders(t *testing.T, w *clustertest.World) {
+	t.Helper()
+	holders := make(map[chervilladder.Epoch]chervilladder.VMID)
+	last := chervilladder.Epoch(0)
+	for _, o := range w.Cluster.Orders() {
+		if o.Epoch < last {
+			t.Errorf("epoch %d was ordered after %d", o.Epoch, last)
+		}
+		last = o.Epoch
+		if h, ok := holders[o.Epoch]; ok && h != o.Holder {
+			t.Errorf("epoch %d was used by %s and %s", o.Epoch, h, o.Holder)
+		}
+		holders[o.Epoch] = o.Holder
+	}
+}
+
+// A holder that stands still between its pause of the replicas and its order
+// must not order once another VM has taken the duty over.
+func TestHolderThatStoodStillOrdersNothingOld(t *testing.T) {
+	for _, still := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
+		bubble(t, clustertest.Config{VMs: 3}, func(t *testing.T, is *is.I, w *clustertest.World) {
+			holder := w.VMs[holderOf(w)]
+			var stood atomic.Bool
+			holder.Linker.OnStatus(func(_ chervilladder.UpstreamID, c chervilladder.Command) {
+				if c.Kind == chervilladder.CommandPause && !stood.Swap(true) {
+					time.Sleep(still)
+				}
+			})
+			w.Cluster.Set(clustertest.MemberID(0), func(f *cluster.Faults) { f.Down = true })
+			awaitLeader(t, w, clustertest.MemberID(0))
+			time.Sleep(5 * time.Second)
+			checkOrders(t, w)
+		})
+	}
+}
+
+// The answer to the holder's write of the record is lost.
+func TestLostAnswerOfTheRecord(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 2}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		holder := w.VMs[holderOf(w)]
+		holder.Record.LoseAnswers.Store(true)
+		w.Cluster.Set(clustertest.MemberID(0), func(f *cluster.Faults) { f.Down = true })
+		time.Sleep(time.Second)
+		holder.Record.LoseAnswers.Store(false)
+		awaitLeader(t, w, clustertest.MemberID(0))
+		checkOrders(t, w)
+	})
+}
+
+// With the record out of reach nothing is promoted; with it back, it is.
+func TestNothingIsPromotedWithoutTheRecord(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 2}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		for _, vm := range w.VMs {
+			vm.Record.Off.Store(true)
+		}
+		w.Cluster.Set(clustertest.MemberID(0), func(f *cluster.Faults) { f.Down = true })
+		time.Sleep(8 * time.Second)
+		is.Equal(len(w.Cluster.Orders()), 0)
+		for _, vm := range w.VMs {
+			vm.Record.Off.Store(false)
+		}
+		awaitLeader(t, w, clustertest.MemberID(0))
+	})
+}
+
+// A VM that leaves gives its duty up, and another one need not wait.
+func TestLeavingHolderGivesTheDutyUp(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 2}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		close(w.VMs[holderOf(w)].Leave)
+		time.Sleep(100 * time.Millisecond)
+		w.Cluster.Set(clustertest.MemberID(0), func(f *cluster.Faults) { f.Down = true })
+		_, took := awaitLeader(t, w, clustertest.MemberID(0))
+		is.True(took < 3500*time.Millisecond)
+		checkOrders(t, w)
+	})
+}
+
+// A holder that leaves between its order and the order's effect keeps the duty
+// until then: another VM would find no primary and order a second promotion. Found
+// by a hunt on salas-valle, leaving-while-holder-is-frozen 94302765638.
+func TestLeavingHolderKeepsTheDutyWhileItReplaces(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 3}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		old, holder := clustertest.MemberID(0), w.VMs[holderOf(w)]
+		var left sync.Once
+		holder.Promoter.Ordered = func(chervilladder.UpstreamID) { left.Do(func() { close(holder.Leave) }) }
+		w.Cluster.Set(old, func(f *cluster.Faults) { f.Down = true })
+		for began := time.Now(); time.Since(began) < replacedWithin; time.Sleep(10 * time.Millisecond) {
+			if id, _ := w.Cluster.Leader(); id != old {
+				break
+			}
+			d, err := w.VMs[0].Record.Read(t.Context())
+			is.NoErr(err)
+			is.Equal(d.Holder, holder.Board.Self.ID) // while its replacement goes on
+		}
+		time.Sleep(time.Second)
+		d, err := w.VMs[0].Record.Read(t.Context())
+		is.NoErr(err)
+		is.True(d.Holder != holder.Board.Self.ID) // given up once it shows
+		is.Equal(len(w.Cluster.Orders()), 1)
+	})
+}
+
+// An order of a former holder shows while its successor has paused the replicas.
+// The successor orders nothing, and lets the replicas follow the new primary.
+func TestOrderOfAFormerHolderThatShowsLate(t *testing.T) {
+	for _, effect := range []time.Duration{1500, 1600, 1700, 1800, 1900} {
+		c := clustertest.Config{VMs: 2, Adjust: func(c *cluster.Config) { c.PromoteTime = effect * time.Millisecond }}
+		bubble(t, c, func(t *testing.T, is *is.I, w *clustertest.World) {
+			old, first := clustertest.MemberID(0), holderOf(w)
+			holder := w.VMs[first]
+			holder.Promoter.Ordered = func(chervilladder.UpstreamID) { go holder.Stop() }
+			w.Cluster.Set(old, func(f *cluster.Faults) { f.Down = true })
+			awaitLeader(t, w, old)
+			began := time.Now()
+			s := w.Open(t, 1-first, clustertest.Primary)
+			for i := 0; write(w, s, fmt.Sprint("w", i)).Code != chervilladder.CodeNone && time.Since(began) < replacedWithin; i++ {
+				time.Sleep(20 * time.Millisecond)
+			}
+			is.True(time.Since(began) < 1500*time.Millisecond)
+			time.Sleep(5 * time.Second)
+			is.Equal(len(w.Cluster.Orders()), 1)
+		})
+	}
+}
--- /dev/null
+++ b/internal/control/failover/orders_test.go
@@ -0,0 +1,184 @@
+package failover_test
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/clustertest"
+	"github.com/chervilladder/chervilladder/internal/standin/cluster"
+)
+
+// A replica whose order to go on was lost is found paused and resumed.
+func TestForgottenReplicaGoesOn(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 1}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		var lost atomic.Bool
+		vm := w.VMs[0]
+		vm.Linker.OnStatus(func(id chervilladder.UpstreamID, c chervilladder.Command) {
+			if c.Kind == chervilladder.CommandResume && !lost.Swap(true) {
+				vm.Linker.Off(true, id)
+				time.AfterFunc(time.Second, func() { vm.Linker.Off(false, id) })
+				time.Sleep(time.Second)
+			}
+		})
+		w.Cluster.Set(clustertest.MemberID(0), func(f *cluster.Faults) { f.Down = true })
+		awaitLeader(t, w, clustertest.MemberID(0))
+		time.Sleep(5 * time.Second)
+		is.True(lost.Load())
+		for i := 1; i < 3; i++ {
+			is.Equal(w.Cluster.Held(clustertest.MemberID(i)), chervilladder.Term(0))
+		}
+		is.Equal(write(w, w.Open(t, 0, clustertest.Primary), "after").Code, chervilladder.CodeNone)
+	})
+}
+
+// A member that takes no more connections is given its orders on one that it has
+// accepted. Found by the soak of passed work, seed 17: nothing was promoted while
+// a replica was full.
+func TestOrdersReachAMemberThatIsFull(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 1, Connections: 1}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		s := w.Open(t, 0, clustertest.Primary)
+		is.Equal(write(w, s, "before").Code, chervilladder.CodeNone)
+		w.Cluster.Set(clustertest.MemberID(0), func(f *cluster.Faults) { f.Down = true })
+		_, took := awaitLeader(t, w, clustertest.MemberID(0))
+		is.True(took < replacedWithin)
+		checkKept(t, w, []string{"before"})
+	})
+}
+
+// A replica that can't be reached ends a replacement before the others are paused:
+// they would confirm nothing to a primary that works. Found by the soak of passed
+// work, seed 1: a VM that found one member full paused the others every 350 ms.
+func TestNoReplicaIsPausedWhileAnotherIsOutOfReach(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 1}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		vm, reached, lost := w.VMs[0], clustertest.MemberID(1), clustertest.MemberID(2)
+		var cut atomic.Bool
+		vm.Record.Written = func(d chervilladder.Duty) {
+			if d.Term == 2 && !cut.Swap(true) {
+				vm.Linker.Off(true, lost)
+			}
+		}
+		w.Cluster.Set(clustertest.MemberID(0), func(f *cluster.Faults) { f.Down = true })
+		for range 2000 {
+			time.Sleep(time.Millisecond)
+			is.Equal(w.Cluster.Held(reached), chervilladder.Term(0))
+		}
+		is.True(cut.Load())
+		vm.Linker.Off(false, lost)
+		awaitLeader(t, w, clustertest.MemberID(0))
+	})
+}
+
+// A primary of an earlier term that could not be told of its successor is made a
+// replica once it is seen. Found by the soak of passed work, seed 17: two of them
+// left the new primary without a replica.
+func TestOutdatedPrimaryBecomesAReplica(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 2}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		old := clustertest.MemberID(0)
+		for _, vm := range w.VMs {
+			vm.Linker.Off(true, old)
+		}
+		w.Cluster.Set(old, func(f *cluster.Faults) { f.Alone = true })
+		leader, _ := awaitLeader(t, w, old)
+		time.Sleep(time.Second)
+		for _, vm := range w.VMs {
+			vm.Linker.Off(false, old)
+		}
+		w.Cluster.Set(old, func(f *cluster.Faults) { f.Alone = false })
+		time.Sleep(3 * time.Second)
+		// The other replica is gone; the old primary has to confirm.
+		for i := 1; i < 3; i++ {
+			if id := clustertest.MemberID(i); id != leader {
+				w.Cluster.Set(id, func(f *cluster.Faults) { f.Down = true })
+			}
+		}
+		s := w.Open(t, 0, clustertest.Primary)
+		is.Equal(write(w, s, "after").Code, chervilladder.CodeNone)
+		now, term := w.Cluster.Leader()
+		is.Equal(now, leader)
+		is.Equal(term, chervilladder.Term(2)) // replaced once
+	})
+}
+
+// A replica that stayed paused is not resumed while the new primary is out of
+// sight: it would follow the old one, if that is there and works for VMs that
+// don't know better. Found by the soak, seed 44: an acknowledged commit was lost.
+func TestReplicaIsNotResumedToAnOldPrimary(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 2}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		old := clustertest.MemberID(0)
+		knows, unaware := w.VMs[holderOf(w)], w.VMs[1-holderOf(w)]
+		unaware.Linker.Off(true, clustertest.MemberID(1), clustertest.MemberID(2))
+		knows.Linker.Off(true, old)
+		w.Cluster.Set(old, func(f *cluster.Faults) { f.Alone = true })
+		var lost atomic.Bool
+		knows.Linker.OnStatus(func(id chervilladder.UpstreamID, c chervilladder.Command) {
+			if c.Kind != chervilladder.CommandResume || lost.Swap(true) {
+				return
+			}
+			// The order is lost, and the new primary with it.
+			knows.Linker.Off(true, id)
+			time.AfterFunc(500*time.Millisecond, func() { knows.Linker.Off(false, id) })
+			leader, _ := w.Cluster.Leader()
+			w.Cluster.Set(leader, func(f *cluster.Faults) { f.Alone, f.Silent = true, true })
+			w.Cluster.Set(old, func(f *cluster.Faults) { f.Alone = false })
+			time.Sleep(500 * time.Millisecond)
+		})
+		var s chervilladder.Session
+		for i, vm := range w.VMs {
+			if vm == unaware {
+				s = w.Open(t, i, clustertest.Primary)
+			}
+		}
+		var acked []string
+		for i := range 80 {
+			id := fmt.Sprint("w", i)
+			if write(w, s, id).Code == chervilladder.CodeNone {
+				acked = append(acked, id)
+			}
+			time.Sleep(40 * time.Millisecond)
+		}
+		is.True(lost.Load())
+		leader, _ := w.Cluster.Leader()
+		is.True(leader != old)
+		w.Cluster.Set(leader, func(f *cluster.Faults) { f.Alone, f.Silent = false, false })
+		time.Sleep(3 * time.Second)
+		checkKept(t, w, acked)
+	})
+}
+
+// A primary that works and reaches none of its replicas is replaced, and meanwhile
+// a new replica starts, which reaches it and confirms its commits. Found by a hunt
+// on salas-valle, mix 262433238841: five acknowledged commits were lost.
+func TestNewReplicaConfirmsNothingToAPrimaryThatIsReplaced(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 2}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		old := clustertest.MemberID(0)
+		for i := 1; i < 3; i++ {
+			w.Cluster.Set(clustertest.MemberID(i), func(f *cluster.Faults) { f.Alone = true })
+		}
+		for _, vm := range w.VMs {
+			vm.Promoter.Ordered = func(chervilladder.UpstreamID) { w.Cluster.Add(clustertest.Member(3)) }
+		}
+		var acked []string
+		s := w.Open(t, 0, clustertest.Primary)
+		for i := range 100 {
+			id := fmt.Sprint("w", i)
+			if write(w, s, id).Code == chervilladder.CodeNone {
+				acked = append(acked, id)
+			}
+			time.Sleep(20 * time.Millisecond)
+			if leader, _ := w.Cluster.Leader(); leader != old && leader != "" {
+				for i := 1; i < 3; i++ {
+					w.Cluster.Set(clustertest.MemberID(i), func(f *cluster.Faults) { f.Alone = false })
+				}
+			}
+		}
+		is.True(len(w.Cluster.Orders()) > 0)
+		is.True(len(acked) > 0)
+		time.Sleep(3 * time.Second)
+		checkKept(t, w, acked)
+	})
+}
