--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -3,10 +3,12 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/decide/retry"
 )
 
@@ -20,14 +22,21 @@
 	RetryAfter time.Duration
 	// Step makes one call and applies what it tells.
 	Step func(context.Context) error
-	// Answered is called after each step that succeeded.
-	Answered func()
+	// Board is told after each step that succeeded that the store answers.
+	Board *blackboard.Board
+	// Clock tells the VM's own time.
+	Clock func() time.Time
+	// Hear takes over what peers tell while the store is away.
+	Hear func(blackboard.Knowledge)
 
 	lost bool
 }
 
 // Run goes on until the context ends.
 func (l *Loop) Run(ctx context.Context) {
+	var listening sync.WaitGroup
+	listening.Go(func() { l.listen(ctx) })
+	defer listening.Wait()
 	for ctx.Err() == nil {
 		err := l.Step(ctx)
 		if ctx.Err() != nil {
@@ -35,7 +44,7 @@
 		}
 		l.note(err)
 		if err == nil {
-			l.Answered()
+			l.Board.StoreAnswered.Raise(l.Clock())
 		}
 		if err != nil {
 			pause(ctx, retry.Spread(l.RetryAfter))
@@ -43,6 +52,19 @@
 	}
 }
 
+// listen hears peers until the context ends.
+func (l *Loop) listen(ctx context.Context) {
+	for {
+		heard, changed := l.Board.Heard.Watch()
+		l.Hear(heard)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (l *Loop) note(err error) {
 	lost := err != nil
 	if lost == l.lost {
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -65,31 +65,14 @@
 		k.sweep(ctx)
 	}()
 	defer func() { <-swept }()
-	listened := make(chan struct{})
-	go func() {
-		defer close(listened)
-		k.listen(ctx)
-	}()
-	defer func() { <-listened }()
-	answered := func() { k.c.Board.StoreAnswered.Raise(k.c.Clock()) }
-	loop := follow.Loop{Name: "registry", Log: k.c.Log, RetryAfter: retryAfter, Step: k.step, Answered: answered}
+	loop := follow.Loop{
+		Name: "registry", Log: k.c.Log, RetryAfter: retryAfter, Step: k.step,
+		Board: k.c.Board, Clock: k.c.Clock, Hear: k.hear,
+	}
 	loop.Run(ctx)
 	return nil
 }
 
-// listen takes over what peers tell while the store is away.
-func (k *Controller) listen(ctx context.Context) {
-	for {
-		heard, changed := k.c.Board.Heard.Watch()
-		k.hear(heard)
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // hear takes over a peer's list if it is newer than what this VM knows.
 func (k *Controller) hear(heard blackboard.Knowledge) {
 	k.applying.Lock()
--- a/internal/control/routing/routing.go
+++ b/internal/control/routing/routing.go
@@ -54,30 +54,18 @@
 
 // Run follows the configuration until the context ends.
 func (k *Controller) Run(ctx context.Context) error {
-	listened := make(chan struct{})
-	go func() {
-		defer close(listened)
-		k.listen(ctx)
-	}()
-	answered := func() { k.c.Board.StoreAnswered.Raise(k.c.Clock()) }
-	loop := follow.Loop{Name: "routing", Log: k.c.Log, RetryAfter: retryAfter, Step: k.step, Answered: answered}
+	loop := follow.Loop{
+		Name: "routing", Log: k.c.Log, RetryAfter: retryAfter, Step: k.step,
+		Board: k.c.Board, Clock: k.c.Clock, Hear: k.hear,
+	}
 	loop.Run(ctx)
-	<-listened
 	return nil
 }
 
-// listen takes over what peers tell while the store is away.
-func (k *Controller) listen(ctx context.Context) {
-	for {
-		heard, changed := k.c.Board.Heard.Watch()
-		if heard.Routing != nil {
-			k.apply(heard.Routing)
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
+// hear takes over a peer's configuration if it is newer.
+func (k *Controller) hear(heard blackboard.Knowledge) {
+	if heard.Routing != nil {
+		k.apply(heard.Routing)
 	}
 }
 
