Spread hosts over the data centres, and ask those of the own one first

Change: of each data centre in turn the best one is a host; a VM asks those of its own data centre first.

Failed first: TestHostsAreSpreadOverDataCentres (did not exist in this form: the decision knew no data centres).

--- a/internal/blackboard/hosting.go
+++ b/internal/blackboard/hosting.go
@@ -12,10 +12,10 @@
 
 // Hosts is the VMs to pass a service's work to.
 type Hosts struct {
-	// VMs are in the order in which they are asked. The first Steady ones
-	// hold connections all the time, the others once they are asked.
-	VMs    []chervilladder.VMID
-	Steady int
+	// VMs are in the order in which they are asked. Callers are spread over
+	// the First ones.
+	VMs   []chervilladder.VMID
+	First int
 }
 
 // Here reports whether this VM holds connections to a service's upstreams.
--- a/internal/clustertest/passing.go
+++ b/internal/clustertest/passing.go
@@ -111,7 +111,7 @@
 
 // Pass has a VM pass the service's work to others.
 func (w *World) Pass(vm int, hosts ...int) {
-	list := blackboard.Hosts{Steady: 1}
+	list := blackboard.Hosts{First: 1}
 	for _, i := range hosts {
 		list.VMs = append(list.VMs, chervilladder.VMID(fmt.Sprintf("vm-%d", i)))
 	}
--- a/internal/control/hosting/hosting.go
+++ b/internal/control/hosting/hosting.go
@@ -77,19 +77,23 @@
 
 // decide names the hosts of each service.
 func (k *Controller) decide(routing *chervilladder.Routing, members blackboard.Membership) {
-	self := k.c.Board.Self.ID
-	vms := append(members.Candidates(), self)
+	self := k.c.Board.Self
+	vms := []chervilladder.VM{self}
+	for _, id := range members.Candidates() {
+		vms = append(vms, members.Members[id].VM)
+	}
 	next := make(map[chervilladder.ServiceID]blackboard.Hosts)
 	for service, limits := range routing.Services {
-		list, steady := hosting.Of(service, vms, limits.MaxConnections)
-		if len(list) == 0 || slices.Contains(list[:steady], self) || k.asked(service) {
+		list, hosts := hosting.Of(service, vms, limits.MaxConnections)
+		isSelf := func(vm chervilladder.VM) bool { return vm.ID == self.ID }
+		if len(list) == 0 || slices.ContainsFunc(list[:hosts], isSelf) || k.asked(service) {
 			continue
 		}
-		list = slices.DeleteFunc(list, func(id chervilladder.VMID) bool { return id == self })
-		next[service] = blackboard.Hosts{VMs: list, Steady: steady}
+		ordered, first := hosting.From(self.DataCentre, slices.DeleteFunc(list, isSelf), hosts)
+		next[service] = blackboard.Hosts{VMs: ordered, First: first}
 	}
 	before := k.c.Board.Hosting.Load()
-	same := func(a, b blackboard.Hosts) bool { return a.Steady == b.Steady && slices.Equal(a.VMs, b.VMs) }
+	same := func(a, b blackboard.Hosts) bool { return a.First == b.First && slices.Equal(a.VMs, b.VMs) }
 	if !before.Deciding && maps.EqualFunc(before.Elsewhere, next, same) {
 		return
 	}
--- a/internal/control/hosting/hosting_test.go
+++ b/internal/control/hosting/hosting_test.go
@@ -61,7 +61,7 @@
 		synctest.Wait()
 		h := b.Hosting.Load()
 		is.True(!h.Here(service))
-		is.Equal(h.Elsewhere[service].Steady, 3)
+		is.Equal(h.Elsewhere[service].First, 3)
 		is.Equal(len(h.Elsewhere[service].VMs), 6)
 
 		// A peer that asks is served, for as long as it asks.
--- a/internal/decide/hosting/hosting.go
+++ b/internal/decide/hosting/hosting.go
@@ -32,13 +32,59 @@
 }
 
 // Of returns the VMs to ask for a service's work, best first, and how many of
-// them hold connections all the time; the others do once they are asked. The
-// list is empty if all VMs hold connections.
-func Of(service chervilladder.ServiceID, vms []chervilladder.VMID, connections int) (list []chervilladder.VMID, hosts int) {
+// them hold connections all the time; the others do once they are asked. Hosts are
+// spread over the data centres. The list is empty if all VMs hold connections.
+func Of(service chervilladder.ServiceID, vms []chervilladder.VM, connections int) (list []chervilladder.VM, hosts int) {
 	hosts = Hosts(len(vms), connections)
 	if hosts >= len(vms) {
 		return nil, len(vms)
 	}
-	ranked := rendezvous.Ranked(rendezvous.Task("hosting/"+service), vms)
-	return ranked[:min(len(ranked), hosts+spareHosts)], hosts
+	byID := make(map[chervilladder.VMID]chervilladder.VM, len(vms))
+	ids := make([]chervilladder.VMID, 0, len(vms))
+	for _, vm := range vms {
+		byID[vm.ID] = vm
+		ids = append(ids, vm.ID)
+	}
+	ranked := rendezvous.Ranked(rendezvous.Task("hosting/"+service), ids)
+	want := min(len(ranked), hosts+spareHosts)
+	for len(list) < want {
+		// In turn, the best one left of each data centre.
+		taken := make(map[chervilladder.DataCentreID]bool)
+		var left []chervilladder.VMID
+		for _, id := range ranked {
+			if dc := byID[id].DataCentre; !taken[dc] && len(list) < want {
+				taken[dc] = true
+				list = append(list, byID[id])
+				continue
+			}
+			left = append(left, id)
+		}
+		ranked = left
+	}
+	return list, hosts
+}
+
+// From returns the hosts in the order in which a VM asks them: those that hold
+// connections all the time first, of these those of its own data centre, and how many
+// the first group holds over which its callers are spread.
+func From(dc chervilladder.DataCentreID, list []chervilladder.VM, hosts int) (ordered []chervilladder.VMID, first int) {
+	hosts = min(hosts, len(list))
+	for _, vm := range list[:hosts] {
+		if vm.DataCentre == dc {
+			ordered = append(ordered, vm.ID)
+		}
+	}
+	first = len(ordered)
+	for _, vm := range list[:hosts] {
+		if vm.DataCentre != dc {
+			ordered = append(ordered, vm.ID)
+		}
+	}
+	for _, vm := range list[hosts:] {
+		ordered = append(ordered, vm.ID)
+	}
+	if first == 0 {
+		first = hosts
+	}
+	return ordered, first
 }
--- a/internal/decide/hosting/hosting_test.go
+++ b/internal/decide/hosting/hosting_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -32,24 +33,25 @@
 	}
 }
 
+func fleet(n, dcs int) []chervilladder.VM {
+	var vms []chervilladder.VM
+	for i := range n {
+		vms = append(vms, chervilladder.VM{ID: chervilladder.VMID(fmt.Sprint("vm-", i)), DataCentre: chervilladder.DataCentreID(fmt.Sprint("dc-", i%dcs))})
+	}
+	return vms
+}
+
 func TestOf(t *testing.T) {
 	is := is.New(t)
-	var vms []chervilladder.VMID
-	for i := range 100 {
-		vms = append(vms, chervilladder.VMID(fmt.Sprint("vm-", i)))
-	}
+	vms := fleet(100, 1)
 	list, hosts := hosting.Of("s", vms, 22)
 	is.Equal(hosts, 3)
 	is.Equal(len(list), 6)
 	// A VM that is not among them changes nothing when it goes.
-	var fewer []chervilladder.VMID
+	var fewer []chervilladder.VM
 	gone := false
 	for _, vm := range vms {
-		listed := false
-		for _, l := range list {
-			listed = listed || l == vm
-		}
-		if !listed && !gone {
+		if !slices.Contains(list, vm) && !gone {
 			gone = true
 			continue
 		}
@@ -63,3 +65,26 @@
 	is.Equal(len(none), 0)
 	is.Equal(hosts, 5)
 }
+
+// With as many hosts as data centres each has one, and each VM asks its own first.
+func TestHostsAreSpreadOverDataCentres(t *testing.T) {
+	for _, service := range []chervilladder.ServiceID{"s", "t", "u", "v"} {
+		is := is.New(t)
+		list, hosts := hosting.Of(service, fleet(100, 3), 22)
+		seen := make(map[chervilladder.DataCentreID]int)
+		for _, vm := range list {
+			seen[vm.DataCentre]++
+		}
+		is.Equal(len(list), 6)
+		is.Equal(seen, map[chervilladder.DataCentreID]int{"dc-0": 2, "dc-1": 2, "dc-2": 2})
+		for _, vm := range list[:hosts] {
+			ordered, first := hosting.From(vm.DataCentre, list, hosts)
+			is.Equal(ordered[0], vm.ID)
+			is.Equal(first, 1)
+			is.Equal(len(ordered), 6)
+		}
+		ordered, first := hosting.From("elsewhere", list, hosts)
+		is.Equal(first, 3)
+		is.Equal(ordered[5], list[5].ID)
+	}
+}
--- a/internal/session/remote.go
+++ b/internal/session/remote.go
@@ -32,7 +32,7 @@
 	return elsewhere && !w.session.hosted
 }
 
-// host returns the host for the next attempt. Callers are spread over the steady
+// host returns the host for the next attempt. Callers are spread over the first
 // hosts; those that lately gave no answer are asked last.
 func (w *work) host() (chervilladder.VMID, error) {
 	m := w.session.m
@@ -40,10 +40,14 @@
 	if len(h.VMs) == 0 {
 		return "", errNoHost
 	}
-	first := int(xxhash.Sum64String(w.session.caller) % uint64(max(1, min(h.Steady, len(h.VMs)))))
+	first := max(1, min(h.First, len(h.VMs)))
+	start := int(xxhash.Sum64String(w.session.caller) % uint64(first))
 	var last []chervilladder.VMID
 	for i := range h.VMs {
-		vm := h.VMs[(first+i)%len(h.VMs)]
+		vm := h.VMs[i]
+		if i < first {
+			vm = h.VMs[(start+i)%first]
+		}
 		at, ok := m.shunned.Find(vm)
 		if vm == w.avoid || ok && m.c.Clock().Sub(at.Load()) < shunFor {
 			last = append(last, vm)
@@ -147,138 +151,3 @@
 	next, code := answer.LoneLost(w.access)
 	return failure(code, err.Error()), next
 }
-
-// remoteTransaction is an open transaction of a service that another VM hosts.
-type remoteTransaction struct {
-	session *session
-	route   chervilladder.Route
-	// begun is the caller's command that began it.
-	begun chervilladder.Command
-	// vm and exchange are where it is open; nil before its first statement
-	// and once it has failed.
-	vm       chervilladder.VMID
-	exchange chervilladder.Exchange
-	// failed is set once only a rollback can end it, wrote once a write was
-	// passed on.
-	failed, wrote bool
-}
-
-func (t *remoteTransaction) state() chervilladder.TransactionState {
-	if t.failed {
-		return chervilladder.StateFailed
-	}
-	return chervilladder.StateOpen
-}
-
-// do runs a command within the transaction.
-func (t *remoteTransaction) do(ctx context.Context, w *work) chervilladder.Result {
-	w.bind(t.route)
-	switch kind := w.command.Kind; {
-	case kind == chervilladder.CommandRollback:
-		t.end()
-		return chervilladder.Result{Signature: chervilladder.NoSignature}
-	case kind == chervilladder.CommandCommit && t.failed:
-		t.end()
-		return failure(chervilladder.CodeAborted, "the transaction had failed and was rolled back")
-	case t.failed:
-		return failure(chervilladder.CodeMalformed, "the transaction has failed; roll it back")
-	case kind == chervilladder.CommandSet, kind == chervilladder.CommandPrepare, kind == chervilladder.CommandDeallocate, kind == chervilladder.CommandNone:
-		return t.session.local(w.command)
-	case kind == chervilladder.CommandExecute:
-		p, ok := t.session.prepared[w.command.Name]
-		if !ok {
-			t.fail()
-			return failure(chervilladder.CodeNoStatement, w.command.Name)
-		}
-		w.need, w.access = &p, p.Access
-	case kind == chervilladder.CommandRead:
-		w.access = chervilladder.AccessRead
-	}
-	return t.run(ctx, w)
-}
-
-// run passes a command to the host, which begins the transaction with the first
-// one.
-func (t *remoteTransaction) run(ctx context.Context, w *work) chervilladder.Result {
-	t.wrote = t.wrote || w.command.Kind != chervilladder.CommandCommit && w.access == chervilladder.AccessWrite
-	var r chervilladder.Result
-	var err error
-	if t.exchange == nil {
-		r, err = t.open(ctx, w)
-	} else {
-		r, err = w.pass(t.exchange, t.vm, w.command)
-	}
-	switch {
-	case err != nil:
-		t.fail()
-		return t.lost(w, err)
-	case w.command.Kind == chervilladder.CommandCommit:
-		t.end()
-		if r.Code == chervilladder.CodeNone {
-			t.session.observe(r.Mark, t.session.m.c.Clock())
-		}
-	case r.State != chervilladder.StateOpen:
-		t.failed = true
-	}
-	return r
-}
-
-// open begins the transaction at a host and runs its first command there, at
-// another host if nothing has run at the first.
-func (t *remoteTransaction) open(ctx context.Context, w *work) (chervilladder.Result, error) {
-	for {
-		w.tries++
-		vm, err := w.host()
-		if err != nil {
-			return chervilladder.Result{}, err
-		}
-		// The exchange outlives the command that opens it.
-		x, err := w.exchangeAt(context.WithoutCancel(ctx), vm, chervilladder.AccessWrite)
-		if err == nil {
-			t.vm, t.exchange = vm, x
-			var r chervilladder.Result
-			if r, err = w.pass(x, vm, t.begun, w.command); err == nil {
-				return r, nil
-			}
-			t.abandon()
-		}
-		var notRun *chervilladder.NotRunError
-		if !errors.As(err, &notRun) || !w.again(ctx) {
-			return chervilladder.Result{}, err
-		}
-	}
-}
-
-// lost is the answer to a command whose exchange has failed. Without a COMMIT
-// that was passed on, the host rolls back.
-func (t *remoteTransaction) lost(w *work, err error) chervilladder.Result {
-	if w.command.Kind != chervilladder.CommandCommit {
-		return failure(chervilladder.CodeAborted, err.Error())
-	}
-	t.end()
-	var notRun *chervilladder.NotRunError
-	if errors.As(err, &notRun) {
-		return failure(chervilladder.CodeAborted, err.Error())
-	}
-	return failure(answer.CommitLost(t.wrote), err.Error())
-}
-
-// fail leaves only the rollback; the host rolls back now.
-func (t *remoteTransaction) fail() {
-	t.failed = true
-	t.abandon()
-}
-
-// end ends the transaction.
-func (t *remoteTransaction) end() {
-	t.abandon()
-	t.session.tx = nil
-}
-
-// abandon ends the exchange, and with it an open transaction at the host.
-func (t *remoteTransaction) abandon() {
-	if t.exchange != nil {
-		t.exchange.Close()
-		t.exchange = nil
-	}
-}
