Have a few VMs read the store, and the others follow them

Change: from 20 VMs on, one VM in 16 (six at least, spread over the data centres) reads the store. The others follow two of them by a stream: each part has its own revision, upstreams travel as changes, configurations compressed, and a beat each 300 ms says how old the word is. A follower whose readers' word gets stale reads the store itself; a reader's wait is derived from the bound on configurations, so that both fit into it. While the store turns a VM away it follows any peers by the same stream, in place of asking each 500 ms. decide/reading holds who reads and how old is stale; control/relay feeds and follows; peer carries it.

Failed first: TestFewReadTheStoreForMany, and with a stale bound of 6 s TestFollowersReadWhenTheirReadersLoseTheStore.

--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -38,9 +38,16 @@
 	// Upstreams is the upstreams that have registered at the platform.
 	// Written by control/registry.
 	Upstreams Section[Upstreams]
-	// StoreAnswered is when the platform's store last answered, by the VM's
-	// own clock. Raised by control/routing and control/registry.
-	StoreAnswered Moment
+	// RoutingAnswered and UpstreamsAnswered are when the platform's store last
+	// answered about each, by the VM's own clock. Raised by control/routing
+	// and control/registry.
+	RoutingAnswered, UpstreamsAnswered Moment
+	// Told is the latest moment as of which a peer has told what is in the
+	// store. Raised by control/relay.
+	Told Moment
+	// Reading says whether this VM reads the store itself. Written by
+	// control/relay.
+	Reading Section[Reading]
 	// Peers is the other VMs of the platform's list. Written by
 	// control/relay.
 	Peers Section[[]chervilladder.VM]
--- a/internal/blackboard/knowledge.go
+++ b/internal/blackboard/knowledge.go
@@ -7,8 +7,7 @@
 	"github.com/chervilladder/chervilladder"
 )
 
-// Knowledge is what a VM knows from the platform's store and passes on to VMs
-// that don't reach it.
+// Knowledge is what peers have told of the platform's store.
 type Knowledge struct {
 	Routing *chervilladder.Routing
 	// Upstreams are those registered at UpstreamsAt.
@@ -16,25 +15,42 @@
 	UpstreamsAt chervilladder.Revision
 }
 
-// Revision orders what a VM knows: it rises with each part that becomes newer.
-func (k Knowledge) Revision() chervilladder.Revision {
-	r := k.UpstreamsAt
-	if k.Routing != nil {
-		r += k.Routing.Revision
+// KnownAt returns the revisions of what the board holds of the store.
+func (b *Board) KnownAt() chervilladder.KnownAt {
+	known := chervilladder.KnownAt{Upstreams: b.Upstreams.Load().At}
+	if r := b.Routing.Load(); r != nil {
+		known.Routing = r.Revision
 	}
-	return r
+	return known
 }
 
-// Knowledge returns what the board holds of the store.
-func (b *Board) Knowledge() Knowledge {
-	u := b.Upstreams.Load()
-	k := Knowledge{Routing: b.Routing.Load(), UpstreamsAt: u.At}
-	for _, e := range u.ByID {
-		if e.LapsedSince.IsZero() {
-			k.Upstreams = append(k.Upstreams, e.Registered)
-		}
+// StoreAnswered returns when the store last answered this VM.
+func (b *Board) StoreAnswered() time.Time {
+	return later(b.RoutingAnswered.Load(), b.UpstreamsAnswered.Load())
+}
+
+// KnownAsOf returns the moment as of which the board holds what is in the store,
+// by the store's own answers or by what peers tell.
+func (b *Board) KnownAsOf() time.Time {
+	direct := b.RoutingAnswered.Load()
+	if u := b.UpstreamsAnswered.Load(); u.Before(direct) {
+		direct = u
+	}
+	return later(direct, b.Told.Load())
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return k
+	return b
+}
+
+// Reading says how this VM learns what is in the store.
+type Reading struct {
+	// Elsewhere is set while it learns from peers alone, ForOthers while
+	// peers learn from it.
+	Elsewhere, ForOthers bool
 }
 
 // Moment is the latest of some moments. The zero Moment is the zero time.
--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -22,8 +22,10 @@
 	RetryAfter time.Duration
 	// Step makes one call and applies what it tells.
 	Step func(context.Context) error
-	// Board is told after each step that succeeded that the store answers.
+	// Board says whether the store is read at all for now, and what peers tell.
 	Board *blackboard.Board
+	// Answered is raised after each step that succeeded.
+	Answered *blackboard.Moment
 	// Clock tells the VM's own time.
 	Clock func() time.Time
 	// Hear takes over what peers tell while the store is away.
@@ -37,14 +39,14 @@
 	var listening sync.WaitGroup
 	listening.Go(func() { l.listen(ctx) })
 	defer listening.Wait()
-	for ctx.Err() == nil {
+	for l.await(ctx) {
 		err := l.Step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		l.note(err)
 		if err == nil {
-			l.Board.StoreAnswered.Raise(l.Clock())
+			l.Answered.Raise(l.Clock())
 		}
 		if err != nil {
 			pause(ctx, retry.Spread(l.RetryAfter))
@@ -52,6 +54,22 @@
 	}
 }
 
+// await waits until the store is to be read, and reports whether the context goes
+// on.
+func (l *Loop) await(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		r, changed := l.Board.Reading.Watch()
+		if !r.Elsewhere {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	return false
+}
+
 // listen hears peers until the context ends.
 func (l *Loop) listen(ctx context.Context) {
 	for {
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -13,6 +13,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/control/follow"
+	"github.com/chervilladder/chervilladder/internal/decide/reading"
 )
 
 // The pace of the calls.
@@ -67,7 +68,7 @@
 	defer func() { <-swept }()
 	loop := follow.Loop{
 		Name: "registry", Log: k.c.Log, RetryAfter: retryAfter, Step: k.step,
-		Board: k.c.Board, Clock: k.c.Clock, Hear: k.hear,
+		Board: k.c.Board, Answered: &k.c.Board.UpstreamsAnswered, Clock: k.c.Clock, Hear: k.hear,
 	}
 	loop.Run(ctx)
 	return nil
@@ -117,6 +118,9 @@
 // watchWait returns how long a watch waits; one that has fallen silent is only
 // noticed after it.
 func (k *Controller) watchWait() time.Duration {
+	if k.c.Board.Reading.Load().ForOthers {
+		return reading.Wait(k.c.Board.Bounds.Load().ConfigInForce)
+	}
 	drain := k.c.Board.Bounds.Load().UpstreamDrain
 	if drain <= 0 {
 		return maxWait
--- /dev/null
+++ b/internal/control/relay/follower.go
@@ -0,0 +1,231 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/reading"
+	"github.com/chervilladder/chervilladder/internal/decide/rendezvous"
+)
+
+// The pace of a follower.
+const (
+	// streams is how many peers are followed at a time: one that has lost the
+	// store is not noticed at once.
+	streams = 2
+	// lookEvery is how often it is looked whether peers are to be followed.
+	lookEvery = 100 * time.Millisecond
+	// awayAfter is how long the store must have answered nothing before all
+	// peers are asked. Watches that hear nothing end sooner.
+	awayAfter = 2500 * time.Millisecond
+	// silentAfter is how long a peer may tell nothing, which it does several
+	// times in that time.
+	silentAfter = 900 * time.Millisecond
+	// shunFor is for how long a peer that was lost is not followed again.
+	shunFor = 3 * time.Second
+)
+
+// maxPeers is how many peers are asked at most while the store is away. Each costs
+// a connection.
+const maxPeers = 8
+
+// decide says again and again whether this VM reads the store, and which peers it
+// may follow.
+func (k *Controller) decide(ctx context.Context) {
+	for {
+		peers, changed := k.c.Board.Peers.Watch()
+		self := k.c.Board.Self
+		readers := reading.Readers(append([]chervilladder.VM{self}, peers...))
+		reads := slices.ContainsFunc(readers, func(vm chervilladder.VM) bool { return vm.ID == self.ID })
+		if reads {
+			readers = nil
+		}
+		k.may(reading.Sources(self, readers), reads)
+		k.settle()
+		t := time.NewTimer(lookEvery)
+		for again := true; again; {
+			select {
+			case <-changed:
+				again = false
+			case <-t.C:
+				k.settle()
+				t.Reset(lookEvery)
+			case <-ctx.Done():
+				t.Stop()
+				return
+			}
+		}
+		t.Stop()
+	}
+}
+
+// may notes which readers this VM follows, if it follows any, and whether it is
+// one itself.
+func (k *Controller) may(readers []chervilladder.VM, reads bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.readers, k.reads = readers, reads
+}
+
+// settle says on the board whether this VM reads the store, and notes whom it
+// follows.
+func (k *Controller) settle() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.c.Clock()
+	next := blackboard.Reading{ForOthers: k.reads}
+	follows := len(k.readers) > 0
+	if follows {
+		next.Elsewhere = now.Sub(k.c.Board.Told.Load()) < reading.Stale(k.c.Board.Bounds.Load().ConfigInForce)
+	}
+	if before := k.c.Board.Reading.Load(); before != next {
+		k.c.Board.Reading.Store(next)
+		k.c.Log.WithFields(logrus.Fields{
+			"elsewhere": next.Elsewhere, "for-others": next.ForOthers, "readers": len(k.readers),
+		}).Info("relay: who reads the store")
+	}
+	answered := k.c.Board.StoreAnswered()
+	if follows {
+		answered = k.c.Board.KnownAsOf()
+	}
+	away := now.Sub(answered) >= awayAfter
+	if away != k.away {
+		k.away = away
+		k.c.Log.WithFields(logrus.Fields{"asking": away, "peers": len(k.c.Board.Peers.Load())}).Info("relay: peers are asked for what the store can't tell")
+	}
+	k.sources = k.readers
+	if away {
+		k.sources = append(slices.Clone(k.readers), k.anyPeers()...)
+	}
+}
+
+// anyPeers returns the peers to follow while the store is away, others for each VM.
+func (k *Controller) anyPeers() []chervilladder.VM {
+	byID := make(map[chervilladder.VMID]chervilladder.VM)
+	var ids []chervilladder.VMID
+	for _, vm := range k.c.Board.Peers.Load() {
+		byID[vm.ID] = vm
+		ids = append(ids, vm.ID)
+	}
+	var list []chervilladder.VM
+	for _, id := range rendezvous.Ranked(rendezvous.Task("relay/"+k.c.Board.Self.ID), ids) {
+		if len(list) == maxPeers {
+			break
+		}
+		list = append(list, byID[id])
+	}
+	return list
+}
+
+// source returns the peer that a stream is to follow now.
+func (k *Controller) source(stream int) (chervilladder.VM, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.c.Clock()
+	for _, vm := range k.sources {
+		if lost, ok := k.lost[vm.ID]; ok && now.Sub(lost) < shunFor || slices.Contains(k.using[:], vm.ID) {
+			continue
+		}
+		k.using[stream] = vm.ID
+		return vm, true
+	}
+	return chervilladder.VM{}, false
+}
+
+// left notes that a stream follows nobody, and whether the peer was lost.
+func (k *Controller) left(stream int, lost bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if lost {
+		k.lost[k.using[stream]] = k.c.Clock()
+	}
+	k.using[stream] = ""
+}
+
+// wanted reports whether a peer is still to be followed.
+func (k *Controller) wanted(peer chervilladder.VM) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Contains(k.sources, peer)
+}
+
+// listen follows one peer after the other, as long as there are some to follow.
+func (k *Controller) listen(ctx context.Context, stream int) {
+	for pause(ctx, lookEvery) {
+		if peer, ok := k.source(stream); ok {
+			k.left(stream, k.follow(ctx, peer) && ctx.Err() == nil)
+		}
+	}
+}
+
+// follow follows a peer until it is lost, which it reports, or no more to be
+// followed.
+func (k *Controller) follow(ctx context.Context, peer chervilladder.VM) (lost bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	lost = true
+	silent := time.AfterFunc(silentAfter, cancel)
+	defer silent.Stop()
+	log := k.c.Log.WithField("peer", peer.ID)
+	var list upstreams
+	err := k.c.Feeds.Follow(ctx, peer.Peer, k.c.Board.KnownAt(), func(n chervilladder.News) {
+		silent.Reset(silentAfter)
+		var err error
+		if list, err = k.hear(n, list); err != nil {
+			log.WithError(err).Warn("relay: what a peer told can't be read")
+			cancel()
+		}
+		switch {
+		case n.Age >= awayAfter:
+			cancel() // it has lost the store itself
+		case !k.wanted(peer):
+			lost = false
+			cancel()
+		}
+	})
+	if lost {
+		log.WithError(err).Debug("relay: peer lost")
+	}
+	return lost
+}
+
+// hear takes over what a peer tells, and returns its list of upstreams.
+func (k *Controller) hear(n chervilladder.News, list upstreams) (upstreams, error) {
+	k.hearing.Lock()
+	defer k.hearing.Unlock()
+	heard, newer := k.c.Board.Heard.Load(), false
+	if len(n.Routing) > 0 {
+		r, err := decodeRouting(n.Routing)
+		if err != nil {
+			return list, err
+		}
+		if heard.Routing == nil || r.Revision > heard.Routing.Revision {
+			heard.Routing, newer = r, true
+		}
+	}
+	if len(n.Upstreams) > 0 {
+		next, at, err := list.apply(n.Upstreams)
+		if err != nil {
+			return list, err
+		}
+		list = next
+		if at > heard.UpstreamsAt {
+			newer = true
+			heard.UpstreamsAt, heard.Upstreams = at, make([]chervilladder.Registered, 0, len(list))
+			for _, r := range list {
+				heard.Upstreams = append(heard.Upstreams, r)
+			}
+		}
+	}
+	if newer {
+		k.c.Board.Heard.Store(heard)
+		k.c.Log.WithFields(logrus.Fields{"upstreams": len(heard.Upstreams), "upstreams-at": heard.UpstreamsAt}).Info("relay: learnt from a peer")
+	}
+	k.c.Board.Told.Raise(k.c.Clock().Add(-n.Age))
+	return list, nil
+}
--- a/internal/control/relay/relay_test.go
+++ b/internal/control/relay/relay_test.go
@@ -1,6 +1,8 @@
 package relay_test
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"errors"
 	"io"
@@ -30,6 +32,7 @@
 	routing   *chervilladder.Routing
 	upstreams []chervilladder.Registered
 	vms       map[chervilladder.VMID]chervilladder.VM
+	calls     atomic.Int64
 }
 
 // route puts a configuration with one database in place.
@@ -69,6 +72,7 @@
 func (v *view) call() (func(), error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.s.calls.Add(1)
 	if v.away {
 		return nil, errTurnedAway
 	}
@@ -132,21 +136,29 @@
 type vm struct {
 	view  *view
 	board *blackboard.Board
+	relay *relay.Controller
 }
 
 // fleet is VMs that reach each other.
 type fleet struct {
 	vms map[chervilladder.Address]*vm
-	// pulls and bytes count what peers were asked for and have told.
-	pulls, bytes atomic.Int64
+	// follows and bytes count what peers were asked for and have told.
+	follows, bytes atomic.Int64
+	// dark is set while no peer answers.
+	dark atomic.Bool
 }
 
-// Pull answers for the peer as its server does.
-func (f *fleet) Pull(_ context.Context, peer chervilladder.Address, newerThan chervilladder.Revision) (chervilladder.Relayed, error) {
-	r := f.vms[peer].board.Published.Load().For(newerThan)
-	f.pulls.Add(1)
-	f.bytes.Add(int64(len(r.Encoded)))
-	return r, nil
+// Follow hears the peer as by its server.
+func (f *fleet) Follow(ctx context.Context, peer chervilladder.Address, have chervilladder.KnownAt, hear func(chervilladder.News)) error {
+	f.follows.Add(1)
+	return f.vms[peer].relay.Follow(ctx, have, func(n chervilladder.News) error {
+		if f.dark.Load() {
+			return errTurnedAway
+		}
+		f.bytes.Add(int64(len(n.Routing) + len(n.Upstreams)))
+		hear(n)
+		return nil
+	})
 }
 
 func bubble(t *testing.T, size int, f func(is *is.I, s *store, f *fleet)) {
@@ -164,7 +176,8 @@
 			all.vms[v.board.Self.Peer] = v
 			routes, err1 := routing.New(routing.Config{Board: v.board, Source: v.view, Log: log, Clock: time.Now})
 			upstreams, err2 := registry.New(registry.Config{Board: v.board, Source: v.view, Log: log, Clock: time.Now})
-			relays, err3 := relay.New(relay.Config{Board: v.board, Directory: v.view, Relay: all, Log: log, Clock: time.Now})
+			relays, err3 := relay.New(relay.Config{Board: v.board, Directory: v.view, Feeds: all, Log: log, Clock: time.Now})
+			v.relay = relays
 			if err := errors.Join(err1, err2, err3); err != nil {
 				t.Fatal(err)
 			}
@@ -215,7 +228,7 @@
 			v.view.turnAway(true)
 		}
 		time.Sleep(10 * time.Second)
-		f.vms["a"].board.Published.Store(blackboard.Published{Revision: 99, Encoded: []byte(`{"Routing":{"Revision":1},"UpstreamsAt":1}`)})
+		f.vms["a"].board.Published.Store(blackboard.Published{Revision: 99, Encoded: packed(is, `{"Revision":1}`)})
 		time.Sleep(10 * time.Second)
 		is.True(cut.knows("second", "b", "c"))
 
@@ -230,25 +243,100 @@
 // sent.
 func TestPeersAreAskedOnlyWhileTheStoreIsAway(t *testing.T) {
 	bubble(t, 12, func(is *is.I, _ *store, f *fleet) {
-		is.Equal(f.pulls.Load(), int64(0))
+		is.Equal(f.follows.Load(), int64(0))
 		for _, v := range f.vms {
 			is.Equal(len(v.board.Peers.Load()), 11)
 			v.view.turnAway(true)
 		}
 		time.Sleep(30 * time.Second)
-		is.True(f.pulls.Load() > 0)
+		is.True(f.follows.Load() > 0)
 		is.Equal(f.bytes.Load(), int64(0))
 	})
 }
 
+// packed returns a text as it travels between VMs.
+func packed(is *is.I, text string) []byte {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	is.NoErr(err)
+	_, err = w.Write([]byte(text))
+	is.NoErr(err)
+	is.NoErr(w.Close())
+	return b.Bytes()
+}
+
+// Of many VMs a few read the store, and the others learn from these in time. If
+// these are gone, the others read for themselves.
+func TestFewReadTheStoreForMany(t *testing.T) {
+	bubble(t, 60, func(is *is.I, s *store, f *fleet) {
+		reading := func() (n int) {
+			for _, v := range f.vms {
+				if !v.board.Reading.Load().Elsewhere {
+					n++
+				}
+			}
+			return n
+		}
+		knowWithin := func(d time.Duration, db chervilladder.DatabaseID, ids ...chervilladder.UpstreamID) {
+			time.Sleep(d)
+			for _, v := range f.vms {
+				is.True(v.knows(db, ids...))
+			}
+		}
+		is.Equal(reading(), 6)
+		calls, bytes := s.calls.Load(), f.bytes.Load()
+		time.Sleep(10 * time.Second)
+		is.True(s.calls.Load()-calls <= 6*10+60*2) // one a second for each reader, and the lists of VMs
+		is.Equal(f.bytes.Load(), bytes)            // there was nothing new
+		s.route("second")
+		s.register("a", "c")
+		knowWithin(3*time.Second+2500*time.Millisecond, "second", "a", "c") // the entry of b is kept for a while
+		f.dark.Store(true)
+		time.Sleep(4 * time.Second)
+		is.Equal(reading(), 60)
+		s.route("third")
+		knowWithin(3*time.Second, "third", "a", "c")
+		f.dark.Store(false)
+		time.Sleep(4 * time.Second)
+		is.Equal(reading(), 6)
+	})
+}
+
+// The readers lose the store, and the others, who have not, read for themselves in
+// time.
+func TestFollowersReadWhenTheirReadersLoseTheStore(t *testing.T) {
+	bubble(t, 30, func(is *is.I, s *store, f *fleet) {
+		for _, v := range f.vms {
+			v.board.Bounds.Store(chervilladder.Bounds{ConfigInForce: 3 * time.Second})
+		}
+		time.Sleep(5 * time.Second)
+		for _, v := range f.vms {
+			v.view.turnAway(!v.board.Reading.Load().Elsewhere)
+		}
+		s.route("second")
+		time.Sleep(3 * time.Second)
+		for _, v := range f.vms {
+			if !v.view.away {
+				is.True(v.knows("second", "a", "b"))
+			}
+		}
+		time.Sleep(5 * time.Second)
+		for _, v := range f.vms {
+			is.True(v.knows("second", "a", "b")) // those turned away, from the others
+		}
+	})
+}
+
 // What can't be read disturbs nothing.
 func TestUnreadableKnowledgeIsIgnored(t *testing.T) {
-	for _, text := range []string{"", "{", `{"Routing":null,"UpstreamsAt":9}`, `{"Routing":{},"Upstreams":"x"}`, "\x00\xff"} {
+	for _, text := range []string{"", "{", "null", `{"Revision":0}`, `{"Routes":"x"}`, "\x00\xff"} {
 		bubble(t, 2, func(is *is.I, _ *store, f *fleet) {
-			f.vms["a"].board.Published.Store(blackboard.Published{Revision: 99, Encoded: []byte(text)})
 			f.vms["b"].view.turnAway(true)
-			time.Sleep(10 * time.Second)
-			is.True(f.vms["b"].knows("first", "a", "b"))
+			for _, encoded := range [][]byte{[]byte(text), packed(is, text)} {
+				f.vms["a"].board.Published.Store(blackboard.Published{Revision: 99, Encoded: encoded})
+				time.Sleep(10 * time.Second)
+				is.True(f.vms["b"].knows("first", "a", "b"))
+			}
 		})
 	}
 }
--- a/internal/control/routing/routing.go
+++ b/internal/control/routing/routing.go
@@ -12,6 +12,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/control/follow"
+	"github.com/chervilladder/chervilladder/internal/decide/reading"
 )
 
 // The pace of the calls.
@@ -56,7 +57,7 @@
 func (k *Controller) Run(ctx context.Context) error {
 	loop := follow.Loop{
 		Name: "routing", Log: k.c.Log, RetryAfter: retryAfter, Step: k.step,
-		Board: k.c.Board, Clock: k.c.Clock, Hear: k.hear,
+		Board: k.c.Board, Answered: &k.c.Board.RoutingAnswered, Clock: k.c.Clock, Hear: k.hear,
 	}
 	loop.Run(ctx)
 	return nil
@@ -102,6 +103,9 @@
 // force in time though the watch that should tell of it has fallen silent.
 func (k *Controller) watchWait() time.Duration {
 	limit := k.c.Board.Bounds.Load().ConfigInForce
+	if k.c.Board.Reading.Load().ForOthers {
+		return reading.Wait(limit)
+	}
 	if limit <= 0 {
 		return maxWait
 	}
--- a/internal/daemon/onplatform.go
+++ b/internal/daemon/onplatform.go
@@ -167,7 +167,7 @@
 	if err != nil {
 		return nil, err
 	}
-	relays, err := relay.New(relay.Config{Board: board, Directory: client, Relay: remote, Log: c.Log, Clock: clock.Boot})
+	relays, err := relay.New(relay.Config{Board: board, Directory: client, Feeds: remote, Log: c.Log, Clock: clock.Boot})
 	if err != nil {
 		return nil, err
 	}
@@ -180,7 +180,7 @@
 		return nil, err
 	}
 	board.Hosting.Store(blackboard.Hosting{Deciding: true})
-	server := peer.NewServer(peer.ServerConfig{Board: board, Listener: listener, Executor: host})
+	server := peer.NewServer(peer.ServerConfig{Board: board, Listener: listener, Executor: host, Feed: relays})
 	return []actor{relays, hosts, server}, nil
 }
 
--- a/internal/decide/hosting/hosting.go
+++ b/internal/decide/hosting/hosting.go
@@ -39,29 +39,7 @@
 	if hosts >= len(vms) {
 		return nil, len(vms)
 	}
-	byID := make(map[chervilladder.VMID]chervilladder.VM, len(vms))
-	ids := make([]chervilladder.VMID, 0, len(vms))
-	for _, vm := range vms {
-		byID[vm.ID] = vm
-		ids = append(ids, vm.ID)
-	}
-	ranked := rendezvous.Ranked(rendezvous.Task("hosting/"+service), ids)
-	want := min(len(ranked), hosts+spareHosts)
-	for len(list) < want {
-		// In turn, the best one left of each data centre.
-		taken := make(map[chervilladder.DataCentreID]bool)
-		var left []chervilladder.VMID
-		for _, id := range ranked {
-			if dc := byID[id].DataCentre; !taken[dc] && len(list) < want {
-				taken[dc] = true
-				list = append(list, byID[id])
-				continue
-			}
-			left = append(left, id)
-		}
-		ranked = left
-	}
-	return list, hosts
+	return rendezvous.Spread(rendezvous.Task("hosting/"+service), vms, hosts+spareHosts), hosts
 }
 
 // From returns the hosts in the order in which a VM asks them: those that hold
--- a/internal/decide/rendezvous/rendezvous.go
+++ b/internal/decide/rendezvous/rendezvous.go
@@ -68,3 +68,30 @@
 	})
 	return ranked
 }
+
+// Spread returns the n VMs of the highest weights for a task such that they are
+// spread over the data centres: in turn the best one left of each.
+func Spread(t Task, vms []chervilladder.VM, n int) []chervilladder.VM {
+	byID := make(map[chervilladder.VMID]chervilladder.VM, len(vms))
+	ids := make([]chervilladder.VMID, 0, len(vms))
+	for _, vm := range vms {
+		byID[vm.ID] = vm
+		ids = append(ids, vm.ID)
+	}
+	n = min(n, len(ids))
+	list := make([]chervilladder.VM, 0, n)
+	for ranked := Ranked(t, ids); len(list) < n; {
+		taken := make(map[chervilladder.DataCentreID]bool)
+		left := ranked[:0]
+		for _, id := range ranked {
+			if dc := byID[id].DataCentre; !taken[dc] && len(list) < n {
+				taken[dc] = true
+				list = append(list, byID[id])
+			} else {
+				left = append(left, id)
+			}
+		}
+		ranked = left
+	}
+	return list
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -95,6 +95,28 @@
 	return chervilladder.Relayed{Encoded: r.GetBundle(), Delta: r.GetDelta()}, nil
 }
 
+// Follow hears a peer's feed until the context ends or the peer is lost.
+func (c *Client) Follow(ctx context.Context, peer chervilladder.Address, have chervilladder.KnownAt, hear func(chervilladder.News)) error {
+	client, err := c.client(peer)
+	if err != nil {
+		return err
+	}
+	feed, err := client.Follow(ctx, &peerpb.FollowRequest{Routing: uint64(have.Routing), Upstreams: uint64(have.Upstreams)})
+	for err == nil {
+		var r *peerpb.FollowResponse
+		if r, err = feed.Recv(); err == nil {
+			hear(chervilladder.News{
+				Age:     time.Duration(min(r.GetAgeUs(), maxAgeMicros)) * time.Microsecond,
+				Routing: r.GetRouting(), Upstreams: r.GetUpstreams(),
+			})
+		}
+	}
+	return fmt.Errorf("peer %s: follow: %w", peer, err)
+}
+
+// maxAgeMicros is the greatest age that is told apart, in microseconds.
+const maxAgeMicros = uint64(365 * 24 * time.Hour / time.Microsecond)
+
 // Release asks a VM to finish its work on a database that it no longer owns.
 func (c *Client) Release(ctx context.Context, vm chervilladder.VMID, db chervilladder.DatabaseID) error {
 	m, ok := c.board.Members.Load().Members[vm]
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -23,6 +23,9 @@
 	Board *blackboard.Board
 	// Executor runs work of peers; nil refuses it.
 	Executor chervilladder.Executor
+	// Feed tells peers what this VM knows from the platform's store; nil tells
+	// nothing.
+	Feed chervilladder.Feed
 	// Callers gets the cancel requests for sessions at this VM.
 	Callers  chervilladder.Canceller
 	Listener net.Listener
@@ -32,23 +35,28 @@
 type Server struct {
 	config ServerConfig
 	grpc   *grpc.Server
+	// endFeeds ends all feeds.
+	endFeeds context.CancelFunc
 }
 
 // service holds the methods that peers call.
 type service struct {
 	peerpb.UnimplementedPeerServer
 	ServerConfig
+	// feeding ends when the server stops.
+	feeding context.Context
 }
 
 // NewServer returns a server; it serves once Run is called.
 func NewServer(c ServerConfig) *Server {
-	s := &Server{config: c}
+	feeding, endFeeds := context.WithCancel(context.Background())
+	s := &Server{config: c, endFeeds: endFeeds}
 	s.grpc = grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxFrameBytes),
 		grpc.MaxSendMsgSize(maxFrameBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepAliveEvery / 2, PermitWithoutStream: true}),
 	)
-	peerpb.RegisterPeerServer(s.grpc, &service{ServerConfig: c})
+	peerpb.RegisterPeerServer(s.grpc, &service{ServerConfig: c, feeding: feeding})
 	return s
 }
 
@@ -75,6 +83,7 @@
 }
 
 func (s *Server) stop() {
+	s.endFeeds()
 	cut := time.AfterFunc(stopTimeout, s.grpc.Stop)
 	defer cut.Stop()
 	s.grpc.GracefulStop()
@@ -87,6 +96,21 @@
 	return &peerpb.PullResponse{Revision: uint64(p.Revision), Bundle: relayed.Encoded, Delta: relayed.Delta}, nil
 }
 
+// Follow tells a peer what this VM knows from the platform's store.
+func (s *service) Follow(r *peerpb.FollowRequest, feed grpc.ServerStreamingServer[peerpb.FollowResponse]) error {
+	if s.Feed == nil {
+		return status.Error(codes.Unimplemented, "this VM reads no store for peers")
+	}
+	ctx, cancel := context.WithCancel(feed.Context())
+	defer cancel()
+	defer context.AfterFunc(s.feeding, cancel)()
+	have := chervilladder.KnownAt{Routing: chervilladder.Revision(r.GetRouting()), Upstreams: chervilladder.Revision(r.GetUpstreams())}
+	return s.Feed.Follow(ctx, have, func(n chervilladder.News) error {
+		age := min(uint64(max(0, n.Age.Microseconds())), maxAgeMicros)
+		return feed.Send(&peerpb.FollowResponse{AgeUs: age, Routing: n.Routing, Upstreams: n.Upstreams})
+	})
+}
+
 // Run serves one exchange.
 func (s *service) Run(stream grpc.BidiStreamingServer[peerpb.RunRequest, peerpb.RunResponse]) error {
 	if s.Executor == nil {
