Have each of many VMs host about one service

Cause: while upstreams took enough connections each VM hosted all services.

Change: from 12 VMs on a service has as many hosts as there are VMs for each service, three at least.

Failed first: TestHosts (the rows with services).

--- a/internal/control/hosting/hosting.go
+++ b/internal/control/hosting/hosting.go
@@ -39,6 +39,9 @@
 	c Config
 	// alone is set once the list of VMs is waited for no more.
 	alone bool
+	// elsewhere holds the hosts of the services that this VM is none of, by
+	// the routes and the list of VMs.
+	elsewhere map[chervilladder.ServiceID]blackboard.Hosts
 }
 
 // New returns a controller.
@@ -55,12 +58,16 @@
 	defer t.Stop()
 	alone := time.NewTimer(aloneAfter)
 	defer alone.Stop()
+	stale := true
 	for {
 		routing, routed := k.c.Board.Routing.Watch()
 		members, listed := k.c.Board.Members.Watch()
 		_, asked := k.c.Board.Asked.Watch()
 		if routing != nil && (members.Members != nil || k.alone) {
-			k.decide(routing, members)
+			if stale {
+				k.name(routing, members)
+			}
+			k.decide(len(members.Members) + 1)
 		}
 		select {
 		case <-routed:
@@ -72,25 +79,47 @@
 		case <-ctx.Done():
 			return nil
 		}
+		stale = k.elsewhere == nil || closed(routed) || closed(listed)
 	}
 }
 
-// decide names the hosts of each service.
-func (k *Controller) decide(routing *chervilladder.Routing, members blackboard.Membership) {
+// closed reports whether a section has changed since it was watched.
+func closed(changed <-chan struct{}) bool {
+	select {
+	case <-changed:
+		return true
+	default:
+		return false
+	}
+}
+
+// name names the hosts of each service.
+func (k *Controller) name(routing *chervilladder.Routing, members blackboard.Membership) {
 	self := k.c.Board.Self
 	vms := []chervilladder.VM{self}
 	for _, id := range members.Candidates() {
 		vms = append(vms, members.Members[id].VM)
 	}
-	next := make(map[chervilladder.ServiceID]blackboard.Hosts)
+	isSelf := func(vm chervilladder.VM) bool { return vm.ID == self.ID }
+	k.elsewhere = make(map[chervilladder.ServiceID]blackboard.Hosts)
 	for service, limits := range routing.Services {
-		list, hosts := hosting.Of(service, vms, limits.MaxConnections)
-		isSelf := func(vm chervilladder.VM) bool { return vm.ID == self.ID }
-		if len(list) == 0 || slices.ContainsFunc(list[:hosts], isSelf) || k.asked(service) {
+		fleet := hosting.Fleet{VMs: len(vms), Services: len(routing.Services), Connections: limits.MaxConnections}
+		list, hosts := hosting.Of(service, vms, fleet)
+		if len(list) == 0 || slices.ContainsFunc(list[:hosts], isSelf) {
 			continue
 		}
 		ordered, first := hosting.From(self.DataCentre, slices.DeleteFunc(list, isSelf), hosts)
-		next[service] = blackboard.Hosts{VMs: ordered, First: first}
+		k.elsewhere[service] = blackboard.Hosts{VMs: ordered, First: first}
+	}
+}
+
+// decide says which services other VMs host.
+func (k *Controller) decide(vms int) {
+	next := make(map[chervilladder.ServiceID]blackboard.Hosts)
+	for service, hosts := range k.elsewhere {
+		if !k.asked(service) {
+			next[service] = hosts
+		}
 	}
 	before := k.c.Board.Hosting.Load()
 	same := func(a, b blackboard.Hosts) bool { return a.First == b.First && slices.Equal(a.VMs, b.VMs) }
@@ -98,7 +127,7 @@
 		return
 	}
 	k.c.Board.Hosting.Store(blackboard.Hosting{Elsewhere: next})
-	k.c.Log.WithFields(logrus.Fields{"vms": len(vms), "services": len(routing.Services), "elsewhere": len(next)}).Info("hosting: hosts of services decided")
+	k.c.Log.WithFields(logrus.Fields{"vms": vms, "elsewhere": len(next)}).Info("hosting: hosts of services decided")
 }
 
 // asked reports whether a peer has lately asked this VM for a service's work.
--- a/internal/decide/hosting/hosting.go
+++ b/internal/decide/hosting/hosting.go
@@ -1,6 +1,6 @@
 // Package hosting decides which VMs hold connections to the upstreams of a
-// service. Where an upstream takes enough connections, all do; else a few, and
-// the others pass their work to these.
+// service. While there are few VMs and an upstream takes enough connections, all do;
+// else a few, and the others pass their work to these.
 package hosting
 
 import (
@@ -9,6 +9,12 @@
 )
 
 const (
+	// manyVMs is from how many VMs on each hosts about one service: questions
+	// to upstreams and connections grow with the VMs that ask, and the slots of
+	// an upstream are shared out best by a few.
+	manyVMs = 12
+	// hostsOfMany is how many hosts a service then has at least.
+	hostsOfMany = 3
 	// enoughPercent is how many connections an upstream must take for each
 	// hundred VMs, for all of them to hold some.
 	enoughPercent = 150
@@ -22,20 +28,32 @@
 	spareHosts = 3
 )
 
-// Hosts returns how many VMs hold connections to upstreams that take so many
-// each. An unknown limit counts as enough.
-func Hosts(vms, connections int) int {
-	if connections <= 0 || connections*100 >= vms*enoughPercent {
-		return vms
+// Fleet is what the number of hosts follows from.
+type Fleet struct {
+	// VMs is how many VMs there are, Services how many services.
+	VMs, Services int
+	// Connections is how many connections an upstream of the service takes;
+	// zero if that is not known.
+	Connections int
+}
+
+// Hosts returns how many VMs hold connections to the upstreams of one service.
+func (f Fleet) Hosts() int {
+	hosts := f.VMs
+	if f.VMs >= manyVMs && f.Services > 0 {
+		hosts = max(hostsOfMany, (f.VMs+f.Services-1)/f.Services)
+	}
+	if f.Connections > 0 && f.Connections*100 < f.VMs*enoughPercent {
+		hosts = min(hosts, max(minHosts, f.Connections/hostConnections))
 	}
-	return min(vms, max(minHosts, connections/hostConnections))
+	return min(f.VMs, hosts)
 }
 
 // Of returns the VMs to ask for a service's work, best first, and how many of
 // them hold connections all the time; the others do once they are asked. Hosts are
 // spread over the data centres. The list is empty if all VMs hold connections.
-func Of(service chervilladder.ServiceID, vms []chervilladder.VM, connections int) (list []chervilladder.VM, hosts int) {
-	hosts = Hosts(len(vms), connections)
+func Of(service chervilladder.ServiceID, vms []chervilladder.VM, f Fleet) (list []chervilladder.VM, hosts int) {
+	hosts = f.Hosts()
 	if hosts >= len(vms) {
 		return nil, len(vms)
 	}
