Remove the entries of VMs that are gone for good

Cause: nothing in the store expires by itself, and a VM that is gone can't take its entry back.

Change: each VM is visited by two others every ten seconds (a stream that ends with its first beat). The entry of one that no visit has reached for 45 s is removed by a VM that reaches the store and some other VM; a VM that finds itself missing enters itself again. A visit names all revisions as known, so that it carries no news.

--- a/internal/control/relay/relay.go
+++ b/internal/control/relay/relay.go
@@ -75,6 +75,7 @@
 	parts.Go(func() { k.publish(ctx) })
 	parts.Go(func() { k.list(ctx) })
 	parts.Go(func() { k.decide(ctx) })
+	parts.Go(func() { k.visit(ctx) })
 	for stream := range streams {
 		parts.Go(func() { k.listen(ctx, stream) })
 	}
@@ -82,17 +83,22 @@
 	return nil
 }
 
-// list announces this VM and follows the list of VMs.
+// list announces this VM and follows the list of VMs. Peers that don't reach it for
+// long take it out of the list, so it enters itself again when it is missing.
 func (k *Controller) list(ctx context.Context) {
-	for k.c.Directory.Announce(ctx, k.c.Board.Self) != nil {
-		if !pause(ctx, retry.Spread(announceAgain)) {
-			return
-		}
+	if !k.announce(ctx) {
+		return
 	}
+	listed := false
 	for wait := firstLook; ; wait = min(2*wait, k.listEvery()) {
 		vms, err := k.c.Directory.VMs(ctx)
 		if err == nil {
 			k.note(k.others(vms))
+			present := slices.ContainsFunc(vms, func(v chervilladder.VM) bool { return v.ID == k.c.Board.Self.ID })
+			if listed && !present && !k.announce(ctx) {
+				return
+			}
+			listed = listed || present
 		} else if ctx.Err() == nil {
 			k.c.Log.WithError(err).Debug("relay: list of VMs not read")
 		}
@@ -102,6 +108,16 @@
 	}
 }
 
+// announce enters this VM into the list, and reports whether the context goes on.
+func (k *Controller) announce(ctx context.Context) bool {
+	for k.c.Directory.Announce(ctx, k.c.Board.Self) != nil {
+		if !pause(ctx, retry.Spread(announceAgain)) {
+			return false
+		}
+	}
+	return true
+}
+
 // listEvery returns the mean time between two looks at the list of VMs. The more
 // there are, the longer each list and the more VMs that read it.
 func (k *Controller) listEvery() time.Duration {
--- a/internal/control/relay/relay_test.go
+++ b/internal/control/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -132,11 +133,23 @@
 	return nil
 }
 
+func (v *view) Remove(_ context.Context, id chervilladder.VMID) error {
+	done, err := v.call()
+	if err != nil {
+		return err
+	}
+	defer done()
+	delete(v.s.vms, id)
+	return nil
+}
+
 // vm is one VM with the controllers that deal in knowledge.
 type vm struct {
 	view  *view
 	board *blackboard.Board
 	relay *relay.Controller
+	// cut is set while the VM reaches no peer, and none it.
+	cut atomic.Bool
 }
 
 // fleet is VMs that reach each other.
@@ -148,11 +161,19 @@
 	dark atomic.Bool
 }
 
+// path is one VM's way to the others.
+type path struct {
+	*fleet
+	from *vm
+}
+
 // Follow hears the peer as by its server.
-func (f *fleet) Follow(ctx context.Context, peer chervilladder.Address, have chervilladder.KnownAt, hear func(chervilladder.News)) error {
-	f.follows.Add(1)
+func (f path) Follow(ctx context.Context, peer chervilladder.Address, have chervilladder.KnownAt, hear func(chervilladder.News)) error {
+	if have.Routing != math.MaxUint64 { // else it is a visit
+		f.follows.Add(1)
+	}
 	return f.vms[peer].relay.Follow(ctx, have, func(n chervilladder.News) error {
-		if f.dark.Load() {
+		if f.dark.Load() || f.from.cut.Load() || f.vms[peer].cut.Load() {
 			return errTurnedAway
 		}
 		f.bytes.Add(int64(len(n.Routing) + len(n.Upstreams)))
@@ -176,7 +197,7 @@
 			all.vms[v.board.Self.Peer] = v
 			routes, err1 := routing.New(routing.Config{Board: v.board, Source: v.view, Log: log, Clock: time.Now})
 			upstreams, err2 := registry.New(registry.Config{Board: v.board, Source: v.view, Log: log, Clock: time.Now})
-			relays, err3 := relay.New(relay.Config{Board: v.board, Directory: v.view, Feeds: all, Log: log, Clock: time.Now})
+			relays, err3 := relay.New(relay.Config{Board: v.board, Directory: v.view, Feeds: path{all, v}, Log: log, Clock: time.Now})
 			v.relay = relays
 			if err := errors.Join(err1, err2, err3); err != nil {
 				t.Fatal(err)
@@ -254,6 +275,43 @@
 	})
 }
 
+// listed returns how many VMs the store lists.
+func (s *store) listed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.vms)
+}
+
+// The entry of a VM that nobody reaches for long is removed, and is back soon after
+// the VM is.
+func TestEntryOfAVMThatIsGoneIsRemoved(t *testing.T) {
+	bubble(t, 6, func(is *is.I, s *store, f *fleet) {
+		gone := f.vms["c"]
+		gone.cut.Store(true)
+		gone.view.turnAway(true)
+		time.Sleep(30 * time.Second)
+		is.Equal(s.listed(), 6) // it may be starting again
+		time.Sleep(60 * time.Second)
+		is.Equal(s.listed(), 5)
+		is.Equal(len(f.vms["a"].board.Peers.Load()), 4)
+		gone.cut.Store(false)
+		gone.view.turnAway(false)
+		time.Sleep(40 * time.Second)
+		is.Equal(s.listed(), 6)
+		is.Equal(len(f.vms["a"].board.Peers.Load()), 5)
+	})
+}
+
+// A VM that reaches nobody, but the store, removes no entry; nor do VMs that all
+// reach nobody.
+func TestVMThatReachesNobodyRemovesNoEntry(t *testing.T) {
+	bubble(t, 6, func(is *is.I, s *store, f *fleet) {
+		f.dark.Store(true)
+		time.Sleep(5 * time.Minute)
+		is.Equal(s.listed(), 6)
+	})
+}
+
 // packed returns a text as it travels between VMs.
 func packed(is *is.I, text string) []byte {
 	var b bytes.Buffer
