Prove two more promises by mutants, and draw a page of each seed of the soak

TestHolderThatStoodStillBeforeItsOrder sees a validFor of 20 s, which no test saw; TestLeavingReplicaGetsNoNewWork a leaving replica that gets reads.

--- a/internal/control/failover/duty_test.go
+++ b/internal/control/failover/duty_test.go
@@ -77,6 +77,40 @@
 	}
 }
 
+// A holder stands still after its last step before the order, and knows nothing of
+// what happens meanwhile: another VM takes the duty over and replaces the primary.
+func TestHolderThatStoodStillBeforeItsOrder(t *testing.T) {
+	for _, still := range []time.Duration{2500 * time.Millisecond, 4 * time.Second} {
+		bubble(t, clustertest.Config{VMs: 3}, func(t *testing.T, is *is.I, w *clustertest.World) {
+			old := clustertest.MemberID(0)
+			alone := func(a bool) {
+				for i := 1; i < 3; i++ {
+					w.Cluster.Set(clustertest.MemberID(i), func(f *cluster.Faults) { f.Alone = a })
+				}
+			}
+			var stood atomic.Bool
+			for _, vm := range w.VMs {
+				vm.Linker.OnStatus(func(_ chervilladder.UpstreamID, c chervilladder.Command) {
+					if c.Kind == chervilladder.CommandStepDown && !stood.Swap(true) {
+						vm.Linker.Off(true, old, clustertest.MemberID(1), clustertest.MemberID(2))
+						vm.Record.Off.Store(true)
+						time.Sleep(still)
+						vm.Record.Off.Store(false)
+					}
+				})
+			}
+			alone(true)
+			s := w.Open(t, 0, clustertest.Primary)
+			write(w, s, "unconfirmed")
+			awaitLeader(t, w, old)
+			alone(false)
+			time.Sleep(6 * time.Second)
+			is.True(stood.Load())
+			checkOrders(t, w)
+		})
+	}
+}
+
 // The answer to the holder's write of the record is lost.
 func TestLostAnswerOfTheRecord(t *testing.T) {
 	bubble(t, clustertest.Config{VMs: 2}, func(t *testing.T, is *is.I, w *clustertest.World) {
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -104,6 +104,25 @@
 
 // Each read must see all that was acknowledged MaxAge before it, also while
 // replicas are far behind.
+// A replica that says that it leaves gets no more work.
+func TestLeavingReplicaGetsNoNewWork(t *testing.T) {
+	bubble(t, clustertest.Config{Lag: 60 * time.Millisecond}, func(is *is.I, w *clustertest.World) {
+		s, other := w.Open(t, 0, clustertest.Bounded), w.Open(t, 0, clustertest.Primary)
+		do(t, other, write("w"))
+		time.Sleep(time.Second)
+		leaving := clustertest.Member(1)
+		leaving.Draining = true
+		w.VMs[0].Enroll(clustertest.Member(0), leaving, clustertest.Member(2))
+		time.Sleep(50 * time.Millisecond)
+		for i := range 60 {
+			id := fmt.Sprint("r", i)
+			do(t, s, read(id))
+			is.True(runOf(t, w.Cluster, id).Member != leaving.ID)
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+}
+
 func TestReadsAreNoOlderThanTheirRouteAccepts(t *testing.T) {
 	bubble(t, clustertest.Config{Lag: 3 * time.Second}, func(is *is.I, w *clustertest.World) {
 		s, other := w.Open(t, 0, clustertest.Bounded), w.Open(t, 0, clustertest.Primary)
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -9,6 +9,10 @@
 	"github.com/chervilladder/chervilladder/internal/standin/platform"
 )
 
+// splitAtLeast is longer than it takes the other VMs to replace a primary that is cut
+// off, so that they acknowledge commits while one VM still sees the old one.
+const splitAtLeast = 4500 * time.Millisecond
+
 // harm does something to the system and takes it back after a time.
 func (w *world) harm() {
 	v := w.vms[w.rng.IntN(len(w.vms))]
@@ -16,7 +20,7 @@
 	length := time.Duration(300+w.rng.IntN(3000)) * time.Millisecond
 	switch w.rng.IntN(14) {
 	case 0:
-		w.note("%s is killed for %s", v.name, length)
+		w.harmed(length, "%s is killed", v.name)
 		exited := v.signal(syscall.SIGKILL)
 		w.later(length, func() { w.restart(v, exited) })
 	case 1:
@@ -24,7 +28,7 @@
 		exited := v.signal(syscall.SIGTERM)
 		w.later(length, func() { w.restart(v, exited) })
 	case 2:
-		w.note("%s is stopped for %s", v.name, length)
+		w.harmed(length, "%s is stopped", v.name)
 		v.signal(syscall.SIGSTOP)
 		w.later(length, func() { v.signal(syscall.SIGCONT) })
 	case 3:
@@ -40,13 +44,13 @@
 	case 9, 10:
 		w.path(w.members[id], string(id), length)
 	case 11, 12:
-		w.split(length + 2*time.Second)
+		w.split(length + splitAtLeast)
 	default:
 		if w.rng.IntN(2) == 0 {
 			w.path(w.store, "the store", length)
 			return
 		}
-		w.note("the store is slow, loses answers and its history")
+		w.harmed(length, "the store is slow, loses answers and its history")
 		w.prep.Platform.SetFaults(platform.Faults{Slow: platform.Duration(100 * time.Millisecond), LoseAnswers: 2})
 		w.prep.Platform.Store().Forget()
 		w.later(length, func() { w.prep.Platform.SetFaults(platform.Faults{}) })
@@ -74,7 +78,7 @@
 }
 
 func (w *world) member(id chervilladder.UpstreamID, what string, d time.Duration, change func(*cluster.Faults)) {
-	w.note("%s is %s for %s", id, what, d)
+	w.harmed(d, "%s is %s", id, what)
 	w.cluster.Set(id, change)
 	w.later(d, func() { w.cluster.Set(id, func(f *cluster.Faults) { *f = cluster.Faults{} }) })
 }
@@ -95,7 +99,7 @@
 			others = append(others, v.name)
 		}
 	}
-	w.note("%s is alone with %s for %s", leader, w.vms[fooled].name, d)
+	w.harmed(d, "%s is alone with %s", leader, w.vms[fooled].name)
 	w.cluster.Set(leader, func(f *cluster.Faults) { f.Alone = true })
 	for id, p := range w.members {
 		t := trouble{toServer: true, toClient: true, refuse: true, only: others}
@@ -129,7 +133,7 @@
 	default:
 		t.toServer, t.toClient, t.refuse = true, true, true
 	}
-	w.note("path to %s: %+v for %s", name, t, d)
+	w.harmed(d, "path to %s: %+v", name, t)
 	p.set(t)
 	w.later(d, func() { p.set(trouble{}) })
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -19,6 +19,7 @@
 	fromFlag  = flag.Uint64("soak.from", 1, "the first seed")
 	forFlag   = flag.Duration("soak.for", 8*time.Second, "how long each seed does harm")
 	vmsFlag   = flag.Int("soak.vms", 3, "how many VMs serve")
+	pageFlag  = flag.String("soak.report", "", "the folder for a page on each seed")
 	callFlag  = flag.Int("soak.callers", 12, "how many callers there are")
 )
 
@@ -120,12 +121,17 @@
 		}
 	}
 	broken := check(w.cluster, attempts)
+	report(t, w, attempts, broken)
 	t.Logf("%d attempts: %v; %d promotions; %d events", len(attempts), counts, len(w.cluster.Orders()), len(w.events))
 	if len(broken) > 0 {
 		for _, b := range broken[:min(len(broken), 10)] {
 			t.Error(b)
 		}
-		w.keep("events", []byte(strings.Join(append(w.events, broken...), "\n")))
+		var lines []string
+		for _, e := range w.events {
+			lines = append(lines, e.String())
+		}
+		w.keep("events", []byte(strings.Join(append(lines, broken...), "\n")))
 	}
 }
 
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -53,7 +53,21 @@
 	pending sync.WaitGroup
 
 	mu     sync.Mutex
-	events []string
+	events []event
+}
+
+// event is something that was done to the system, for how long if it lasts.
+type event struct {
+	at    time.Time
+	lasts time.Duration
+	text  string
+}
+
+func (e event) String() string {
+	if e.lasts == 0 {
+		return e.at.Format("15:04:05.000 ") + e.text
+	}
+	return e.at.Format("15:04:05.000 ") + e.text + " for " + e.lasts.String()
 }
 
 // vm is one daemon process. Its address is the same for each of its starts.
@@ -274,8 +288,11 @@
 }
 
 // note records what was done to the system.
-func (w *world) note(format string, args ...any) {
+func (w *world) note(format string, args ...any) { w.harmed(0, format, args...) }
+
+// harmed records what is done to the system for a time.
+func (w *world) harmed(d time.Duration, format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.events = append(w.events, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+	w.events = append(w.events, event{at: time.Now(), lasts: d, text: fmt.Sprintf(format, args...)})
 }
