Have followers hear the news once, and a second peer's age only

Each follower heard everything from two readers, one of them in another data centre, and each upstream that registered was a message of its own to all of them.

Change: the second peer tells only how old what it knows is, and which revisions that is; it is asked for news once it knows more than the follower on two beats. What changes within 100 ms goes together. The word of a peer counts as evidence of the store's state only if the follower knows all that this peer knows. Visits ask for beats only, too.

Failed first: TestFollowersOfAReaderThatLostTheStoreLearnFromAnother (with the second peer never asked for news).

--- a/internal/control/relay/feed.go
+++ b/internal/control/relay/feed.go
@@ -8,34 +8,43 @@
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 )
 
-// beatEvery is how often a follower is told how old all that is.
-const beatEvery = 300 * time.Millisecond
+// The pace of a feed.
+const (
+	// beatEvery is how often a follower is told how old all that is.
+	beatEvery = 300 * time.Millisecond
+	// feedGap is the time between two messages: what changes meanwhile goes
+	// together.
+	feedGap = 100 * time.Millisecond
+)
 
 var _ chervilladder.Feed = (*Controller)(nil)
 
 // Follow tells a peer what this VM knows from the store.
-func (k *Controller) Follow(ctx context.Context, have chervilladder.KnownAt, tell func(chervilladder.News) error) error {
+func (k *Controller) Follow(ctx context.Context, f chervilladder.Following, tell func(chervilladder.News) error) error {
 	beat := time.NewTicker(beatEvery)
 	defer beat.Stop()
 	var told upstreams
 	for {
 		published, routed := k.c.Board.Published.Watch()
 		registered, listed := k.c.Board.Upstreams.Watch()
-		news := chervilladder.News{Age: k.c.Clock().Sub(k.c.Board.KnownAsOf())}
-		if published.Revision > have.Routing {
-			news.Routing, have.Routing = published.Encoded, published.Revision
+		news := chervilladder.News{
+			Age: k.c.Clock().Sub(k.c.Board.KnownAsOf()),
+			Has: chervilladder.KnownAt{Routing: published.Revision, Upstreams: registered.At},
 		}
-		if registered.At > have.Upstreams {
-			now := present(registered)
-			encoded, err := encode(change(told, now, registered.At))
-			if err != nil {
+		if f.BeatsOnly {
+			routed, listed = nil, nil
+		} else {
+			var err error
+			if told, err = add(&news, &f.Have, published, registered, told); err != nil {
 				return err
 			}
-			news.Upstreams, told, have.Upstreams = encoded, now, registered.At
 		}
 		if err := tell(news); err != nil {
 			return err
 		}
+		if !pause(ctx, feedGap) {
+			return nil
+		}
 		select {
 		case <-routed:
 		case <-listed:
@@ -46,6 +55,24 @@
 	}
 }
 
+// add puts into the news what a follower lacks, and returns the list of upstreams that
+// it has been told then.
+func add(news *chervilladder.News, have *chervilladder.KnownAt, published blackboard.Published, registered blackboard.Upstreams, told upstreams) (upstreams, error) {
+	if published.Revision > have.Routing {
+		news.Routing, have.Routing = published.Encoded, published.Revision
+	}
+	if registered.At <= have.Upstreams {
+		return told, nil
+	}
+	now := present(registered)
+	encoded, err := encode(change(told, now, registered.At))
+	if err != nil {
+		return told, err
+	}
+	news.Upstreams, have.Upstreams = encoded, registered.At
+	return now, nil
+}
+
 // present returns the upstreams whose entries are there.
 func present(u blackboard.Upstreams) upstreams {
 	list := make(upstreams, len(u.ByID))
--- a/internal/control/relay/follower.go
+++ b/internal/control/relay/follower.go
@@ -15,9 +15,12 @@
 
 // The pace of a follower.
 const (
-	// streams is how many peers are followed at a time: one that has lost the
-	// store is not noticed at once.
-	streams = 2
+	// streams is how many peers are followed at a time. The first one tells
+	// the news, the other one how old its own knowledge is: whether the first
+	// has lost the store is not noticed at once. It is asked for news too once
+	// it knows more than this VM for behindBeats of its beats.
+	streams     = 2
+	behindBeats = 2
 	// lookEvery is how often it is looked whether peers are to be followed.
 	lookEvery = 100 * time.Millisecond
 	// awayAfter is how long the store must have answered nothing before all
@@ -158,40 +161,63 @@
 func (k *Controller) listen(ctx context.Context, stream int) {
 	for pause(ctx, lookEvery) {
 		if peer, ok := k.source(stream); ok {
-			k.left(stream, k.follow(ctx, peer) && ctx.Err() == nil)
+			ended := k.follow(ctx, peer, stream > 0)
+			if ended == moreKnown {
+				ended = k.follow(ctx, peer, false)
+			}
+			k.left(stream, ended == peerLost && ctx.Err() == nil)
 		}
 	}
 }
 
-// follow follows a peer until it is lost, which it reports, or no more to be
-// followed.
-func (k *Controller) follow(ctx context.Context, peer chervilladder.VM) (lost bool) {
+// end says why a peer is followed no more.
+type end uint8
+
+// The ends of following a peer.
+const (
+	peerLost end = iota
+	notWanted
+	// moreKnown is a peer that was asked for beats only and knows more.
+	moreKnown
+)
+
+// follow follows a peer until there is an end to it.
+func (k *Controller) follow(ctx context.Context, peer chervilladder.VM, beatsOnly bool) end {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	lost = true
+	ended := peerLost
 	silent := time.AfterFunc(silentAfter, cancel)
 	defer silent.Stop()
 	log := k.c.Log.WithField("peer", peer.ID)
 	var list upstreams
-	err := k.c.Feeds.Follow(ctx, peer.Peer, k.c.Board.KnownAt(), func(n chervilladder.News) {
+	behind := 0
+	err := k.c.Feeds.Follow(ctx, peer.Peer, chervilladder.Following{Have: k.c.Board.KnownAt(), BeatsOnly: beatsOnly}, func(n chervilladder.News) {
 		silent.Reset(silentAfter)
 		var err error
 		if list, err = k.hear(n, list); err != nil {
 			log.WithError(err).Warn("relay: what a peer told can't be read")
 			cancel()
 		}
+		if k.c.Board.KnownAt().Covers(n.Has) {
+			behind = 0
+		} else {
+			behind++
+		}
 		switch {
 		case n.Age >= awayAfter:
 			cancel() // it has lost the store itself
 		case !k.wanted(peer):
-			lost = false
+			ended = notWanted
+			cancel()
+		case beatsOnly && behind >= behindBeats:
+			ended = moreKnown
 			cancel()
 		}
 	})
-	if lost {
+	if ended == peerLost {
 		log.WithError(err).Debug("relay: peer lost")
 	}
-	return lost
+	return ended
 }
 
 // hear takes over what a peer tells, and returns its list of upstreams.
@@ -226,6 +252,15 @@
 		k.c.Board.Heard.Store(heard)
 		k.c.Log.WithFields(logrus.Fields{"upstreams": len(heard.Upstreams), "upstreams-at": heard.UpstreamsAt}).Info("relay: learnt from a peer")
 	}
-	k.c.Board.Told.Raise(k.c.Clock().Add(-n.Age))
+	known := k.c.Board.KnownAt()
+	if newer {
+		known = known.Later(chervilladder.KnownAt{Upstreams: heard.UpstreamsAt})
+		if heard.Routing != nil {
+			known = known.Later(chervilladder.KnownAt{Routing: heard.Routing.Revision})
+		}
+	}
+	if known.Covers(n.Has) {
+		k.c.Board.Told.Raise(k.c.Clock().Add(-n.Age))
+	}
 	return list, nil
 }
--- a/internal/control/relay/relay_test.go
+++ b/internal/control/relay/relay_test.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -168,11 +167,11 @@
 }
 
 // Follow hears the peer as by its server.
-func (f path) Follow(ctx context.Context, peer chervilladder.Address, have chervilladder.KnownAt, hear func(chervilladder.News)) error {
-	if have.Routing != math.MaxUint64 { // else it is a visit
+func (f path) Follow(ctx context.Context, peer chervilladder.Address, following chervilladder.Following, hear func(chervilladder.News)) error {
+	if !following.BeatsOnly { // else it may be a visit
 		f.follows.Add(1)
 	}
-	return f.vms[peer].relay.Follow(ctx, have, func(n chervilladder.News) error {
+	return f.vms[peer].relay.Follow(ctx, following, func(n chervilladder.News) error {
 		if f.dark.Load() || f.from.cut.Load() || f.vms[peer].cut.Load() {
 			return errTurnedAway
 		}
@@ -275,6 +274,33 @@
 	})
 }
 
+// One reader loses the store and goes on to tell of its age: its followers learn from
+// another one, without reading themselves.
+func TestFollowersOfAReaderThatLostTheStoreLearnFromAnother(t *testing.T) {
+	bubble(t, 30, func(is *is.I, s *store, f *fleet) {
+		for _, v := range f.vms {
+			v.board.Bounds.Store(chervilladder.Bounds{ConfigInForce: 5 * time.Second})
+		}
+		time.Sleep(3 * time.Second)
+		for _, v := range f.vms {
+			if !v.board.Reading.Load().Elsewhere {
+				v.view.turnAway(true)
+				break
+			}
+		}
+		s.route("second")
+		time.Sleep(4 * time.Second)
+		elsewhere := 0
+		for _, v := range f.vms {
+			is.True(v.view.away || v.knows("second", "a", "b"))
+			if v.board.Reading.Load().Elsewhere {
+				elsewhere++
+			}
+		}
+		is.Equal(elsewhere, 24)
+	})
+}
+
 // listed returns how many VMs the store lists.
 func (s *store) listed() int {
 	s.mu.Lock()
--- a/internal/control/relay/visit.go
+++ b/internal/control/relay/visit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -27,9 +26,6 @@
 	visitors = 2
 )
 
-// nothingNew is what a visit names as known: it wants no news.
-var nothingNew = chervilladder.KnownAt{Routing: math.MaxUint64, Upstreams: math.MaxUint64}
-
 // visit looks after the entries of a few VMs: nothing in the store expires by
 // itself, and a VM that is gone for good can't take its entry back.
 func (k *Controller) visit(ctx context.Context) {
@@ -88,7 +84,7 @@
 	ctx, cancel := context.WithTimeout(ctx, visitTimeout)
 	defer cancel()
 	told := false
-	_ = k.c.Feeds.Follow(ctx, vm.Peer, nothingNew, func(chervilladder.News) { // ends by its context
+	_ = k.c.Feeds.Follow(ctx, vm.Peer, chervilladder.Following{BeatsOnly: true}, func(chervilladder.News) { // ends by its context
 		told = true
 		cancel()
 	})
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -96,17 +96,20 @@
 }
 
 // Follow hears a peer's feed until the context ends or the peer is lost.
-func (c *Client) Follow(ctx context.Context, peer chervilladder.Address, have chervilladder.KnownAt, hear func(chervilladder.News)) error {
+func (c *Client) Follow(ctx context.Context, peer chervilladder.Address, f chervilladder.Following, hear func(chervilladder.News)) error {
 	client, err := c.client(peer)
 	if err != nil {
 		return err
 	}
-	feed, err := client.Follow(ctx, &peerpb.FollowRequest{Routing: uint64(have.Routing), Upstreams: uint64(have.Upstreams)})
+	feed, err := client.Follow(ctx, &peerpb.FollowRequest{
+		Routing: uint64(f.Have.Routing), Upstreams: uint64(f.Have.Upstreams), BeatsOnly: f.BeatsOnly,
+	})
 	for err == nil {
 		var r *peerpb.FollowResponse
 		if r, err = feed.Recv(); err == nil {
 			hear(chervilladder.News{
 				Age:     time.Duration(min(r.GetAgeUs(), maxAgeMicros)) * time.Microsecond,
+				Has:     chervilladder.KnownAt{Routing: chervilladder.Revision(r.GetHasRouting()), Upstreams: chervilladder.Revision(r.GetHasUpstreams())},
 				Routing: r.GetRouting(), Upstreams: r.GetUpstreams(),
 			})
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -104,10 +104,16 @@
 	ctx, cancel := context.WithCancel(feed.Context())
 	defer cancel()
 	defer context.AfterFunc(s.feeding, cancel)()
-	have := chervilladder.KnownAt{Routing: chervilladder.Revision(r.GetRouting()), Upstreams: chervilladder.Revision(r.GetUpstreams())}
-	return s.Feed.Follow(ctx, have, func(n chervilladder.News) error {
+	f := chervilladder.Following{
+		Have:      chervilladder.KnownAt{Routing: chervilladder.Revision(r.GetRouting()), Upstreams: chervilladder.Revision(r.GetUpstreams())},
+		BeatsOnly: r.GetBeatsOnly(),
+	}
+	return s.Feed.Follow(ctx, f, func(n chervilladder.News) error {
 		age := min(uint64(max(0, n.Age.Microseconds())), maxAgeMicros)
-		return feed.Send(&peerpb.FollowResponse{AgeUs: age, Routing: n.Routing, Upstreams: n.Upstreams})
+		return feed.Send(&peerpb.FollowResponse{
+			AgeUs: age, Routing: n.Routing, Upstreams: n.Upstreams,
+			HasRouting: uint64(n.Has.Routing), HasUpstreams: uint64(n.Has.Upstreams),
+		})
 	})
 }
 
