Have the relay's test see a standby peer that is never asked

The test's store now tells of a new configuration at once, as the platform's does, and the followers have 1.2 s.

--- a/internal/control/relay/relay_test.go
+++ b/internal/control/relay/relay_test.go
@@ -89,10 +89,34 @@
 	return v.s.routing, v.s.revision, nil
 }
 
-// Next and Watch end without news, so that each reader reads anew.
-func (v *view) Next(ctx context.Context, after chervilladder.Revision, wait time.Duration) (*chervilladder.Routing, chervilladder.Revision, error) {
-	time.Sleep(wait)
-	return nil, after, &chervilladder.HistoryLostError{After: after}
+// Next tells of a new configuration at once, and falls silent while the VM is turned
+// away.
+func (v *view) Next(_ context.Context, after chervilladder.Revision, wait time.Duration) (*chervilladder.Routing, chervilladder.Revision, error) {
+	v.s.calls.Add(1)
+	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if r := v.newer(after); r != nil {
+			return r, r.Revision, nil
+		}
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.away {
+		return nil, after, errTurnedAway
+	}
+	return nil, after, nil
+}
+
+// newer returns a configuration that is newer than a revision, if there is one and
+// the store tells the VM.
+func (v *view) newer(than chervilladder.Revision) *chervilladder.Routing {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.s.mu.Lock()
+	defer v.s.mu.Unlock()
+	if v.away || v.s.routing.Revision <= than {
+		return nil
+	}
+	return v.s.routing
 }
 
 func (v *view) List(context.Context) ([]chervilladder.Registered, chervilladder.Revision, error) {
@@ -104,6 +128,7 @@
 	return v.s.upstreams, v.s.revision, nil
 }
 
+// Watch ends without news, so that each reader lists anew.
 func (v *view) Watch(_ context.Context, after chervilladder.Revision, wait time.Duration) ([]chervilladder.RegistryEvent, chervilladder.Revision, error) {
 	time.Sleep(wait)
 	return nil, after, &chervilladder.HistoryLostError{After: after}
@@ -289,7 +314,7 @@
 			}
 		}
 		s.route("second")
-		time.Sleep(4 * time.Second)
+		time.Sleep(1200 * time.Millisecond)
 		elsewhere := 0
 		for _, v := range f.vms {
 			is.True(v.view.away || v.knows("second", "a", "b"))
