Take the store for away only once neither it nor a peer has told

Cause, by reading: a follower that reads for itself, since its readers are lost, took the older of its two answers, which is up to 3.7 s old while watches wait, and so asked all peers again and again; a peer whose own watch waited that long was left as one that has lost the store.

Change: away is by the latest answer of the store, and for a follower by the latest word of its peers too; a peer is left once its word is 4 s old. Package tests pass three times; no test of its own.

--- a/internal/control/relay/follower.go
+++ b/internal/control/relay/follower.go
@@ -26,6 +26,9 @@
 	// awayAfter is how long the store must have answered nothing before all
 	// peers are asked. Watches that hear nothing end sooner.
 	awayAfter = 2500 * time.Millisecond
+	// lostAfter is how old the word of a peer may be that is followed: longer
+	// than its own watches wait.
+	lostAfter = 4 * time.Second
 	// silentAfter is how long a peer may tell nothing, which it does several
 	// times in that time.
 	silentAfter = 900 * time.Millisecond
@@ -92,11 +95,10 @@
 			"elsewhere": next.Elsewhere, "for-others": next.ForOthers, "readers": len(k.readers),
 		}).Info("relay: who reads the store")
 	}
-	answered := k.c.Board.StoreAnswered()
+	away := now.Sub(k.c.Board.StoreAnswered()) >= awayAfter
 	if follows {
-		answered = k.c.Board.KnownAsOf()
+		away = away && now.Sub(k.c.Board.Told.Load()) >= awayAfter
 	}
-	away := now.Sub(answered) >= awayAfter
 	if away != k.away {
 		k.away = away
 		k.c.Log.WithFields(logrus.Fields{"asking": away, "peers": len(k.c.Board.Peers.Load())}).Info("relay: peers are asked for what the store can't tell")
@@ -204,7 +206,7 @@
 			behind++
 		}
 		switch {
-		case n.Age >= awayAfter:
+		case n.Age >= lostAfter:
 			cancel() // it has lost the store itself
 		case !k.wanted(peer):
 			ended = notWanted
