--- /dev/null
+++ b/internal/control/relay/encoding_test.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// drawn returns a list of upstreams drawn by chance.
+func drawn(rng *rand.Rand) upstreams {
+	u := make(upstreams)
+	for range rng.IntN(20) {
+		id := chervilladder.UpstreamID(fmt.Sprint("i-", rng.IntN(20)))
+		u[id] = chervilladder.Registered{
+			ID: id, Service: "s", Slots: 1 + rng.IntN(3), Draining: rng.IntN(2) == 0, Born: time.UnixMilli(int64(1 + rng.IntN(3))),
+		}
+	}
+	return u
+}
+
+// A follower that applies the changes it is told has its peer's list.
+func TestChangesMakeThePeersList(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(7, 7))
+	var told, have upstreams
+	for at := chervilladder.Revision(1); at < 200; at++ {
+		to := drawn(rng)
+		encoded, err := encode(change(told, to, at))
+		is.NoErr(err)
+		var reached chervilladder.Revision
+		have, reached, err = have.apply(encoded)
+		is.NoErr(err)
+		is.Equal(reached, at)
+		is.True(maps.Equal(have, to))
+		told = to
+	}
+	_, _, err := upstreams(nil).apply(mustEncode(t, listed{At: 9}))
+	is.Equal(err, errNoBase)
+}
+
+func mustEncode(t testing.TB, v any) []byte {
+	t.Helper()
+	b, err := encode(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func FuzzNews(f *testing.F) {
+	f.Add([]byte("{"))
+	f.Add(mustEncode(f, &chervilladder.Routing{Revision: 3}))
+	f.Add(mustEncode(f, listed{At: 4, Whole: true, Entries: []chervilladder.Registered{{ID: "i-1", Service: "s"}}}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if r, err := decodeRouting(b); err == nil && (r == nil || r.Revision == 0) {
+			t.Error("a configuration without a revision was taken")
+		}
+		before := upstreams{"i-0": {ID: "i-0"}}
+		after, at, err := before.apply(b)
+		if err != nil && (at != 0 || len(after) != 1) {
+			t.Error("a change that can't be read has changed the list")
+		}
+	})
+}
