Set the hooks of test VMs without a race

The race detector saw TestNoReplicaIsPausedWhileAnotherIsOutOfReach set a hook that a VM reads; hooks are atomic pointers now.

--- a/internal/clustertest/record.go
+++ b/internal/clustertest/record.go
@@ -42,8 +42,21 @@
 	// Off cuts the VM off, and LoseAnswers loses the answers of writes that
 	// are made all the same.
 	Off, LoseAnswers atomic.Bool
-	// Written, if set, is called after each write.
-	Written func(chervilladder.Duty)
+	written          hook[chervilladder.Duty]
+}
+
+// OnWrite has a function called after each write.
+func (c *CutRecord) OnWrite(f func(chervilladder.Duty)) { c.written.set(f) }
+
+// hook is a function that a test sets while VMs run.
+type hook[T any] struct{ f atomic.Pointer[func(T)] }
+
+func (h *hook[T]) set(f func(T)) { h.f.Store(&f) }
+
+func (h *hook[T]) call(v T) {
+	if f := h.f.Load(); f != nil {
+		(*f)(v)
+	}
 }
 
 var _ chervilladder.DutyRecord = (*CutRecord)(nil)
@@ -62,9 +75,7 @@
 		return d, ErrCut
 	}
 	written, err := c.Record.write(d)
-	if c.Written != nil {
-		c.Written(written)
-	}
+	c.written.call(written)
 	if c.LoseAnswers.Load() {
 		return d, ErrCut
 	}
@@ -76,16 +87,16 @@
 	Promoter chervilladder.Promoter
 	// LoseAnswers loses the answers of orders that are taken all the same.
 	LoseAnswers atomic.Bool
-	// Ordered, if set, is called after each order was taken.
-	Ordered func(chervilladder.UpstreamID)
+	ordered     hook[chervilladder.UpstreamID]
 }
 
+// OnOrder has a function called after each order was taken.
+func (p *CutPromoter) OnOrder(f func(chervilladder.UpstreamID)) { p.ordered.set(f) }
+
 // Promote orders a promotion.
 func (p *CutPromoter) Promote(ctx context.Context, d chervilladder.Duty, s chervilladder.ServiceID, u chervilladder.UpstreamID) error {
 	err := p.Promoter.Promote(ctx, d, s, u)
-	if p.Ordered != nil {
-		p.Ordered(u)
-	}
+	p.ordered.call(u)
 	if p.LoseAnswers.Load() {
 		return ErrCut
 	}
--- a/internal/control/failover/duty_test.go
+++ b/internal/control/failover/duty_test.go
@@ -159,7 +159,7 @@
 	bubble(t, clustertest.Config{VMs: 3}, func(t *testing.T, is *is.I, w *clustertest.World) {
 		old, holder := clustertest.MemberID(0), w.VMs[holderOf(w)]
 		var left sync.Once
-		holder.Promoter.Ordered = func(chervilladder.UpstreamID) { left.Do(func() { close(holder.Leave) }) }
+		holder.Promoter.OnOrder(func(chervilladder.UpstreamID) { left.Do(func() { close(holder.Leave) }) })
 		w.Cluster.Set(old, func(f *cluster.Faults) { f.Down = true })
 		for began := time.Now(); time.Since(began) < replacedWithin; time.Sleep(10 * time.Millisecond) {
 			if id, _ := w.Cluster.Leader(); id != old {
@@ -185,7 +185,7 @@
 		bubble(t, c, func(t *testing.T, is *is.I, w *clustertest.World) {
 			old, first := clustertest.MemberID(0), holderOf(w)
 			holder := w.VMs[first]
-			holder.Promoter.Ordered = func(chervilladder.UpstreamID) { go holder.Stop() }
+			holder.Promoter.OnOrder(func(chervilladder.UpstreamID) { go holder.Stop() })
 			w.Cluster.Set(old, func(f *cluster.Faults) { f.Down = true })
 			awaitLeader(t, w, old)
 			began := time.Now()
--- a/internal/control/failover/failover_test.go
+++ b/internal/control/failover/failover_test.go
@@ -216,11 +216,11 @@
 	bubble(t, clustertest.Config{VMs: 1}, func(t *testing.T, is *is.I, w *clustertest.World) {
 		vm, old := w.VMs[0], clustertest.MemberID(0)
 		vm.Promoter.LoseAnswers.Store(true)
-		vm.Promoter.Ordered = func(id chervilladder.UpstreamID) {
+		vm.Promoter.OnOrder(func(id chervilladder.UpstreamID) {
 			vm.Linker.Off(true, id)
 			w.Cluster.Set(old, func(f *cluster.Faults) { f.Alone = false })
 			w.Cluster.Set(id, func(f *cluster.Faults) { f.Alone = true })
-		}
+		})
 		time.Sleep(12 * time.Second)
 		w.Cluster.Set(old, func(f *cluster.Faults) { f.Alone = true })
 		var acked []string
--- a/internal/control/failover/orders_test.go
+++ b/internal/control/failover/orders_test.go
@@ -57,11 +57,11 @@
 	bubble(t, clustertest.Config{VMs: 1}, func(t *testing.T, is *is.I, w *clustertest.World) {
 		vm, reached, lost := w.VMs[0], clustertest.MemberID(1), clustertest.MemberID(2)
 		var cut atomic.Bool
-		vm.Record.Written = func(d chervilladder.Duty) {
+		vm.Record.OnWrite(func(d chervilladder.Duty) {
 			if d.Term == 2 && !cut.Swap(true) {
 				vm.Linker.Off(true, lost)
 			}
-		}
+		})
 		w.Cluster.Set(clustertest.MemberID(0), func(f *cluster.Faults) { f.Down = true })
 		for range 2000 {
 			time.Sleep(time.Millisecond)
@@ -160,7 +160,7 @@
 			w.Cluster.Set(clustertest.MemberID(i), func(f *cluster.Faults) { f.Alone = true })
 		}
 		for _, vm := range w.VMs {
-			vm.Promoter.Ordered = func(chervilladder.UpstreamID) { w.Cluster.Add(clustertest.Member(3)) }
+			vm.Promoter.OnOrder(func(chervilladder.UpstreamID) { w.Cluster.Add(clustertest.Member(3)) })
 		}
 		var acked []string
 		s := w.Open(t, 0, clustertest.Primary)
