Have a peer step down an old primary that is out of reach

RESUME names no term, and without a replica the new primary can confirm nothing, so not resuming is no way out.

Change: with its own order to step down the VM that replaces asks its peers, hosts of the service first, to give the same order; before the promotion (within the 500 ms that are let pass anyway) and again before replicas are let go, for 150 ms at most (60 before). A caller reaches an old primary by some VM only.

Failed first: TestPeerStepsDownAPrimaryThatIsOutOfReach.

--- a/internal/clustertest/passing.go
+++ b/internal/clustertest/passing.go
@@ -17,7 +17,7 @@
 const hopTime = 500 * time.Microsecond
 
 // hops is the way between the VMs of a world. It implements
-// chervilladder.Remote.
+// chervilladder.Remote and Deposers.
 type hops struct{ w *World }
 
 // Open opens an exchange at a VM, or finds none there.
@@ -47,6 +47,18 @@
 	return nil, answer.Passed{}.Lost(work.Database, ErrCut)
 }
 
+// Depose has another VM tell a primary that it leads no more.
+func (h hops) Depose(ctx context.Context, peer chervilladder.Address, u chervilladder.UpstreamID, term chervilladder.Term) error {
+	for _, v := range h.w.VMs {
+		if chervilladder.Address(v.Board.Self.ID) == peer && !v.Dark.Load() {
+			time.Sleep(hopTime)
+			return v.failovers.Depose(ctx, u, term)
+		}
+	}
+	<-ctx.Done()
+	return ErrCut
+}
+
 // hop is an exchange with another VM.
 type hop struct {
 	vm     *VM
--- a/internal/clustertest/world.go
+++ b/internal/clustertest/world.go
@@ -70,9 +70,10 @@
 	// Leave is closed to let the VM give up its duty.
 	Leave chan struct{}
 	passing
-	stop  context.CancelFunc
-	ended chan error
-	once  sync.Once
+	failovers *failover.Controller
+	stop      context.CancelFunc
+	ended     chan error
+	once      sync.Once
 }
 
 // New returns a world whose VMs run and know the primary. It ends with the
@@ -103,11 +104,25 @@
 	for i := range c.VMs {
 		w.VMs = append(w.VMs, w.start(t, i, cc.Members))
 	}
+	for _, vm := range w.VMs {
+		vm.Board.Peers.Store(w.peersOf(vm))
+	}
 	t.Cleanup(w.stop)
 	time.Sleep(time.Second)
 	return w
 }
 
+// peersOf returns the other VMs. Their addresses are their names.
+func (w *World) peersOf(vm *VM) []chervilladder.VM {
+	var list []chervilladder.VM
+	for _, other := range w.VMs {
+		if other != vm {
+			list = append(list, chervilladder.VM{ID: other.Board.Self.ID, Peer: chervilladder.Address(other.Board.Self.ID)})
+		}
+	}
+	return list
+}
+
 // Member returns the registration of a member.
 func Member(i int) chervilladder.Registered {
 	return chervilladder.Registered{
@@ -141,14 +156,14 @@
 	asked, err2 := evidence.New(evidence.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: time.Now})
 	failovers, err3 := failover.New(failover.Config{
 		Board: vm.Board, Record: vm.Record, Promoter: vm.Promoter, Linker: vm.Linker, Pools: vm.Pools,
-		Log: log.WithField("vm", vm.Board.Self.ID).Logger, Clock: time.Now, Leave: vm.Leave,
+		Deposers: hops{w}, Log: log.WithField("vm", vm.Board.Self.ID).Logger, Clock: time.Now, Leave: vm.Leave,
 	})
 	for _, err := range []error{err1, err2, err3} {
 		if err != nil {
 			t.Fatal(err)
 		}
 	}
-	vm.Sessions = sessions
+	vm.Sessions, vm.failovers = sessions, failovers
 	vm.host, err1 = session.NewHost(session.HostConfig{Manager: sessions, Leaving: vm.Leaving.Load})
 	if err1 != nil {
 		t.Fatal(err1)
--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -43,7 +43,9 @@
 	// Pools holds the connections that orders are given on to members which
 	// take no more.
 	Pools *link.Pools
-	Log   *logrus.Logger
+	// Deposers reaches primaries that this VM is cut off from; nil reaches none.
+	Deposers chervilladder.Deposers
+	Log      *logrus.Logger
 	// Clock tells the VM's own time.
 	Clock func() time.Time
 	// Leave is closed once the VM leaves and gives up the duty.
--- a/internal/control/failover/orders.go
+++ b/internal/control/failover/orders.go
@@ -201,15 +201,6 @@
 	return failed
 }
 
-// depose makes the old primary a replica before its successor is ordered, if it can
-// be reached. All replicas are paused, but one that is new to the service is not,
-// and would confirm to the old primary what the candidate lacks.
-func (r *replacement) depose(ctx context.Context) {
-	if old, ok := r.view.Members[r.view.Primary]; ok {
-		r.tell(ctx, old, chervilladder.Command{Kind: chervilladder.CommandStepDown, Term: r.term})
-	}
-}
-
 // resume lets replicas go on.
 func (r *replacement) resume(ctx context.Context, list []chervilladder.UpstreamID) error {
 	var failed error
@@ -220,9 +211,9 @@
 	return failed
 }
 
-// oldFirst is how long the replicas wait for the old primary to step down. One
-// that is in sight does so sooner.
-const oldFirst = 60 * time.Millisecond
+// oldFirst is how long the replicas wait for the old primary to step down. One that
+// is in sight of some VM does so sooner.
+const oldFirst = 150 * time.Millisecond
 
 // release makes the old primary a replica if it can be reached, and then lets the
 // others follow the new one. Replicas that stay paused, and a primary that goes
@@ -230,17 +221,16 @@
 func (r *replacement) release(ctx context.Context, leader chervilladder.UpstreamID) {
 	var orders sync.WaitGroup
 	defer orders.Wait()
-	steppedDown := make(chan struct{})
-	if old, ok := r.view.Members[r.view.Primary]; ok && r.view.Primary != leader {
-		down := chervilladder.Command{Kind: chervilladder.CommandStepDown, Term: r.cluster.View.Load().Term}
+	if r.view.Primary != leader {
+		deposed := make(chan struct{})
 		orders.Go(func() {
-			defer close(steppedDown)
-			r.tell(ctx, old, down)
+			defer close(deposed)
+			r.depose(ctx, r.cluster.View.Load().Term)
 		})
 		wait := time.NewTimer(oldFirst)
 		defer wait.Stop()
 		select {
-		case <-steppedDown:
+		case <-deposed:
 		case <-wait.C:
 		}
 	}
--- a/internal/control/failover/orders_test.go
+++ b/internal/control/failover/orders_test.go
@@ -182,3 +182,41 @@
 		checkKept(t, w, acked)
 	})
 }
+
+// The VM that replaces a primary is cut off from it, while another VM works on there
+// and a replica reaches the old primary, but not the new one. Found by the soak, seed
+// 105: the replica was resumed, and confirmed what the old primary acknowledged.
+func TestPeerStepsDownAPrimaryThatIsOutOfReach(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 3}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		old, holder := clustertest.MemberID(0), holderOf(w)
+		unaware := (holder + 1) % 3
+		w.VMs[unaware].Linker.Off(true, clustertest.MemberID(1), clustertest.MemberID(2))
+		for i, vm := range w.VMs {
+			if i != unaware {
+				vm.Linker.Off(true, old)
+			}
+			vm.Promoter.OnOrder(func(id chervilladder.UpstreamID) {
+				w.Cluster.Set(id, func(f *cluster.Faults) { f.Alone = true })
+			})
+		}
+		s := w.Open(t, unaware, clustertest.Primary)
+		var acked []string
+		for i := range 150 {
+			id := fmt.Sprint("w", i)
+			if write(w, s, id).Code == chervilladder.CodeNone {
+				acked = append(acked, id)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		is.True(len(acked) > 0)
+		is.True(len(w.Cluster.Orders()) > 0)
+		for _, vm := range w.VMs {
+			vm.Linker.Off(false, old, clustertest.MemberID(1), clustertest.MemberID(2))
+		}
+		for i := range 3 {
+			w.Cluster.Set(clustertest.MemberID(i), func(f *cluster.Faults) { *f = cluster.Faults{} })
+		}
+		time.Sleep(5 * time.Second)
+		checkKept(t, w, acked)
+	})
+}
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -165,7 +165,7 @@
 		return best, errBehind
 	}
 	if best.Upstream != r.spared() {
-		r.depose(ctx)
+		r.depose(ctx, r.term)
 	}
 	if err := r.sleepUntil(ctx, settled); err != nil {
 		return best, err
--- a/internal/daemon/onplatform.go
+++ b/internal/daemon/onplatform.go
@@ -114,23 +114,31 @@
 	counted.NewGauge("chervilladder_callers_connected", func() float64 { return float64(front.Connected()) })
 	counted.NewGauge("chervilladder_log_writes_dropped", func() float64 { return float64(c.Lines.Dropped()) })
 	leaving.connected = front.Connected
-	controllers, err := buildControllers(c, board, client, linker, pools, leaving)
+	failovers, err := failover.New(failover.Config{
+		Board: board, Record: client, Promoter: client, Linker: linker, Pools: pools, Deposers: remote,
+		Log: c.Log, Clock: clock.Boot, Leave: leaving.began,
+	})
+	if err != nil {
+		return nil, err
+	}
+	controllers, err := buildControllers(c, board, client, pools, leaving)
 	if err != nil {
 		return nil, err
 	}
-	between, err := buildBetween(c, board, client, remote, sessions, leaving)
+	between, err := buildBetween(c, board, client, remote, sessions, failovers, leaving)
 	if err != nil {
 		return nil, err
 	}
 	return append([]actor{
 		leaving,
 		front,
+		failovers,
 		platform.Readiness{Listener: ready, Ready: func() bool { return serves(board) && !leaving.hasBegun() }},
 		platform.Metrics{Listener: exposed, Sets: []*metrics.Set{counted}},
 	}, append(between, controllers...)...), nil
 }
 
-func buildControllers(c PlatformConfig, board *blackboard.Board, client *platform.Client, linker platform.Linker, pools *link.Pools, leaving *leave) ([]actor, error) {
+func buildControllers(c PlatformConfig, board *blackboard.Board, client *platform.Client, pools *link.Pools, leaving *leave) ([]actor, error) {
 	routes, err := routing.New(routing.Config{Board: board, Source: client.Routing(), Log: c.Log, Clock: clock.Boot})
 	if err != nil {
 		return nil, err
@@ -143,22 +151,16 @@
 	if err != nil {
 		return nil, err
 	}
-	failovers, err := failover.New(failover.Config{
-		Board: board, Record: client, Promoter: client, Linker: linker, Pools: pools, Log: c.Log, Clock: clock.Boot, Leave: leaving.began,
-	})
-	if err != nil {
-		return nil, err
-	}
 	demands, err := bounds.New(bounds.Config{Board: board, Source: platform.SettingsFile(c.SettingsPath), Log: c.Log, Reload: leaving.reread})
 	if err != nil {
 		return nil, err
 	}
-	return []actor{failovers, routes, upstreams, asked, demands, memory{board}, c.Lines}, nil
+	return []actor{routes, upstreams, asked, demands, memory{board}, c.Lines}, nil
 }
 
 // buildBetween returns the parts by which VMs tell each other what the store
 // can't, and pass work to each other.
-func buildBetween(c PlatformConfig, board *blackboard.Board, client *platform.Client, remote *peer.Client, sessions *session.Manager, leaving *leave) ([]actor, error) {
+func buildBetween(c PlatformConfig, board *blackboard.Board, client *platform.Client, remote *peer.Client, sessions *session.Manager, failovers *failover.Controller, leaving *leave) ([]actor, error) {
 	if c.Settings.Peers == "" {
 		c.Log.Warn("daemon: the settings name no ports for peers, so VMs pass nothing on")
 		return nil, nil
@@ -180,7 +182,7 @@
 		return nil, err
 	}
 	board.Hosting.Store(blackboard.Hosting{Deciding: true})
-	server := peer.NewServer(peer.ServerConfig{Board: board, Listener: listener, Executor: host, Feed: relays})
+	server := peer.NewServer(peer.ServerConfig{Board: board, Listener: listener, Executor: host, Feed: relays, Deposer: failovers})
 	return []actor{relays, hosts, server}, nil
 }
 
--- a/internal/decide/hosting/hosting.go
+++ b/internal/decide/hosting/hosting.go
@@ -57,7 +57,12 @@
 	if hosts >= len(vms) {
 		return nil, len(vms)
 	}
-	return rendezvous.Spread(rendezvous.Task("hosting/"+service), vms, hosts+spareHosts), hosts
+	return Ranked(service, vms, hosts+spareHosts), hosts
+}
+
+// Ranked returns n VMs in the order in which they are to host a service.
+func Ranked(service chervilladder.ServiceID, vms []chervilladder.VM, n int) []chervilladder.VM {
+	return rendezvous.Spread(rendezvous.Task("hosting/"+service), vms, n)
 }
 
 // From returns the hosts in the order in which a VM asks them: those that hold
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -117,6 +117,18 @@
 	return fmt.Errorf("peer %s: follow: %w", peer, err)
 }
 
+// Depose has a peer tell a primary that it leads no more.
+func (c *Client) Depose(ctx context.Context, peer chervilladder.Address, u chervilladder.UpstreamID, term chervilladder.Term) error {
+	client, err := c.client(peer)
+	if err != nil {
+		return err
+	}
+	if _, err := client.Depose(ctx, &peerpb.DeposeRequest{Upstream: string(u), Term: uint64(term)}); err != nil {
+		return fmt.Errorf("peer %s: depose %s: %w", peer, u, err)
+	}
+	return nil
+}
+
 // maxAgeMicros is the greatest age that is told apart, in microseconds.
 const maxAgeMicros = uint64(365 * 24 * time.Hour / time.Microsecond)
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -26,6 +26,8 @@
 	// Feed tells peers what this VM knows from the platform's store; nil tells
 	// nothing.
 	Feed chervilladder.Feed
+	// Deposer tells primaries that they lead no more; nil tells none.
+	Deposer chervilladder.Deposer
 	// Callers gets the cancel requests for sessions at this VM.
 	Callers  chervilladder.Canceller
 	Listener net.Listener
@@ -117,6 +119,17 @@
 	})
 }
 
+// Depose tells a primary that it leads no more.
+func (s *service) Depose(ctx context.Context, r *peerpb.DeposeRequest) (*peerpb.DeposeResponse, error) {
+	if s.Deposer == nil {
+		return nil, status.Error(codes.Unimplemented, "this VM gives no orders to upstreams")
+	}
+	if err := s.Deposer.Depose(ctx, chervilladder.UpstreamID(r.GetUpstream()), chervilladder.Term(r.GetTerm())); err != nil {
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
+	}
+	return &peerpb.DeposeResponse{}, nil
+}
+
 // Run serves one exchange.
 func (s *service) Run(stream grpc.BidiStreamingServer[peerpb.RunRequest, peerpb.RunResponse]) error {
 	if s.Executor == nil {
