--- /dev/null
+++ b/internal/peer/feed_test.go
@@ -0,0 +1,105 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+)
+
+// fixed is a feed of one message that then rests, and a deposer of one upstream.
+type fixed struct{ news chervilladder.News }
+
+func (f fixed) Follow(ctx context.Context, following chervilladder.Following, tell func(chervilladder.News) error) error {
+	n := f.news
+	if following.BeatsOnly {
+		n.Routing, n.Upstreams = nil, nil
+	}
+	n.Has.Upstreams += following.Have.Upstreams
+	if err := tell(n); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+var errUnknown = errors.New("no such upstream")
+
+func (f fixed) Depose(_ context.Context, u chervilladder.UpstreamID, term chervilladder.Term) error {
+	if u != "m0" || term != 7 {
+		return errUnknown
+	}
+	return nil
+}
+
+// serve starts a server and returns a client and how to stop the server.
+func serve(t *testing.T, c ServerConfig) (*Client, chervilladder.Address, func() time.Duration) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Board, c.Listener = blackboard.New(chervilladder.VM{ID: "vm-1"}), listener
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	server := NewServer(c)
+	go func() { ended <- server.Run(ctx) }()
+	client := NewClient(c.Board)
+	t.Cleanup(func() { _ = client.Close() })
+	return client, chervilladder.Address(listener.Addr().String()), func() time.Duration {
+		began := time.Now()
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		return time.Since(began)
+	}
+}
+
+func TestFeedIsHeardAndEndsWithTheServer(t *testing.T) {
+	is := is.New(t)
+	told := chervilladder.News{
+		Age: 1500 * time.Millisecond, Has: chervilladder.KnownAt{Routing: 4, Upstreams: 9},
+		Routing: []byte("r"), Upstreams: []byte("u"),
+	}
+	client, address, stop := serve(t, ServerConfig{Feed: fixed{told}})
+	heard := make(chan chervilladder.News, 2)
+	ended := make(chan error, 2)
+	for _, beatsOnly := range []bool{false, true} {
+		f := chervilladder.Following{Have: chervilladder.KnownAt{Upstreams: 1}, BeatsOnly: beatsOnly}
+		go func() { ended <- client.Follow(t.Context(), address, f, func(n chervilladder.News) { heard <- n }) }()
+		n := <-heard
+		is.Equal(n.Age, told.Age)
+		is.Equal(n.Has, chervilladder.KnownAt{Routing: 4, Upstreams: 10})
+		is.Equal(string(n.Routing) == "r", !beatsOnly)
+		is.Equal(string(n.Upstreams) == "u", !beatsOnly)
+	}
+	is.True(stop() < stopTimeout) // the feeds don't hold it up
+	for range 2 {
+		is.True(<-ended != nil)
+	}
+}
+
+func TestServerWithoutAFeedOrADeposer(t *testing.T) {
+	is := is.New(t)
+	client, address, stop := serve(t, ServerConfig{})
+	defer stop()
+	err := client.Follow(t.Context(), address, chervilladder.Following{}, func(chervilladder.News) { t.Error("told something") })
+	is.True(err != nil)
+	is.True(client.Depose(t.Context(), address, "m0", 7) != nil)
+}
+
+func TestDepose(t *testing.T) {
+	is := is.New(t)
+	client, address, stop := serve(t, ServerConfig{Deposer: fixed{}})
+	defer stop()
+	is.NoErr(client.Depose(t.Context(), address, "m0", 7))
+	is.True(client.Depose(t.Context(), address, "m0", 8) != nil)
+	is.True(client.Depose(t.Context(), address, "m1", 7) != nil)
+}
