Have the stand-in drop connections that are closed while a commit waits

The line server read the next message only after it had answered the last one, and a commit that waits for a replica, which is paused until m0 steps down, is never answered.

Failed first: TestClosedConnectionCountsNoMore.

--- a/internal/standin/lineserver/lineserver.go
+++ b/internal/standin/lineserver/lineserver.go
@@ -61,14 +61,32 @@
 		<-p.conn.Broken()
 		c.Close()
 	}()
-	for p.in.Scan() {
-		word, rest, _ := strings.Cut(strings.TrimSuffix(p.in.Text(), "\r"), " ")
+	for line := range p.lines() {
+		word, rest, _ := strings.Cut(strings.TrimSuffix(line, "\r"), " ")
 		if word != "QUERY" || !p.query(rest) {
 			return
 		}
 	}
 }
 
+// lines returns the messages. They are read while the member works, so that a caller
+// that closes the connection is noticed: it breaks what it waits for.
+func (p *peer) lines() <-chan string {
+	list := make(chan string)
+	go func() {
+		defer close(list)
+		defer p.conn.Close()
+		for p.in.Scan() {
+			select {
+			case list <- p.in.Text():
+			case <-p.conn.Broken():
+				return
+			}
+		}
+	}()
+	return list
+}
+
 // connect answers CONNECT.
 func (p *peer) connect(ctx context.Context, k *cluster.Cluster, id chervilladder.UpstreamID) bool {
 	if !p.in.Scan() {
