Keep the ports that the soak has found

The soak looked for a free port, gave it up, and listened there later. Not load: the bind's error names the cause.

--- a/internal/soak/world_rules_test.go
+++ b/internal/soak/world_rules_test.go
@@ -27,7 +27,7 @@
 
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(1, 1)), cluster: k, vms: []*vm{{name: "vm-0"}, {name: "vm-1"}},
-		members: map[chervilladder.UpstreamID]*proxy{memberID(0): startProxy(t, freeAddress(t))},
+		members: map[chervilladder.UpstreamID]*proxy{memberID(0): startProxy(t, "127.0.0.1:9")},
 	}
 	w.split(time.Millisecond)
 	w.pending.Wait()
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -87,15 +87,14 @@
 	return chervilladder.UpstreamID(fmt.Sprintf("m%d", i))
 }
 
-// freeAddress returns an address on which nobody listens.
-func freeAddress(t *testing.T) string {
+// listen returns a listener. Its port stays taken: other runs look for ports too.
+func listen(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return l
 }
 
 // start starts the stand-ins and the VMs, and waits until all are ready.
@@ -107,8 +106,11 @@
 		ConnectTime: 2 * time.Millisecond, WorkTime: 2 * time.Millisecond, PromoteTime: 400 * time.Millisecond,
 	}
 	announce := make(map[chervilladder.UpstreamID]chervilladder.Address)
+	listeners := make(map[chervilladder.UpstreamID]net.Listener)
 	for i := range 3 {
-		m := chervilladder.Registered{ID: memberID(i), Service: service, Address: chervilladder.Address(freeAddress(t)), DataCentre: "a", Slots: 3}
+		l := listen(t)
+		m := chervilladder.Registered{ID: memberID(i), Service: service, Address: chervilladder.Address(l.Addr().String()), DataCentre: "a", Slots: 3}
+		listeners[m.ID] = l
 		c.Members = append(c.Members, m)
 		w.members[m.ID] = startProxy(t, string(m.Address))
 		announce[m.ID] = chervilladder.Address(w.members[m.ID].address())
@@ -116,15 +118,12 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	var err error
-	w.prep, err = prepared.New(prepared.Config{Services: []cluster.Config{c}, Announce: announce, Routes: routes(), Log: log})
+	w.prep, err = prepared.New(prepared.Config{Services: []cluster.Config{c}, Announce: announce, Listeners: listeners, Routes: routes(), Log: log})
 	if err != nil {
 		t.Fatal(err)
 	}
 	w.cluster = w.prep.Clusters[service]
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := listen(t)
 	w.store = startProxy(t, l.Addr().String())
 	ctx, stop := context.WithCancel(context.Background())
 	w.stop = stop
--- a/internal/standin/prepared/prepared.go
+++ b/internal/standin/prepared/prepared.go
@@ -27,6 +27,8 @@
 	// with that address instead.
 	Services []cluster.Config
 	Announce map[chervilladder.UpstreamID]chervilladder.Address
+	// Listeners are those of members that listen already.
+	Listeners map[chervilladder.UpstreamID]net.Listener
 	// Routes are the first configuration.
 	Routes []Route
 	Log    logrus.FieldLogger
@@ -149,9 +151,12 @@
 	parts.Go(func() error { return w.Platform.Serve(ctx, store) })
 	for _, s := range w.c.Services {
 		for _, m := range s.Members {
-			l, err := net.Listen("tcp", string(m.Address))
-			if err != nil {
-				return fmt.Errorf("member %s: %w", m.ID, err)
+			l, ok := w.c.Listeners[m.ID]
+			if !ok {
+				var err error
+				if l, err = net.Listen("tcp", string(m.Address)); err != nil {
+					return fmt.Errorf("member %s: %w", m.ID, err)
+				}
 			}
 			parts.Go(func() error { return lineserver.Serve(ctx, l, w.Clusters[s.Service], m.ID) })
 			parts.Go(func() error { return w.register(ctx, m) })
