Have a stand-in tell its positions and their term of one moment

Restore replaces the log, with its term, first and the tables after. Status read the log's term and the replayed position one after the other, without the lock that Restore holds. A status in between told the position that was replayed in the parted log of term 1 with term 2. MayRead compares by term and position, took u1 for up to date and sent it the read of a row that it lacked until the tables were replaced.

Ruled out: the floor of the session (Wrote takes the mark of a status asked after the commit), the floors at the claim of the new term, entries of the old term that arrive late (keep compares the term), the logs' agreement (the subscription names the last entry's term).

--- a/internal/standin/upstream/engine/db.go
+++ b/internal/standin/upstream/engine/db.go
@@ -61,6 +61,24 @@
 // Log returns the log.
 func (d *DB) Log() *Log { return d.log }
 
+// Progress is how far a member has come, at one moment.
+type Progress struct {
+	// Reached is the last position of the log, in the newest term of which
+	// the log holds all that came before.
+	Reached chervilladder.Mark
+	// Replayed is the position up to which the tables hold the log.
+	Replayed chervilladder.Position
+}
+
+// Progress returns how far the log and the tables have come. A position that
+// was replayed in a log that is replaced meanwhile never comes with the term
+// of the new one.
+func (d *DB) Progress() Progress {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Progress{Reached: d.log.Reached(), Replayed: d.Version().Mark.Position}
+}
+
 // Status returns what became of a transaction.
 func (d *DB) Status(id XID) Status { return d.xids.status(id) }
 
--- a/internal/standin/upstream/group/keeper.go
+++ b/internal/standin/upstream/group/keeper.go
@@ -84,10 +84,10 @@
 // Status returns what the member says of itself now.
 func (k *Keeper) Status() Status {
 	standing := k.board.Standing.Load()
-	reached := k.db.Log().Reached()
+	progress := k.db.Progress()
 	s := Status{
 		Member: k.name, Role: standing.Role, Term: standing.Term,
-		Received: reached.Position, Replayed: k.db.Version().Mark.Position, LogTerm: reached.Term,
+		Received: progress.Reached.Position, Replayed: progress.Replayed, LogTerm: progress.Reached.Term,
 		Contact: -1, Claim: standing.Claim, Holder: standing.Holder,
 		Slots: k.board.Settings.Load().Slots, Connections: k.sessions.Open(),
 	}
