Count a turn of each waiting caller into the wait of a new one

All of it is one service whose replicas are some 30 s behind (trial: a commit of the burst of lag is applied 49 s late and holds up those behind it), so its primary serves everything and is saturated. Callers there wait up to their deadline: 'context canceled' after 1,000 ms in the queue. The queue had admitted them since the wait expected within a priority was (waiting of the caller) x (callers that wait) x (slot time): nothing for a caller that has nothing waiting, as nearly all of some 4,000 have.

Ruled out: a leaked slot or connection of the replicas (they answer, and their own status tells the lag); the estimate of slot times.

Change: a turn of each waiting flow for every ticket of the own flow, and for the new one. TestWaitBehindManyCallers failed first; that one caller's flood does not count against others is held by TestFewWaitBehindACallerThatFloods.

--- a/internal/decide/schedule/admission.go
+++ b/internal/decide/schedule/admission.go
@@ -124,7 +124,8 @@
 }
 
 // ahead returns the slot time of the work that goes before a new ticket. In
-// its own priority that is no more than what fair sharing puts before it.
+// its own priority that is no more than what fair sharing puts before it: a turn
+// of each flow that waits for every ticket of its own flow, and for itself.
 func (q *Queue) ahead(own *class, f *flow, p pool) float64 {
 	var urgent, same float64
 	for _, c := range q.classes {
@@ -136,7 +137,7 @@
 			same += time
 		}
 	}
-	fair := float64(f.waiting*q.active[own.priority]) * own.service.estimate()
+	fair := float64((f.waiting+1)*q.active[own.priority]) * own.service.estimate()
 	return urgent + min(same, fair) + own.service.estimate()
 }
 
