--- a/internal/clustertest/world.go
+++ b/internal/clustertest/world.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -69,6 +70,8 @@
 	Promoter *CutPromoter
 	// Leave is closed to let the VM give up its duty.
 	Leave chan struct{}
+	// stoodStill is for how long the VM was suspended, in nanoseconds.
+	stoodStill atomic.Int64
 	passing
 	failovers *failover.Controller
 	stop      context.CancelFunc
@@ -152,11 +155,11 @@
 	vm.Board.Bounds.Store(chervilladder.Bounds{UpstreamDrain: DrainLimit})
 	vm.Enroll(members...)
 	vm.Pools = link.NewPools(link.PoolsConfig{Board: vm.Board, Linker: vm.Linker})
-	sessions, err1 := session.New(session.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: time.Now, Remote: hops{w}})
-	asked, err2 := evidence.New(evidence.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: time.Now})
+	sessions, err1 := session.New(session.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: vm.clock, Remote: hops{w}})
+	asked, err2 := evidence.New(evidence.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: vm.clock})
 	failovers, err3 := failover.New(failover.Config{
 		Board: vm.Board, Record: vm.Record, Promoter: vm.Promoter, Linker: vm.Linker, Pools: vm.Pools,
-		Deposers: hops{w}, Log: log.WithField("vm", vm.Board.Self.ID).Logger, Clock: time.Now, Leave: vm.Leave,
+		Deposers: hops{w}, Log: log.WithField("vm", vm.Board.Self.ID).Logger, Clock: vm.clock, Leave: vm.Leave,
 	})
 	for _, err := range []error{err1, err2, err3} {
 		if err != nil {
@@ -196,6 +199,13 @@
 	}
 }
 
+// Suspend lets the VM find that it has stood still for a time: its own clock goes
+// on, its timers don't.
+func (vm *VM) Suspend(d time.Duration) { vm.stoodStill.Add(int64(d)) }
+
+// clock tells the VM's own time.
+func (vm *VM) clock() time.Time { return time.Now().Add(time.Duration(vm.stoodStill.Load())) }
+
 // Enroll makes these the registered upstreams.
 func (vm *VM) Enroll(members ...chervilladder.Registered) {
 	u := blackboard.Upstreams{ByID: make(map[chervilladder.UpstreamID]blackboard.Enrolled), Known: true}
--- a/internal/control/evidence/evidence_test.go
+++ b/internal/control/evidence/evidence_test.go
@@ -11,6 +11,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/clustertest"
+	"github.com/chervilladder/chervilladder/internal/decide/lead"
 	"github.com/chervilladder/chervilladder/internal/standin/cluster"
 )
 
@@ -110,3 +111,58 @@
 		}
 	})
 }
+
+// foundDeadWithin is how soon a primary that falls silent is taken for dead, from
+// whatever moment between two questions: a failover is to be over in 2 s, of which
+// the order, with a promotion of some hundred ms, takes the rest.
+const foundDeadWithin = 1400 * time.Millisecond
+
+func TestSilentPrimaryIsFoundDeadInTime(t *testing.T) {
+	for offset := time.Duration(0); offset < 500*time.Millisecond; offset += 50 * time.Millisecond {
+		bubble(t, clustertest.Config{}, func(_ *testing.T, is *is.I, w *clustertest.World, view func() blackboard.ClusterView) {
+			time.Sleep(offset)
+			w.VMs[0].Record.Off.Store(true) // it stays as it is
+			w.Cluster.Set(clustertest.MemberID(0), func(f *cluster.Faults) { f.Silent = true })
+			silent := time.Now()
+			for lead.Assess(view(), time.Now()) != lead.CauseDead {
+				time.Sleep(5 * time.Millisecond)
+				is.True(time.Since(silent) < foundDeadWithin)
+			}
+			is.True(view().Members[clustertest.MemberID(0)].Failures >= 3)
+		})
+	}
+}
+
+// A primary under work is asked as soon as an answer is overdue.
+func TestSilentPrimaryIsFoundDeadSoonerUnderWork(t *testing.T) {
+	bubble(t, clustertest.Config{}, func(t *testing.T, is *is.I, w *clustertest.World, view func() blackboard.ClusterView) {
+		time.Sleep(10 * time.Millisecond) // the next question is nearly 500 ms away
+		w.VMs[0].Record.Off.Store(true)
+		w.Cluster.Set(clustertest.MemberID(0), func(f *cluster.Faults) { f.Silent = true })
+		silent := time.Now()
+		s := w.Open(t, 0, clustertest.Own)
+		go s.Do(context.Background(), chervilladder.Command{Kind: chervilladder.CommandWrite, ID: "w", Rest: "1a4 x"})
+		for lead.Assess(view(), time.Now()) != lead.CauseDead {
+			time.Sleep(5 * time.Millisecond)
+			is.True(time.Since(silent) < foundDeadWithin-200*time.Millisecond)
+		}
+		time.Sleep(time.Second) // the write ends
+	})
+}
+
+// A question that a VM could not hear the answer to, since it stood still itself,
+// says nothing of the member.
+func TestSuspendedVMBlamesNoMember(t *testing.T) {
+	bubble(t, clustertest.Config{}, func(_ *testing.T, is *is.I, w *clustertest.World, view func() blackboard.ClusterView) {
+		m := clustertest.MemberID(0)
+		w.Cluster.Set(m, func(f *cluster.Faults) { f.Silent = true })
+		time.Sleep(time.Until(view().Members[m].Asked.Add(600 * time.Millisecond))) // a question is under way
+		w.VMs[0].Suspend(2 * time.Second)
+		time.Sleep(400 * time.Millisecond) // it has run into its timeout
+		is.Equal(view().Members[m].Failures, 0)
+		w.Cluster.Set(m, func(f *cluster.Faults) { f.Silent = false })
+		time.Sleep(time.Second)
+		is.True(view().Members[m].Answers())
+		is.Equal(len(w.Cluster.Orders()), 0)
+	})
+}
--- a/internal/control/evidence/prober.go
+++ b/internal/control/evidence/prober.go
@@ -25,8 +25,15 @@
 	// soonest is the time between two questions when newer evidence is
 	// asked for.
 	soonest = 5 * time.Millisecond
+	// overrun is by how much a question may outlast its timeout. After a
+	// longer one this VM stood still itself.
+	overrun = 200 * time.Millisecond
 )
 
+// doubled is how many questions are asked at once, each on a fresh connection,
+// after a first one had no answer.
+const doubled = 2
+
 // prober asks one upstream.
 type prober struct {
 	k        *Controller
@@ -34,9 +41,9 @@
 	service  chervilladder.ServiceID
 	cluster  *blackboard.Cluster
 	stop     context.CancelFunc
-	// failing is set while the last question had no answer. The next one is
-	// asked on a fresh connection.
-	failing bool
+	// failing counts the times in a row that the member was asked and did not
+	// answer. From the first one on it is asked on fresh connections.
+	failing int
 	// unlisted is set while the upstream's entry is gone.
 	unlisted atomic.Bool
 }
@@ -71,22 +78,28 @@
 // ask asks once and reports whether the member told its status.
 func (p *prober) ask(ctx context.Context) bool {
 	asked := p.k.c.Clock()
-	status, err := p.status(ctx)
+	questions := 1
+	if p.failing == 1 {
+		questions = doubled
+	}
+	status, err := p.statuses(ctx, questions)
 	if ctx.Err() != nil {
 		return false
 	}
 	if err == nil {
-		p.failing = false
+		p.failing = 0
 		p.answered(asked, status)
 		return true
 	}
-	var refused *chervilladder.LinkRefusedError
-	if errors.As(err, &refused) && (refused.Code == chervilladder.CodeBusy || refused.Code == chervilladder.CodeConnectionLimit) || errors.Is(err, link.ErrFull) {
-		p.alive() // too much to do is no sign of death
+	if tooBusy(err) {
+		p.alive()
+		return false
+	}
+	p.failing++
+	if p.k.c.Clock().Sub(asked) > answerTimeout+overrun {
 		return false
 	}
-	p.failing = true
-	p.failed(asked, err)
+	p.failed(asked, questions, err)
 	if p.unlisted.Load() {
 		select {
 		case p.k.silent <- p:
@@ -96,17 +109,53 @@
 	return false
 }
 
-// status asks on a connection of the pool.
-func (p *prober) status(ctx context.Context) (chervilladder.LinkStatus, error) {
+// statuses asks some questions at once, on fresh connections if the last one had no
+// answer, and returns the first answer, or what the last question ran into.
+func (p *prober) statuses(ctx context.Context, questions int) (chervilladder.LinkStatus, error) {
+	pool := p.k.c.Pools.For(p.upstream)
+	get := func(ctx context.Context) (*link.Conn, error) { return pool.Get(ctx, nil) }
+	if p.failing > 0 {
+		get = pool.Fresh
+	}
+	if questions == 1 {
+		return p.status(ctx, get)
+	}
+	type told struct {
+		status chervilladder.LinkStatus
+		err    error
+	}
+	answers := make(chan told, questions)
+	for range questions {
+		p.k.running.Go(func() {
+			status, err := p.status(ctx, get)
+			answers <- told{status, err}
+		})
+	}
+	var last told
+	for range questions {
+		if last = <-answers; last.err == nil || tooBusy(last.err) {
+			break
+		}
+	}
+	return last.status, last.err
+}
+
+// tooBusy reports whether a member has too much to do to tell its status, which is
+// no sign of death.
+func tooBusy(err error) bool {
+	var refused *chervilladder.LinkRefusedError
+	if errors.As(err, &refused) {
+		return refused.Code == chervilladder.CodeBusy || refused.Code == chervilladder.CodeConnectionLimit
+	}
+	return errors.Is(err, link.ErrFull)
+}
+
+// status asks once, on a connection that it gets.
+func (p *prober) status(ctx context.Context, get func(context.Context) (*link.Conn, error)) (chervilladder.LinkStatus, error) {
 	deadline := time.Now().Add(answerTimeout)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	pool := p.k.c.Pools.For(p.upstream)
-	get := func() (*link.Conn, error) { return pool.Get(ctx, nil) }
-	if p.failing {
-		get = func() (*link.Conn, error) { return pool.Fresh(ctx) }
-	}
-	conn, err := get()
+	conn, err := get(ctx)
 	if err != nil {
 		return chervilladder.LinkStatus{}, err
 	}
@@ -114,7 +163,7 @@
 	var refused *chervilladder.LinkRefusedError
 	if err != nil && !errors.As(err, &refused) {
 		conn.Discard()
-		pool.DiscardOlder(deadline.Add(-answerTimeout))
+		p.k.c.Pools.For(p.upstream).DiscardOlder(deadline.Add(-answerTimeout))
 		return status, err
 	}
 	conn.ReleaseAsked()
@@ -130,7 +179,8 @@
 	})
 }
 
-func (p *prober) failed(asked time.Time, err error) {
+// failed notes that some questions of one moment had no answer.
+func (p *prober) failed(asked time.Time, questions int, err error) {
 	first := false
 	p.k.update(p.service, func(v *blackboard.ClusterView) {
 		s := v.Members[p.upstream.ID]
@@ -138,7 +188,7 @@
 		if first {
 			s.FailingSince = asked
 		}
-		s.Failures++
+		s.Failures += questions
 		v.Members[p.upstream.ID] = s
 	})
 	if first {
--- a/internal/session/work.go
+++ b/internal/session/work.go
@@ -159,8 +159,12 @@
 	}
 	c := w.shared
 	c.Since = p.since
-	// A member that has lost the answer has no use for the slot.
-	late := time.AfterFunc(w.patience(), p.release)
+	// A member that has lost the answer has no use for the slot, and may be
+	// lost itself.
+	late := time.AfterFunc(w.patience(), func() {
+		p.release()
+		w.cluster.Wanted.Ask()
+	})
 	defer late.Stop()
 	r, err := w.exchange(conn, c)
 	if err != nil {
