Replace a primary that no VM has seen any more

All VMs were started anew. Each saw three replicas and had seen no primary, and a service without a primary was replaced only by VMs that knew its term. So no member led for ever.

Change: a VM that has seen no primary waits for 5 s instead of for ever. An entry that lapsed while the store was away is back within about 2 s, so the primary is seen before (TestPrimaryWhoseEntryHasLapsedStays).

The soak's check reports that no member leads instead of a panic.

--- a/internal/clustertest/world.go
+++ b/internal/clustertest/world.go
@@ -184,6 +184,19 @@
 	}
 }
 
+// Restart ends all VMs and starts them anew: they know nothing of before, and these
+// members are registered.
+func (w *World) Restart(t *testing.T, members ...chervilladder.Registered) {
+	t.Helper()
+	w.stop()
+	for i := range w.VMs {
+		w.VMs[i] = w.start(t, i, members)
+	}
+	for _, vm := range w.VMs {
+		vm.Board.Peers.Store(w.peersOf(vm))
+	}
+}
+
 // Stop ends the VM.
 func (vm *VM) Stop() {
 	vm.once.Do(vm.end)
--- a/internal/control/failover/failover_test.go
+++ b/internal/control/failover/failover_test.go
@@ -235,3 +235,49 @@
 		checkKept(t, w, acked)
 	})
 }
+
+// All VMs end between the old primary's stepping down and the order to promote, and
+// start anew. They have seen no primary, and all members say that they are replicas.
+// Found by the soak, seed 7 with ten seconds of harm: no member led for ever after.
+func TestReplacementThatAllVMsForgotIsMadeGood(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 3}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		s := w.Open(t, 0, clustertest.Primary)
+		is.Equal(write(w, s, "before").Code, chervilladder.CodeNone)
+		for _, vm := range w.VMs {
+			vm.Stop()
+		}
+		for i, kind := range []chervilladder.CommandKind{chervilladder.CommandStepDown, chervilladder.CommandPause, chervilladder.CommandPause} {
+			c, err := w.Cluster.Connect(clustertest.MemberID(i), clustertest.Service, "", nil)
+			is.NoErr(err)
+			_, err = c.Order(chervilladder.Command{Kind: kind, Term: 2})
+			is.NoErr(err)
+			c.Close()
+		}
+		w.Restart(t, clustertest.Member(0), clustertest.Member(1), clustertest.Member(2))
+		began := time.Now()
+		for leader := chervilladder.UpstreamID(""); leader == ""; leader, _ = w.Cluster.Leader() {
+			time.Sleep(50 * time.Millisecond)
+			is.True(time.Since(began) < 10*time.Second)
+		}
+		time.Sleep(time.Second)
+		again := w.Open(t, 1, clustertest.Primary)
+		is.Equal(write(w, again, "after").Code, chervilladder.CodeNone)
+		checkKept(t, w, []string{"before", "after"})
+	})
+}
+
+// A VM that starts while the primary's entry is missing sees replicas only. It waits
+// for longer than an entry that has lapsed needs to come back.
+func TestPrimaryWhoseEntryHasLapsedStays(t *testing.T) {
+	bubble(t, clustertest.Config{}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		w.Restart(t, clustertest.Member(1), clustertest.Member(2))
+		time.Sleep(4 * time.Second)
+		is.Equal(len(w.Cluster.Orders()), 0)
+		w.VMs[0].Enroll(clustertest.Member(0), clustertest.Member(1), clustertest.Member(2))
+		time.Sleep(10 * time.Second)
+		is.Equal(len(w.Cluster.Orders()), 0)
+		leader, term := w.Cluster.Leader()
+		is.Equal(leader, clustertest.MemberID(0))
+		is.Equal(term, chervilladder.Term(1))
+	})
+}
--- a/internal/decide/lead/lead.go
+++ b/internal/decide/lead/lead.go
@@ -116,6 +116,9 @@
 	// missingAfter is longer than an order to promote takes to show: the old
 	// primary steps down before its successor is ordered.
 	missingAfter = 2500 * time.Millisecond
+	// unknownAfter is the same for a VM that has seen no primary yet. Entries of
+	// upstreams that lapsed are back sooner, that of the primary among them.
+	unknownAfter = 5 * time.Second
 	// deadFailures is how many questions in a row a dead primary has left
 	// without an answer, all but the first on fresh connections.
 	deadFailures = 3
@@ -227,7 +230,11 @@
 			}
 		}
 	}
-	if answering < 2 || v.Term == 0 || v.MissingSince.IsZero() || now.Sub(v.MissingSince) < missingAfter {
+	after := missingAfter
+	if v.Term == 0 {
+		after = unknownAfter
+	}
+	if answering < 2 || v.MissingSince.IsZero() || now.Sub(v.MissingSince) < after {
 		return CauseNone
 	}
 	return CauseMissing
--- a/internal/decide/lead/lead_test.go
+++ b/internal/decide/lead/lead_test.go
@@ -152,6 +152,15 @@
 	if got := lead.Assess(missing, at(now)); got != lead.CauseMissing {
 		t.Errorf("no primary: %q", got)
 	}
+	unknown := missing
+	unknown.Term, unknown.MissingSince = 0, at(now-4500)
+	if got := lead.Assess(unknown, at(now)); got != lead.CauseNone {
+		t.Errorf("no primary was seen yet: %q", got)
+	}
+	unknown.MissingSince = at(now - 5100)
+	if got := lead.Assess(unknown, at(now)); got != lead.CauseMissing {
+		t.Errorf("no primary was seen for long: %q", got)
+	}
 	told := missing.Members["p"]
 	missing.Members["p"] = change(missing, "p", func(s *blackboard.Sighting) { s.Asked = at(now - 3000) }).Members["p"]
 	if got := lead.Assess(missing, at(now)); got != lead.CauseNone {
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -20,6 +20,9 @@
 	var broken []string
 	fail := func(format string, args ...any) { broken = append(broken, fmt.Sprintf(format, args...)) }
 	leader, _ := k.Leader()
+	if leader == "" {
+		return []string{"no member leads"}
+	}
 	kept := make(map[string]int)
 	for _, e := range k.Log(leader) {
 		for _, c := range e.Commands {
