Refuse work at once that this VM can't have run, while others may

A caller has no time left to try another VM.

Ruled out: asking the other VMs (they are cut off from each other too: no peer answers, and of the VMs of that side not one statement of the service came through); leaving the platform's rotation (two missed probes of a second and the time to notice are most of the cut).

Change: work that needs the primary is refused as not run, with when to come back, if this VM has lost all replicas of a service that needs confirmation for 600 ms, or the primary for 3 s without a successor. A host refuses such work when it is passed, so that it goes to another host.

--- a/internal/decide/lead/lead.go
+++ b/internal/decide/lead/lead.go
@@ -80,6 +80,35 @@
 	return !s.Asked.IsZero() && !s.Status.Primary && s.Status.Term == term && s.Status.Held <= term
 }
 
+// replacedWithin is how long a replacement takes at most, from the first question
+// that the old primary left without an answer, unless something stands in its way.
+const replacedWithin = 3 * time.Second
+
+// OutOfReach reports whether this VM can have nothing run that needs the primary:
+// it reaches none of the replicas that must confirm and prove, or it has not reached
+// the primary for so long that a replacement would have shown.
+func OutOfReach(v blackboard.ClusterView, now time.Time) bool {
+	p, known := v.Members[v.Primary]
+	if !known {
+		return false
+	}
+	if lost(p, now) && now.Sub(p.FailingSince) >= replacedWithin {
+		return true
+	}
+	for id, s := range v.Members {
+		if id != v.Primary && !lost(s, now) {
+			return false
+		}
+	}
+	return len(v.Members) > 1 && v.Confirmations > 0
+}
+
+// lost reports whether a member has left enough questions without an answer for
+// long enough.
+func lost(s blackboard.Sighting, now time.Time) bool {
+	return s.Failures >= deadFailures && now.Sub(s.FailingSince) >= deadAfter
+}
+
 // Cause says why a primary is to be replaced.
 type Cause string
 
@@ -134,7 +163,7 @@
 	switch {
 	case !known:
 		return assessMissing(v, now)
-	case p.Failures >= deadFailures && now.Sub(p.FailingSince) >= deadAfter:
+	case lost(p, now):
 		return CauseDead
 	}
 	// A replica that is paused confirms nothing, which is no sign that the
--- a/internal/decide/lead/lead_test.go
+++ b/internal/decide/lead/lead_test.go
@@ -187,3 +187,39 @@
 	best, _ = lead.Candidate([]lead.Paused{{Upstream: "a", Received: mark(3, 41), Leaving: true}, {Upstream: "b", Received: mark(3, 40)}})
 	is.Equal(best.Upstream, chervilladder.UpstreamID("a")) // nothing acknowledged is lost
 }
+
+func TestOutOfReach(t *testing.T) {
+	const now = 10000
+	lost := func(v blackboard.ClusterView, sinceMS int, ids ...chervilladder.UpstreamID) blackboard.ClusterView {
+		for _, id := range ids {
+			s := v.Members[id]
+			s.FailingSince, s.Failures = at(sinceMS), 3
+			v.Members[id] = s
+		}
+		return v
+	}
+	two := func() blackboard.ClusterView { return view(replica(now, 3, 0), replica(now, 3, 0)) }
+	unknown := lost(two(), now-700, "p", "a", "b")
+	unknown.Primary = ""
+	unconfirmed := lost(two(), now-700, "a", "b")
+	unconfirmed.Confirmations = 0
+	for name, c := range map[string]struct {
+		view blackboard.ClusterView
+		want bool
+	}{
+		"all is well":                   {two(), false},
+		"one replica is lost":           {lost(two(), now-9000, "a"), false},
+		"both for a moment":             {lost(two(), now-300, "a", "b"), false},
+		"both":                          {lost(two(), now-700, "a", "b"), true},
+		"both, no confirmation needed":  {unconfirmed, false},
+		"the primary, to be replaced":   {lost(two(), now-2900, "p"), false},
+		"the primary, and not replaced": {lost(two(), now-3100, "p"), true},
+		"all":                           {lost(two(), now-700, "p", "a", "b"), true},
+		"no primary is known":           {unknown, false},
+		"there are no replicas":         {view(), false},
+	} {
+		if got := lead.OutOfReach(c.view, at(now)); got != c.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
--- a/internal/session/host.go
+++ b/internal/session/host.go
@@ -36,6 +36,9 @@
 		return nil, &chervilladder.NotRunError{Database: w.Database, Reason: chervilladder.ReasonDraining}
 	}
 	m := h.c.Manager
+	if err := m.reachable(w.Database, m.c.Board.Clusters.Get(w.Service)); err != nil {
+		return nil, err
+	}
 	if !m.c.Board.Hosting.Load().Here(w.Service) {
 		h.note(w.Service)
 	}
--- a/internal/session/place.go
+++ b/internal/session/place.go
@@ -37,9 +37,29 @@
 	errMoved   = errors.New("another member is the primary by now")
 )
 
+// comeBack is when a retry makes sense of work that this VM can't have run: another
+// VM may, and this one asks its members several times in between.
+const comeBack = 300 * time.Millisecond
+
+// reachable returns an error if this VM can have nothing run that needs the primary.
+func (m *Manager) reachable(db chervilladder.DatabaseID, c *blackboard.Cluster) error {
+	if !lead.OutOfReach(c.View.Load(), m.c.Clock()) {
+		return nil
+	}
+	return &chervilladder.NotRunError{Database: db, Reason: chervilladder.ReasonNoPrimary, RetryAfter: comeBack}
+}
+
+// reachable is the same for the work.
+func (w *work) reachable() error { return w.session.m.reachable(w.session.db, w.cluster) }
+
 // place waits for a slot of a member that may run the work.
 func (w *work) place(ctx context.Context, access chervilladder.Access) (*placement, error) {
 	w.access = access
+	if w.needsPrimary() {
+		if err := w.reachable(); err != nil {
+			return nil, err
+		}
+	}
 	bound, err := w.bound(ctx, access)
 	if err != nil {
 		return nil, err
@@ -186,6 +206,9 @@
 			}
 			return floor{mark: mark, at: w.seen.Add(-w.route.MaxAge)}, nil
 		}
+		if err := w.reachable(); err != nil {
+			return own, err
+		}
 		_, changed := w.cluster.Positions.Watch()
 		w.cluster.Wanted.Ask()
 		select {
--- /dev/null
+++ b/internal/session/reach_test.go
@@ -0,0 +1,82 @@
+package session_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/clustertest"
+)
+
+// atOnce is how soon work is refused that this VM can't have run.
+const atOnce = 50 * time.Millisecond
+
+// A VM that reaches the primary and none of its replicas can prove no read, and the
+// primary confirms no write for it that it could tell of. It says so at once, while
+// there is time left to try another VM.
+func TestVMThatReachesNoReplicaRefusesAtOnce(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 2}, func(is *is.I, w *clustertest.World) {
+		replicas := []chervilladder.UpstreamID{clustertest.MemberID(1), clustertest.MemberID(2)}
+		w.VMs[0].Linker.Off(true, replicas...)
+		time.Sleep(2 * time.Second)
+		for db, command := range map[chervilladder.DatabaseID]chervilladder.Command{
+			clustertest.Primary: read("r"), clustertest.Own: write("w"), clustertest.Bounded: read("b"),
+		} {
+			s := w.Open(t, 0, db)
+			began := time.Now()
+			r := s.Do(context.Background(), command)
+			is.Equal(r.Code, chervilladder.CodeBusy)
+			is.True(time.Since(began) < atOnce)
+		}
+		s := w.Open(t, 0, clustertest.Primary)
+		do(t, s, begin())
+		began := time.Now()
+		is.Equal(s.Do(context.Background(), write("t")).Code, chervilladder.CodeBusy)
+		is.True(time.Since(began) < atOnce)
+		do(t, s, rollback())
+		other := w.Open(t, 1, clustertest.Primary)
+		do(t, other, write("o")) // the other VM serves
+		is.Equal(kept(w.Cluster, clustertest.MemberID(0), "w")+kept(w.Cluster, clustertest.MemberID(0), "t"), 0)
+
+		w.VMs[0].Linker.Off(false, replicas...)
+		time.Sleep(time.Second)
+		do(t, s, write("again"))
+	})
+}
+
+// One that has not reached the primary for longer than a replacement takes does the
+// same; until then it waits for the new one.
+func TestVMThatReachesNoPrimaryRefusesInTheEnd(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 2}, func(is *is.I, w *clustertest.World) {
+		w.VMs[0].Record.Off.Store(true) // it does not replace the primary
+		w.VMs[0].Linker.Off(true, clustertest.MemberID(0))
+		time.Sleep(time.Second)
+		s := w.Open(t, 0, clustertest.Own)
+		began := time.Now()
+		s.Do(context.Background(), write("early"))
+		is.True(time.Since(began) > 500*time.Millisecond)
+		time.Sleep(3 * time.Second)
+		began = time.Now()
+		is.Equal(s.Do(context.Background(), write("w")).Code, chervilladder.CodeBusy)
+		is.True(time.Since(began) < atOnce)
+	})
+}
+
+// Work is passed to another host than one that can't have it run.
+func TestHostThatReachesNoReplicaIsPassedOver(t *testing.T) {
+	passing(t, func(is *is.I, w *clustertest.World) {
+		w.VMs[0].Linker.Off(true, clustertest.MemberID(1), clustertest.MemberID(2))
+		time.Sleep(2 * time.Second)
+		s := w.Open(t, 2, clustertest.Primary)
+		began := time.Now()
+		do(t, s, write("w"))
+		do(t, s, read("r"))
+		do(t, s, begin())
+		do(t, s, write("t"))
+		do(t, s, commit())
+		is.True(time.Since(began) < 300*time.Millisecond)
+	})
+}
