--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -44,11 +45,19 @@
 	os.Exit(code)
 }
 
+// seeded is one run: what its chance starts from, and for how long it does harm; zero
+// is what the flag says.
+type seeded struct {
+	seed uint64
+	harm time.Duration
+}
+
 // regressions are seeds that have failed; each with its cause.
-var regressions = []uint64{
-	4,  // an order's answer was lost, and replicas were resumed to the old primary
-	44, // a replica was resumed while the new primary was out of sight, and confirmed the old one's commits
-	21, // the soak's own: two harms to one process, and the second awaited the new one's end
+var regressions = []seeded{
+	{seed: 4},                         // an order's answer was lost, and replicas were resumed to the old primary
+	{seed: 44},                        // a replica was resumed while the new primary was out of sight, and confirmed the old one's commits
+	{seed: 21},                        // the soak's own: two harms to one process, and the second awaited the new one's end
+	{seed: 7, harm: 10 * time.Second}, // all VMs ended after the old primary stepped down and before its successor was ordered
 }
 
 // shape is the size of what a seed runs.
@@ -63,48 +72,49 @@
 // TestSoakOfPassedWork has so few connections that two of five VMs hold them all
 // and the others pass their work to these.
 func TestSoakOfPassedWork(t *testing.T) {
-	for _, seed := range chosen(passedRegressions) {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, seed, shape{vms: 5, connections: 7}) })
+	for _, r := range chosen(passedRegressions) {
+		t.Run(fmt.Sprintf("seed-%d", r.seed), func(t *testing.T) { soak(t, r, shape{vms: 5, connections: 7}) })
 	}
 }
 
 // passedRegressions are the same for passed work.
-var passedRegressions = []uint64{
-	17, // old primaries were not stepped down, and a full member got no order
-	69, // the stand-in's own: a primary that had been replaced came back as one
+var passedRegressions = []seeded{
+	{seed: 17}, // old primaries were not stepped down, and a full member got no order
+	{seed: 69}, // the stand-in's own: a primary that had been replaced came back as one
 }
 
 // chosen returns the seeds to run: those that have failed, and those asked for.
-func chosen(failed []uint64) []uint64 {
-	seeds := slices.Clone(failed)
+func chosen(failed []seeded) []seeded {
+	runs := slices.Clone(failed)
 	for n := range *seedsFlag {
-		if seed := *fromFlag + n; !slices.Contains(seeds, seed) {
-			seeds = append(seeds, seed)
+		seed := *fromFlag + n
+		if !slices.ContainsFunc(failed, func(r seeded) bool { return r.seed == seed }) {
+			runs = append(runs, seeded{seed: seed})
 		}
 	}
-	return seeds
+	return runs
 }
 
 func TestSoak(t *testing.T) {
-	for _, seed := range chosen(regressions) {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, seed, shape{vms: *vmsFlag, connections: plenty}) })
+	for _, r := range chosen(regressions) {
+		t.Run(fmt.Sprintf("seed-%d", r.seed), func(t *testing.T) { soak(t, r, shape{vms: *vmsFlag, connections: plenty}) })
 	}
 }
 
 // soak does harm for a time, lets the system come to rest, and checks.
-func soak(t *testing.T, seed uint64, s shape) {
-	w := start(t, seed, s)
+func soak(t *testing.T, run seeded, s shape) {
+	w := start(t, run.seed, s)
 	stop := make(chan struct{})
 	var ended sync.WaitGroup
 	var callers []*caller
 	for i := range *callFlag {
-		c := &caller{w: w, number: i, rng: rand.New(rand.NewPCG(seed, uint64(100+i))), kind: kinds[i%len(kinds)]}
+		c := &caller{w: w, number: i, rng: rand.New(rand.NewPCG(run.seed, uint64(100+i))), kind: kinds[i%len(kinds)]}
 		callers = append(callers, c)
 		ended.Add(1)
 		go c.run(stop, &ended)
 	}
 	time.Sleep(500 * time.Millisecond)
-	for end := time.Now().Add(*forFlag); time.Now().Before(end); {
+	for end := time.Now().Add(cmp.Or(run.harm, *forFlag)); time.Now().Before(end); {
 		w.harm()
 		time.Sleep(time.Duration(w.rng.IntN(1200)) * time.Millisecond)
 	}
