Pass work to a peer that reaches the primary, instead of replacing it

Cause: a VM that can't reach a primary judges by its own evidence alone: after 0.6 s it takes it for dead, and the holder of the duty, or any VM that takes the duty over, replaces it. A VM that reaches no replica refuses all work of the service until the cut heals.

Ruled out: waiting longer (a dead primary is found later), the positions that replicas report as a sign of life (a calm service writes too seldom).

Change: while a primary, or all replicas, leave questions without an answer a VM asks its peers (rpc Witness). A peer asks the members anew, and answers if the primary has told its status since and a replica has its last commit. While such a word is at most 800 ms old the primary is neither dead nor missing, and the work of the service is passed to that peer by the exchange that hosts use. A primary that confirms nothing is replaced as before, by the peer's evidence.

Tests that failed first, on the commit before: TestPrimaryThatAPeerReachesStays, TestWorkGoesToAPeerThatReachesThePrimary; TestPeerThatLostAnAnswerIsAskedAgain with the peer shunned for 3 s. Two tests of refusals at once now split the VM off from its peers too: with peers in reach the work is served, as the new test asks; their bounds stand.

--- a/internal/blackboard/cluster.go
+++ b/internal/blackboard/cluster.go
@@ -48,6 +48,9 @@
 	// View is the evidence on the cluster's members. Written by
 	// control/evidence.
 	View Section[ClusterView]
+	// Testimony is what a peer has told of a primary that this VM does not
+	// reach. Written by control/witness.
+	Testimony Section[Testimony]
 	// Positions is the history of the primary's position, by which reads
 	// that accept an age are bounded. The path of a request and
 	// control/evidence add to it.
@@ -63,6 +66,16 @@
 	Wanted Wanted
 }
 
+// Testimony is a peer's word that it reaches the primary of a cluster and its replicas.
+type Testimony struct {
+	// By is the peer; empty while none has said so.
+	By chervilladder.VMID
+	// Led is the primary that it reaches. At is when it was asked, by this VM's
+	// own clock: the peer has asked the primary since.
+	Led chervilladder.Led
+	At  time.Time
+}
+
 // AppliedMark is the latest mark that a member's answers have shown.
 type AppliedMark struct {
 	mark atomic.Pointer[chervilladder.Mark]
--- a/internal/clustertest/passing.go
+++ b/internal/clustertest/passing.go
@@ -17,7 +17,7 @@
 const hopTime = 500 * time.Microsecond
 
 // hops is the way between the VMs of a world. It implements
-// chervilladder.Remote and Deposers.
+// chervilladder.Remote, Deposers and Witnesses.
 type hops struct{ w *World }
 
 // Open opens an exchange at a VM, or finds none there.
@@ -59,6 +59,18 @@
 	return ErrCut
 }
 
+// Reaches asks another VM which primary it reaches.
+func (h hops) Reaches(ctx context.Context, peer chervilladder.Address, s chervilladder.ServiceID) (chervilladder.Led, error) {
+	for _, v := range h.w.VMs {
+		if chervilladder.Address(v.Board.Self.ID) == peer && !v.Dark.Load() {
+			time.Sleep(hopTime)
+			return v.witnesses.Reaches(ctx, s)
+		}
+	}
+	<-ctx.Done()
+	return chervilladder.Led{}, ErrCut
+}
+
 // hop is an exchange with another VM.
 type hop struct {
 	vm     *VM
--- a/internal/clustertest/world.go
+++ b/internal/clustertest/world.go
@@ -18,6 +18,7 @@
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/control/evidence"
 	"github.com/chervilladder/chervilladder/internal/control/failover"
+	"github.com/chervilladder/chervilladder/internal/control/witness"
 	"github.com/chervilladder/chervilladder/internal/link"
 	"github.com/chervilladder/chervilladder/internal/session"
 	"github.com/chervilladder/chervilladder/internal/standin/cluster"
@@ -74,6 +75,7 @@
 	stoodStill atomic.Int64
 	passing
 	failovers *failover.Controller
+	witnesses *witness.Controller
 	stop      context.CancelFunc
 	ended     chan error
 	once      sync.Once
@@ -161,12 +163,13 @@
 		Board: vm.Board, Record: vm.Record, Promoter: vm.Promoter, Linker: vm.Linker, Pools: vm.Pools,
 		Deposers: hops{w}, Log: log.WithField("vm", vm.Board.Self.ID).Logger, Clock: vm.clock, Leave: vm.Leave,
 	})
-	for _, err := range []error{err1, err2, err3} {
+	witnesses, err4 := witness.New(witness.Config{Board: vm.Board, Peers: hops{w}, Log: log, Clock: vm.clock, Leaving: vm.Leaving.Load})
+	for _, err := range []error{err1, err2, err3, err4} {
 		if err != nil {
 			t.Fatal(err)
 		}
 	}
-	vm.Sessions, vm.failovers = sessions, failovers
+	vm.Sessions, vm.failovers, vm.witnesses = sessions, failovers, witnesses
 	vm.host, err1 = session.NewHost(session.HostConfig{Manager: sessions, Leaving: vm.Leaving.Load})
 	if err1 != nil {
 		t.Fatal(err1)
@@ -174,6 +177,7 @@
 	var parts errgroup.Group
 	parts.Go(func() error { return asked.Run(ctx) })
 	parts.Go(func() error { return failovers.Run(ctx) })
+	parts.Go(func() error { return witnesses.Run(ctx) })
 	go func() { vm.ended <- parts.Wait() }()
 	return vm
 }
--- a/internal/control/evidence/evidence_test.go
+++ b/internal/control/evidence/evidence_test.go
@@ -124,7 +124,7 @@
 			w.VMs[0].Record.Off.Store(true) // it stays as it is
 			w.Cluster.Set(clustertest.MemberID(0), func(f *cluster.Faults) { f.Silent = true })
 			silent := time.Now()
-			for lead.Assess(view(), time.Now()) != lead.CauseDead {
+			for lead.Assess(view(), blackboard.Testimony{}, time.Now()) != lead.CauseDead {
 				time.Sleep(5 * time.Millisecond)
 				is.True(time.Since(silent) < foundDeadWithin)
 			}
@@ -142,7 +142,7 @@
 		silent := time.Now()
 		s := w.Open(t, 0, clustertest.Own)
 		go s.Do(context.Background(), chervilladder.Command{Kind: chervilladder.CommandWrite, ID: "w", Rest: "1a4 x"})
-		for lead.Assess(view(), time.Now()) != lead.CauseDead {
+		for lead.Assess(view(), blackboard.Testimony{}, time.Now()) != lead.CauseDead {
 			time.Sleep(5 * time.Millisecond)
 			is.True(time.Since(silent) < foundDeadWithin-200*time.Millisecond)
 		}
--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -110,7 +110,7 @@
 func (k *Controller) look(ctx context.Context) {
 	now := k.c.Clock()
 	for service, c := range k.c.Board.Clusters.All() {
-		cause := lead.Assess(c.View.Load(), now)
+		cause := lead.Assess(c.View.Load(), c.Testimony.Load(), now)
 		if cause == lead.CauseNone {
 			continue
 		}
--- a/internal/control/failover/failover_test.go
+++ b/internal/control/failover/failover_test.go
@@ -82,6 +82,42 @@
 	}
 }
 
+// A primary that the holder of the duty does not reach stays while a peer reaches it,
+// and is replaced as soon as it fails for the peer too.
+func TestPrimaryThatAPeerReachesStays(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 3}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		old := clustertest.MemberID(0)
+		for i, vm := range w.VMs {
+			if i != 1 {
+				vm.Linker.Off(true, old)
+			}
+		}
+		s := w.Open(t, 1, clustertest.Primary)
+		for i := range 60 {
+			is.Equal(write(w, s, fmt.Sprint("w", i)).Code, chervilladder.CodeNone)
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.Equal(len(w.Cluster.Orders()), 0)
+		w.Cluster.Set(old, func(f *cluster.Faults) { f.Silent = true })
+		_, took := awaitLeader(t, w, old)
+		is.True(took < 4*time.Second)
+		checkOrders(t, w)
+	})
+}
+
+// No word of a peer that reaches the primary keeps one that confirms nothing.
+func TestPrimaryWithoutItsReplicasIsReplacedThoughAPeerReachesIt(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 3}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		old := clustertest.MemberID(0)
+		w.VMs[0].Linker.Off(true, old)
+		w.Cluster.Set(old, func(f *cluster.Faults) { f.Alone = true })
+		s := w.Open(t, 1, clustertest.Primary)
+		go write(w, s, "unconfirmed")
+		_, took := awaitLeader(t, w, old)
+		is.True(took < 4*time.Second)
+	})
+}
+
 func TestHealthyPrimaryStays(t *testing.T) {
 	bubble(t, clustertest.Config{VMs: 3}, func(t *testing.T, is *is.I, w *clustertest.World) {
 		s := w.Open(t, 0, clustertest.Primary)
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -123,7 +123,7 @@
 	r.cluster.Wanted.Ask()
 	r.cluster.Await(ctx, func(v blackboard.ClusterView) bool { return lead.SeenSince(v, since) })
 	r.view = r.cluster.View.Load()
-	if lead.Assess(r.view, r.k.c.Clock()) != r.cause || r.nextTerm() != r.term {
+	if lead.Assess(r.view, r.cluster.Testimony.Load(), r.k.c.Clock()) != r.cause || r.nextTerm() != r.term {
 		return errChanged
 	}
 	return nil
--- a/internal/daemon/onplatform.go
+++ b/internal/daemon/onplatform.go
@@ -26,6 +26,7 @@
 	"github.com/chervilladder/chervilladder/internal/control/registry"
 	"github.com/chervilladder/chervilladder/internal/control/relay"
 	"github.com/chervilladder/chervilladder/internal/control/routing"
+	"github.com/chervilladder/chervilladder/internal/control/witness"
 	"github.com/chervilladder/chervilladder/internal/link"
 	"github.com/chervilladder/chervilladder/internal/logs"
 	"github.com/chervilladder/chervilladder/internal/observe"
@@ -182,8 +183,12 @@
 		return nil, err
 	}
 	board.Hosting.Store(blackboard.Hosting{Deciding: true})
-	server := peer.NewServer(peer.ServerConfig{Board: board, Listener: listener, Executor: host, Feed: relays, Deposer: failovers})
-	return []actor{relays, hosts, server}, nil
+	witnesses, err := witness.New(witness.Config{Board: board, Peers: remote, Log: c.Log, Clock: clock.Boot, Leaving: leaving.hasBegun})
+	if err != nil {
+		return nil, err
+	}
+	server := peer.NewServer(peer.ServerConfig{Board: board, Listener: listener, Executor: host, Feed: relays, Deposer: failovers, Witness: witnesses})
+	return []actor{relays, hosts, witnesses, server}, nil
 }
 
 // memory keeps the runtime within the memory that the process may use.
--- a/internal/decide/lead/lead.go
+++ b/internal/decide/lead/lead.go
@@ -80,35 +80,6 @@
 	return !s.Asked.IsZero() && !s.Status.Primary && s.Status.Term == term && s.Status.Held <= term
 }
 
-// replacedWithin is how long a replacement takes at most, from the first question
-// that the old primary left without an answer, unless something stands in its way.
-const replacedWithin = 3 * time.Second
-
-// OutOfReach reports whether this VM can have nothing run that needs the primary:
-// it reaches none of the replicas that must confirm and prove, or it has not reached
-// the primary for so long that a replacement would have shown.
-func OutOfReach(v blackboard.ClusterView, now time.Time) bool {
-	p, known := v.Members[v.Primary]
-	if !known {
-		return false
-	}
-	if lost(p, now) && now.Sub(p.FailingSince) >= replacedWithin {
-		return true
-	}
-	for id, s := range v.Members {
-		if id != v.Primary && !lost(s, now) {
-			return false
-		}
-	}
-	return len(v.Members) > 1 && v.Confirmations > 0
-}
-
-// lost reports whether a member has left enough questions without an answer for
-// long enough.
-func lost(s blackboard.Sighting, now time.Time) bool {
-	return s.Failures >= deadFailures && now.Sub(s.FailingSince) >= deadAfter
-}
-
 // Cause says why a primary is to be replaced.
 type Cause string
 
@@ -154,15 +125,21 @@
 )
 
 // Assess judges the primary of a cluster. A cluster without a replica that
-// answers keeps its primary: nothing can be promoted.
-func Assess(v blackboard.ClusterView, now time.Time) Cause {
+// answers keeps its primary: nothing can be promoted. So does one whose primary a
+// peer reaches: work is passed to that peer.
+func Assess(v blackboard.ClusterView, told blackboard.Testimony, now time.Time) Cause {
 	if !anyReplica(v) {
 		return CauseNone
 	}
 	p, known := v.Members[v.Primary]
+	reached := Detour(v, told, now) != ""
 	switch {
+	case !known && reached:
+		return CauseNone
 	case !known:
 		return assessMissing(v, now)
+	case lost(p, now) && reached:
+		return CauseNone
 	case lost(p, now):
 		return CauseDead
 	}
--- a/internal/decide/lead/lead_test.go
+++ b/internal/decide/lead/lead_test.go
@@ -33,6 +33,14 @@
 	return v
 }
 
+// change alters what is known of a member.
+func change(v blackboard.ClusterView, id chervilladder.UpstreamID, f func(*blackboard.Sighting)) blackboard.ClusterView {
+	s := v.Members[id]
+	f(&s)
+	v.Members[id] = s
+	return v
+}
+
 func TestProven(t *testing.T) {
 	const moment = 5000
 	fresh, leased, old := moment+1, moment-500, moment-800
@@ -99,12 +107,6 @@
 
 func TestAssess(t *testing.T) {
 	const now = 10000
-	change := func(v blackboard.ClusterView, id chervilladder.UpstreamID, f func(*blackboard.Sighting)) blackboard.ClusterView {
-		s := v.Members[id]
-		f(&s)
-		v.Members[id] = s
-		return v
-	}
 	failing := func(sinceMS, failures int) func(*blackboard.Sighting) {
 		return func(s *blackboard.Sighting) { s.FailingSince, s.Failures = at(sinceMS), failures }
 	}
@@ -126,49 +128,49 @@
 		"left paused":               {change(two(), "a", func(s *blackboard.Sighting) { s.Status.Held, s.HeldSince = 3, at(now-900) }), lead.CauseForgotten},
 		"stalled by a left replica": {change(change(two(), "a", func(s *blackboard.Sighting) { s.Status.Held, s.HeldSince = 3, at(now-900) }), "p", func(s *blackboard.Sighting) { s.StalledSince = at(now - 1300) }), lead.CauseForgotten},
 	} {
-		if got := lead.Assess(c.view, at(now)); got != c.want {
+		if got := lead.Assess(c.view, blackboard.Testimony{}, at(now)); got != c.want {
 			t.Errorf("%s: %q, not %q", name, got, c.want)
 		}
 	}
 	lostPrimary := change(change(two(), "a", func(s *blackboard.Sighting) { s.Status.Held, s.HeldSince = 3, at(now-900) }), "p", failing(now-100, 1))
-	if got := lead.Assess(lostPrimary, at(now)); got != lead.CauseNone {
+	if got := lead.Assess(lostPrimary, blackboard.Testimony{}, at(now)); got != lead.CauseNone {
 		t.Errorf("left paused, the primary out of sight: %q", got)
 	}
 	outdated := view(replica(now, 3, 0), primary(now, 2))
-	if got := lead.Assess(outdated, at(now)); got != lead.CauseOutdated {
+	if got := lead.Assess(outdated, blackboard.Testimony{}, at(now)); got != lead.CauseOutdated {
 		t.Errorf("an older primary: %q", got)
 	}
 	heldBesideOld := change(view(replica(now, 3, 0), primary(now, 2)), "a", func(s *blackboard.Sighting) { s.Status.Held, s.HeldSince = 3, at(now-900) })
-	if got := lead.Assess(heldBesideOld, at(now)); got != lead.CauseOutdated {
+	if got := lead.Assess(heldBesideOld, blackboard.Testimony{}, at(now)); got != lead.CauseOutdated {
 		t.Errorf("left paused beside an older primary: %q", got)
 	}
 	missing := two()
 	missing.Primary, missing.MissingSince = "", at(now-1500)
 	missing.Members["p"] = replica(now, 3, 0)
-	if got := lead.Assess(missing, at(now)); got != lead.CauseNone {
+	if got := lead.Assess(missing, blackboard.Testimony{}, at(now)); got != lead.CauseNone {
 		t.Errorf("no primary for a moment: %q", got)
 	}
 	missing.MissingSince = at(now - 2600)
-	if got := lead.Assess(missing, at(now)); got != lead.CauseMissing {
+	if got := lead.Assess(missing, blackboard.Testimony{}, at(now)); got != lead.CauseMissing {
 		t.Errorf("no primary: %q", got)
 	}
 	unknown := missing
 	unknown.Term, unknown.MissingSince = 0, at(now-4500)
-	if got := lead.Assess(unknown, at(now)); got != lead.CauseNone {
+	if got := lead.Assess(unknown, blackboard.Testimony{}, at(now)); got != lead.CauseNone {
 		t.Errorf("no primary was seen yet: %q", got)
 	}
 	unknown.MissingSince = at(now - 5100)
-	if got := lead.Assess(unknown, at(now)); got != lead.CauseMissing {
+	if got := lead.Assess(unknown, blackboard.Testimony{}, at(now)); got != lead.CauseMissing {
 		t.Errorf("no primary was seen for long: %q", got)
 	}
 	told := missing.Members["p"]
 	missing.Members["p"] = change(missing, "p", func(s *blackboard.Sighting) { s.Asked = at(now - 3000) }).Members["p"]
-	if got := lead.Assess(missing, at(now)); got != lead.CauseNone {
+	if got := lead.Assess(missing, blackboard.Testimony{}, at(now)); got != lead.CauseNone {
 		t.Errorf("no primary, and a member that is too busy to tell: %q", got)
 	}
 	missing.Members["p"] = told
 	missing.Term = 0
-	if got := lead.Assess(missing, at(now)); got != lead.CauseNone {
+	if got := lead.Assess(missing, blackboard.Testimony{}, at(now)); got != lead.CauseNone {
 		t.Errorf("a service that never had a primary: %q", got)
 	}
 }
@@ -187,39 +189,3 @@
 	best, _ = lead.Candidate([]lead.Paused{{Upstream: "a", Received: mark(3, 41), Leaving: true}, {Upstream: "b", Received: mark(3, 40)}})
 	is.Equal(best.Upstream, chervilladder.UpstreamID("a")) // nothing acknowledged is lost
 }
-
-func TestOutOfReach(t *testing.T) {
-	const now = 10000
-	lost := func(v blackboard.ClusterView, sinceMS int, ids ...chervilladder.UpstreamID) blackboard.ClusterView {
-		for _, id := range ids {
-			s := v.Members[id]
-			s.FailingSince, s.Failures = at(sinceMS), 3
-			v.Members[id] = s
-		}
-		return v
-	}
-	two := func() blackboard.ClusterView { return view(replica(now, 3, 0), replica(now, 3, 0)) }
-	unknown := lost(two(), now-700, "p", "a", "b")
-	unknown.Primary = ""
-	unconfirmed := lost(two(), now-700, "a", "b")
-	unconfirmed.Confirmations = 0
-	for name, c := range map[string]struct {
-		view blackboard.ClusterView
-		want bool
-	}{
-		"all is well":                   {two(), false},
-		"one replica is lost":           {lost(two(), now-9000, "a"), false},
-		"both for a moment":             {lost(two(), now-300, "a", "b"), false},
-		"both":                          {lost(two(), now-700, "a", "b"), true},
-		"both, no confirmation needed":  {unconfirmed, false},
-		"the primary, to be replaced":   {lost(two(), now-2900, "p"), false},
-		"the primary, and not replaced": {lost(two(), now-3100, "p"), true},
-		"all":                           {lost(two(), now-700, "p", "a", "b"), true},
-		"no primary is known":           {unknown, false},
-		"there are no replicas":         {view(), false},
-	} {
-		if got := lead.OutOfReach(c.view, at(now)); got != c.want {
-			t.Errorf("%s: %v", name, got)
-		}
-	}
-}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -129,6 +129,19 @@
 	return nil
 }
 
+// Reaches asks a peer which primary of a service it reaches.
+func (c *Client) Reaches(ctx context.Context, peer chervilladder.Address, s chervilladder.ServiceID) (chervilladder.Led, error) {
+	client, err := c.client(peer)
+	if err != nil {
+		return chervilladder.Led{}, err
+	}
+	r, err := client.Witness(ctx, &peerpb.WitnessRequest{Service: string(s)})
+	if err != nil {
+		return chervilladder.Led{}, fmt.Errorf("peer %s: witness of %s: %w", peer, s, err)
+	}
+	return chervilladder.Led{Primary: chervilladder.UpstreamID(r.GetPrimary()), Term: chervilladder.Term(r.GetTerm())}, nil
+}
+
 // maxAgeMicros is the greatest age that is told apart, in microseconds.
 const maxAgeMicros = uint64(365 * 24 * time.Hour / time.Microsecond)
 
--- a/internal/peer/feed_test.go
+++ b/internal/peer/feed_test.go
@@ -38,6 +38,13 @@
 	return nil
 }
 
+func (f fixed) Reaches(_ context.Context, s chervilladder.ServiceID) (chervilladder.Led, error) {
+	if s != "agenda" {
+		return chervilladder.Led{}, errUnknown
+	}
+	return chervilladder.Led{Primary: "m0", Term: 7}, nil
+}
+
 // serve starts a server and returns a client and how to stop the server.
 func serve(t *testing.T, c ServerConfig) (*Client, chervilladder.Address, func() time.Duration) {
 	t.Helper()
@@ -86,13 +93,26 @@
 	}
 }
 
-func TestServerWithoutAFeedOrADeposer(t *testing.T) {
+func TestServerWithoutAFeedADeposerOrAWitness(t *testing.T) {
 	is := is.New(t)
 	client, address, stop := serve(t, ServerConfig{})
 	defer stop()
 	err := client.Follow(t.Context(), address, chervilladder.Following{}, func(chervilladder.News) { t.Error("told something") })
 	is.True(err != nil)
 	is.True(client.Depose(t.Context(), address, "m0", 7) != nil)
+	_, err = client.Reaches(t.Context(), address, "agenda")
+	is.True(err != nil)
+}
+
+func TestWitness(t *testing.T) {
+	is := is.New(t)
+	client, address, stop := serve(t, ServerConfig{Witness: fixed{}})
+	defer stop()
+	led, err := client.Reaches(t.Context(), address, "agenda")
+	is.NoErr(err)
+	is.Equal(led, chervilladder.Led{Primary: "m0", Term: 7})
+	_, err = client.Reaches(t.Context(), address, "registry")
+	is.True(err != nil)
 }
 
 func TestDepose(t *testing.T) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -28,6 +28,8 @@
 	Feed chervilladder.Feed
 	// Deposer tells primaries that they lead no more; nil tells none.
 	Deposer chervilladder.Deposer
+	// Witness tells peers which primaries this VM reaches; nil tells none.
+	Witness chervilladder.Witness
 	// Callers gets the cancel requests for sessions at this VM.
 	Callers  chervilladder.Canceller
 	Listener net.Listener
@@ -130,6 +132,18 @@
 	return &peerpb.DeposeResponse{}, nil
 }
 
+// Witness tells a peer which primary of a service this VM reaches.
+func (s *service) Witness(ctx context.Context, r *peerpb.WitnessRequest) (*peerpb.WitnessResponse, error) {
+	if s.ServerConfig.Witness == nil {
+		return nil, status.Error(codes.Unimplemented, "this VM asks no upstreams")
+	}
+	led, err := s.ServerConfig.Witness.Reaches(ctx, chervilladder.ServiceID(r.GetService()))
+	if err != nil {
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
+	}
+	return &peerpb.WitnessResponse{Primary: string(led.Primary), Term: uint64(led.Term)}, nil
+}
+
 // Run serves one exchange.
 func (s *service) Run(stream grpc.BidiStreamingServer[peerpb.RunRequest, peerpb.RunResponse]) error {
 	if s.Executor == nil {
--- a/internal/session/place.go
+++ b/internal/session/place.go
@@ -43,7 +43,7 @@
 
 // reachable returns an error if this VM can have nothing run that needs the primary.
 func (m *Manager) reachable(db chervilladder.DatabaseID, c *blackboard.Cluster) error {
-	if !lead.OutOfReach(c.View.Load(), m.c.Clock()) {
+	if !lead.OutOfReach(c.View.Load(), c.Testimony.Load(), m.c.Clock()) {
 		return nil
 	}
 	return &chervilladder.NotRunError{Database: db, Reason: chervilladder.ReasonNoPrimary, RetryAfter: comeBack}
--- a/internal/session/reach_test.go
+++ b/internal/session/reach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 	bubble(t, clustertest.Config{VMs: 2}, func(is *is.I, w *clustertest.World) {
 		replicas := []chervilladder.UpstreamID{clustertest.MemberID(1), clustertest.MemberID(2)}
 		w.VMs[0].Linker.Off(true, replicas...)
+		w.VMs[1].Dark.Store(true) // split off from its peers too
 		time.Sleep(2 * time.Second)
 		for db, command := range map[chervilladder.DatabaseID]chervilladder.Command{
 			clustertest.Primary: read("r"), clustertest.Own: write("w"), clustertest.Bounded: read("b"),
@@ -52,6 +54,7 @@
 func TestVMThatReachesNoPrimaryRefusesInTheEnd(t *testing.T) {
 	bubble(t, clustertest.Config{VMs: 2}, func(is *is.I, w *clustertest.World) {
 		w.VMs[0].Record.Off.Store(true) // it does not replace the primary
+		w.VMs[1].Dark.Store(true)       // and reaches no peer
 		w.VMs[0].Linker.Off(true, clustertest.MemberID(0))
 		time.Sleep(time.Second)
 		s := w.Open(t, 0, clustertest.Own)
@@ -80,3 +83,65 @@
 		is.True(time.Since(began) < 300*time.Millisecond)
 	})
 }
+
+// A VM that has lost its way to the primary, or to its replicas, passes work to a peer
+// that has not. Found by days on which primaries are out of reach of half of the VMs:
+// each was replaced, though the others had it.
+func TestWorkGoesToAPeerThatReachesThePrimary(t *testing.T) {
+	for name, off := range map[string][]int{"primary": {0}, "replicas": {1, 2}, "all": {0, 1, 2}} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, clustertest.Config{VMs: 3, Lag: 60 * time.Millisecond}, func(is *is.I, w *clustertest.World) {
+				open := w.Open(t, 0, clustertest.Own)
+				do(t, open, write("before"))
+				for _, i := range off {
+					w.VMs[0].Linker.Off(true, clustertest.MemberID(i))
+				}
+				time.Sleep(1200 * time.Millisecond)
+				began := time.Now()
+				wrote := do(t, open, write("w"))
+				do(t, open, read("r"))
+				is.True(runOf(t, w.Cluster, "r").Log.Covers(wrote.Mark))
+				for _, db := range []chervilladder.DatabaseID{clustertest.Primary, clustertest.Bounded} {
+					s := w.Open(t, 0, db)
+					do(t, s, read("r"+string(db)))
+					do(t, s, begin())
+					do(t, s, write("t"+string(db)))
+					do(t, s, commit())
+				}
+				is.True(time.Since(began) < 400*time.Millisecond)
+				other := w.Open(t, 1, clustertest.Primary)
+				for i := range 40 { // nor do callers of other VMs notice
+					began := time.Now()
+					do(t, other, write(fmt.Sprint("o", i)))
+					is.True(time.Since(began) < 200*time.Millisecond)
+					time.Sleep(100 * time.Millisecond)
+				}
+				is.Equal(len(w.Cluster.Orders()), 0)
+
+				for _, i := range off {
+					w.VMs[0].Linker.Off(false, clustertest.MemberID(i))
+				}
+				time.Sleep(time.Second)
+				w.VMs[1].Dark.Store(true)
+				w.VMs[2].Dark.Store(true)
+				do(t, open, write("after")) // it goes there itself again
+			})
+		})
+	}
+}
+
+// One command without an answer does not keep the next ones from a peer that has told
+// since that it reaches the primary.
+func TestPeerThatLostAnAnswerIsAskedAgain(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 2}, func(is *is.I, w *clustertest.World) {
+		w.VMs[0].Linker.Off(true, clustertest.MemberID(0))
+		time.Sleep(1200 * time.Millisecond)
+		s := w.Open(t, 0, clustertest.Primary)
+		do(t, s, write("w"))
+		w.VMs[1].LoseAnswers.Store(true)
+		is.Equal(s.Do(context.Background(), write("lost")).Code, chervilladder.CodeInDoubt)
+		w.VMs[1].LoseAnswers.Store(false)
+		time.Sleep(500 * time.Millisecond)
+		do(t, s, write("again"))
+	})
+}
--- a/internal/session/remote.go
+++ b/internal/session/remote.go
@@ -8,7 +8,9 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/decide/answer"
+	"github.com/chervilladder/chervilladder/internal/decide/lead"
 	"github.com/chervilladder/chervilladder/internal/link"
 )
 
@@ -26,17 +28,35 @@
 // errNoHost reports a service without a VM to pass its work to.
 var errNoHost = errors.New("no VM is known that hosts the service")
 
-// elsewhere reports whether the work's service is hosted by other VMs.
+// hosts returns the VMs to pass the work to, if it is to run elsewhere: the hosts of
+// its service, or a peer that reaches the primary while this VM does not.
+func (w *work) hosts() (blackboard.Hosts, bool) {
+	m := w.session.m
+	if w.session.hosted {
+		return blackboard.Hosts{}, false
+	}
+	if h, elsewhere := m.c.Board.Hosting.Load().Elsewhere[w.route.Service]; elsewhere {
+		return h, true
+	}
+	c := m.c.Board.Clusters.Get(w.route.Service)
+	told := c.Testimony.Load()
+	peer := lead.Detour(c.View.Load(), told, m.c.Clock())
+	if peer == "" || m.c.Remote == nil || w.silentSince(peer).After(told.At) {
+		return blackboard.Hosts{}, false
+	}
+	return blackboard.Hosts{VMs: []chervilladder.VMID{peer}, First: 1}, true
+}
+
+// elsewhere reports whether the work is to run at another VM.
 func (w *work) elsewhere() bool {
-	_, elsewhere := w.session.m.c.Board.Hosting.Load().Elsewhere[w.route.Service]
-	return elsewhere && !w.session.hosted
+	_, elsewhere := w.hosts()
+	return elsewhere
 }
 
 // host returns the host for the next attempt. Callers are spread over the first
 // hosts; those that lately gave no answer are asked last.
 func (w *work) host() (chervilladder.VMID, error) {
-	m := w.session.m
-	h := m.c.Board.Hosting.Load().Elsewhere[w.route.Service]
+	h, _ := w.hosts()
 	if len(h.VMs) == 0 {
 		return "", errNoHost
 	}
@@ -48,8 +68,7 @@
 		if i < first {
 			vm = h.VMs[(start+i)%first]
 		}
-		at, ok := m.shunned.Find(vm)
-		if vm == w.avoid || ok && m.c.Clock().Sub(at.Load()) < shunFor {
+		if vm == w.avoid || w.shunned(vm) {
 			last = append(last, vm)
 			continue
 		}
@@ -91,6 +110,19 @@
 	b.cancel()
 }
 
+// silentSince returns when a host last gave no answer; zero if it always did.
+func (w *work) silentSince(vm chervilladder.VMID) time.Time {
+	if at, ok := w.session.m.shunned.Find(vm); ok {
+		return at.Load()
+	}
+	return time.Time{}
+}
+
+// shunned reports whether a host lately gave no answer.
+func (w *work) shunned(vm chervilladder.VMID) bool {
+	return w.session.m.c.Clock().Sub(w.silentSince(vm)) < shunFor
+}
+
 // shun has a host asked last for a while.
 func (w *work) shun(vm chervilladder.VMID) {
 	w.session.m.shunned.Get(vm).Raise(w.session.m.c.Clock())
