Refuse at once what no primary can run, counted from its last answer

Ruled out: promoting the third member (a commit that the two confirmed would be lost), serving reads there (it may lack one).

Change: the view holds since when no primary has answered, whether one is known or not, and OutOfReach counts its 3 s from there.

TestServiceWithoutAPrimaryRefusesInTheEnd and two cases of TestOutOfReach failed first.

--- a/internal/blackboard/cluster.go
+++ b/internal/blackboard/cluster.go
@@ -122,7 +122,10 @@
 	Primary chervilladder.UpstreamID
 	// MissingSince is since when no primary is seen; zero while one is.
 	MissingSince time.Time
-	Members      map[chervilladder.UpstreamID]Sighting
+	// UnreachedSince is since when no primary answers, whether one is seen or
+	// not; zero while one does.
+	UnreachedSince time.Time
+	Members        map[chervilladder.UpstreamID]Sighting
 	// Departed is what the primary's log held when a replica was last found
 	// gone. That replica may have been the one that confirmed it, so no
 	// member that lacks it may be promoted. While DepartedSince is set, the
--- a/internal/control/evidence/evidence.go
+++ b/internal/control/evidence/evidence.go
@@ -184,6 +184,7 @@
 		case after.MissingSince.IsZero():
 			after.MissingSince = k.c.Clock()
 		}
+		after.UnreachedSince = unreachedSince(after, k.c.Clock())
 		return after
 	})
 	if before.Primary != after.Primary || before.Term != after.Term {
@@ -194,6 +195,21 @@
 	c.Queue.Configure(k.capacities(after))
 }
 
+// unreachedSince returns since when no primary answers; zero while one does.
+func unreachedSince(v blackboard.ClusterView, now time.Time) time.Time {
+	p, known := v.Members[v.Primary]
+	switch {
+	case known && p.Answers():
+		return time.Time{}
+	case !v.UnreachedSince.IsZero():
+		return v.UnreachedSince
+	case known && !p.FailingSince.IsZero():
+		return p.FailingSince
+	default:
+		return now
+	}
+}
+
 // capacities returns the slots that this VM uses at each member. A primary that
 // leaves works until shortly before its limit.
 func (k *Controller) capacities(v blackboard.ClusterView) []schedule.Capacity {
--- a/internal/decide/lead/reach.go
+++ b/internal/decide/lead/reach.go
@@ -16,19 +16,19 @@
 const testimonyLasts = 800 * time.Millisecond
 
 // OutOfReach reports whether this VM can have nothing run that needs the primary:
-// it reaches none of the replicas that must confirm and prove, or it has not reached
-// the primary for so long that a replacement would have shown, or while a peer does.
+// it reaches none of the replicas that must confirm and prove, or a peer reaches the
+// primary instead, or it has seen none for so long that a replacement would have shown.
 func OutOfReach(v blackboard.ClusterView, told blackboard.Testimony, now time.Time) bool {
 	if Detour(v, told, now) != "" {
 		return true
 	}
 	p, known := v.Members[v.Primary]
+	if (!known || lost(p, now)) && !v.UnreachedSince.IsZero() && now.Sub(v.UnreachedSince) >= replacedWithin {
+		return true
+	}
 	if !known {
 		return false
 	}
-	if lost(p, now) && now.Sub(p.FailingSince) >= replacedWithin {
-		return true
-	}
 	return len(v.Members) > 1 && v.Confirmations > 0 && allReplicas(v, func(s blackboard.Sighting) bool { return lost(s, now) })
 }
 
--- a/internal/decide/lead/reach_test.go
+++ b/internal/decide/lead/reach_test.go
@@ -16,6 +16,9 @@
 		s := v.Members[id]
 		s.FailingSince, s.Failures = at(sinceMS), 3
 		v.Members[id] = s
+		if id == v.Primary {
+			v.UnreachedSince = s.FailingSince
+		}
 	}
 	return v
 }
@@ -29,7 +32,13 @@
 	const now = 10000
 	two := func() blackboard.ClusterView { return view(replica(now, 3, 0), replica(now, 3, 0)) }
 	unknown := lost(two(), now-700, "p", "a", "b")
-	unknown.Primary = ""
+	unknown.Primary, unknown.UnreachedSince = "", at(now-700)
+	missing := func(sinceMS int) blackboard.ClusterView {
+		v := two()
+		delete(v.Members, "p")
+		v.Primary, v.UnreachedSince = "", at(sinceMS)
+		return v
+	}
 	unconfirmed := lost(two(), now-700, "a", "b")
 	unconfirmed.Confirmations = 0
 	for name, c := range map[string]struct {
@@ -45,6 +54,8 @@
 		"the primary, and not replaced": {lost(two(), now-3100, "p"), true},
 		"all":                           {lost(two(), now-700, "p", "a", "b"), true},
 		"no primary is known":           {unknown, false},
+		"none leads for a moment":       {missing(now - 2900), false},
+		"none leads":                    {missing(now - 3100), true},
 		"there are no replicas":         {view(), false},
 	} {
 		if got := lead.OutOfReach(c.view, blackboard.Testimony{}, at(now)); got != c.want {
--- a/internal/session/reach_test.go
+++ b/internal/session/reach_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/clustertest"
+	"github.com/chervilladder/chervilladder/internal/standin/cluster"
 )
 
 // atOnce is how soon work is refused that this VM can't have run.
@@ -145,3 +146,27 @@
 		do(t, s, write("again"))
 	})
 }
+
+// Two of three members are lost for good, the primary among them: the third may lack
+// what they had acknowledged, so nothing is promoted, and callers are told at once.
+// Found by a day that loses two members at the same moment: callers were held up to
+// their timeouts.
+func TestServiceWithoutAPrimaryRefusesInTheEnd(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 2}, func(is *is.I, w *clustertest.World) {
+		for i := range 2 {
+			w.Cluster.Set(clustertest.MemberID(i), func(f *cluster.Faults) { f.Down = true })
+		}
+		time.Sleep(4 * time.Second)
+		for _, vm := range w.VMs { // their entries have lapsed by now
+			vm.Enroll(clustertest.Member(2))
+		}
+		time.Sleep(time.Second)
+		for _, db := range []chervilladder.DatabaseID{clustertest.Primary, clustertest.Own} {
+			s := w.Open(t, 0, db)
+			began := time.Now()
+			is.Equal(s.Do(context.Background(), write("w")).Code, chervilladder.CodeBusy)
+			is.True(time.Since(began) < atOnce)
+		}
+		is.Equal(len(w.Cluster.Orders()), 0)
+	})
+}
