Have the replicas follow a new primary 100 ms sooner

Ruled out: letting them go at once (an old primary that comes back in sight at that moment would get their confirmations).

Change: from the order on the old primary is told to step down each 100 ms, by this VM and by peers, attempts overlapping since one that began while it was out of reach hangs; once the new one shows it is waited for for 40 ms.

--- a/internal/control/failover/depose.go
+++ b/internal/control/failover/depose.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -27,11 +28,37 @@
 // service is not; and those that are let go follow whichever primary they reach.
 // Either would confirm what the new primary lacks.
 func (r *replacement) depose(ctx context.Context, term chervilladder.Term) {
-	if old, ok := r.view.Members[r.view.Primary]; ok && !r.stepDownBy(ctx, old, term) {
+	old, ok := r.view.Members[r.view.Primary]
+	switch {
+	case !ok:
+	case r.stepDownBy(ctx, old, term):
+		r.deposed.Store(true)
+	case ctx.Err() == nil:
 		r.log.WithField("upstream", old.ID).Info("failover: old primary not told of its successor")
 	}
 }
 
+// insistEvery is the time between two attempts to reach an old primary while the
+// promotion of its successor is awaited.
+const insistEvery = 100 * time.Millisecond
+
+// insist goes on trying to make the old primary a replica. An attempt that began while
+// it was out of reach may hang, so the next one does not wait for it.
+func (r *replacement) insist(ctx context.Context) {
+	var attempts sync.WaitGroup
+	defer attempts.Wait()
+	t := time.NewTicker(insistEvery)
+	defer t.Stop()
+	for !r.deposed.Load() {
+		select {
+		case <-t.C:
+			attempts.Go(func() { r.depose(ctx, r.term) })
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // errNotStepped reports primaries of earlier terms that no VM has reached.
 var errNotStepped = errors.New("a primary of an earlier term can't be told that it leads no more")
 
--- a/internal/control/failover/failover_test.go
+++ b/internal/control/failover/failover_test.go
@@ -118,6 +118,23 @@
 	})
 }
 
+// The others follow a new primary as soon as it shows, also while the old one is out
+// of everybody's reach.
+func TestReplicasFollowTheNewPrimaryAtOnce(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 2}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		old := clustertest.MemberID(0)
+		w.Cluster.Set(old, func(f *cluster.Faults) { f.Silent = true })
+		leader, _ := awaitLeader(t, w, old)
+		began := time.Now()
+		for _, i := range []int{1, 2} {
+			for id := clustertest.MemberID(i); id != leader && w.Cluster.Held(id) != 0; {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		is.True(time.Since(began) < 150*time.Millisecond) // a question, 40 ms for the old one, an order
+	})
+}
+
 func TestHealthyPrimaryStays(t *testing.T) {
 	bubble(t, clustertest.Config{VMs: 3}, func(t *testing.T, is *is.I, w *clustertest.World) {
 		s := w.Open(t, 0, clustertest.Primary)
--- a/internal/control/failover/orders.go
+++ b/internal/control/failover/orders.go
@@ -202,8 +202,8 @@
 }
 
 // oldFirst is how long the replicas wait for the old primary to step down. One that
-// is in sight of some VM does so sooner.
-const oldFirst = 150 * time.Millisecond
+// is in sight of some VM has done so before, or does so sooner.
+const oldFirst = 40 * time.Millisecond
 
 // release makes the old primary a replica if it can be reached, and then lets the
 // others follow the new one. Replicas that stay paused, and a primary that goes
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -25,6 +26,9 @@
 	acted time.Time
 	// term is that of the new primary.
 	term chervilladder.Term
+	// deposed is set once the old primary has been made a replica. It is told again
+	// when its successor shows: it may have started anew meanwhile.
+	deposed atomic.Bool
 }
 
 // The reasons why nothing was promoted.
@@ -284,6 +288,9 @@
 	ctx, cancel := context.WithTimeout(ctx, effectTimeout)
 	defer cancel()
 	go r.press(ctx)
+	if id != r.spared() {
+		go r.insist(ctx)
+	}
 	leads := func(v blackboard.ClusterView) bool { return v.Primary == id && v.Term > r.view.Term }
 	if !r.cluster.Await(ctx, leads) {
 		return errNoEffect
