Relieve a primary that turns work away while all its replicas lag

No read of the service accepts that age, so the three slots of the primary serve everything and 3 to 8 % of all requests are turned away, for tens of seconds in which nothing is disturbed any more.

Ruled out: reads that are older than accepted; waiting (the commit outlasts every deadline); more connections (slots bind).

Change: when all replicas have told for 1 s that they are further behind than any route of the service accepts, and this VM has turned its work away within 2 s, the primary is replaced as by plan. The one that takes over has applied all that it received, and the old primary is a recent replica: two members take reads again. At most once in 20 s, and not where no replica confirms commits.

Tests that failed first, with the cause taken out: "flooded" of TestPrimaryThatAllReplicasLagBehindIsRelieved ("calm" holds that nobody is replaced for lag alone), TestAssess; TestLagOfAllReplicasIsSeen is new with the evidence. The stand-in tells how long its oldest commit has waited; it told the configured lag before.

--- a/internal/blackboard/cluster.go
+++ b/internal/blackboard/cluster.go
@@ -61,6 +61,9 @@
 	Retries retry.Budget
 	// Applied is the mark that each member's reads were last seen at.
 	Applied Table[chervilladder.UpstreamID, AppliedMark]
+	// Shed is when work was last turned away for want of slots. Raised by the
+	// path of a request.
+	Shed Moment
 	// Wanted counts the requests for evidence that is newer than what there
 	// is. The path of a request asks, control/evidence answers.
 	Wanted Wanted
@@ -125,7 +128,11 @@
 	// UnreachedSince is since when no primary answers, whether one is seen or
 	// not; zero while one does.
 	UnreachedSince time.Time
-	Members        map[chervilladder.UpstreamID]Sighting
+	// LaggingSince is since when all replicas are further behind than any read
+	// accepts; zero while one is not. Shed is when work was last turned away
+	// for want of slots.
+	LaggingSince, Shed time.Time
+	Members            map[chervilladder.UpstreamID]Sighting
 	// Departed is what the primary's log held when a replica was last found
 	// gone. That replica may have been the one that confirmed it, so no
 	// member that lacks it may be promoted. While DepartedSince is set, the
--- a/internal/control/evidence/evidence.go
+++ b/internal/control/evidence/evidence.go
@@ -184,6 +184,7 @@
 		case after.MissingSince.IsZero():
 			after.MissingSince = k.c.Clock()
 		}
+		after.Shed = c.Shed.Load()
 		after.UnreachedSince = unreachedSince(after, k.c.Clock())
 		return after
 	})
--- a/internal/control/evidence/evidence_test.go
+++ b/internal/control/evidence/evidence_test.go
@@ -166,3 +166,23 @@
 		is.Equal(len(w.Cluster.Orders()), 0)
 	})
 }
+
+// A cluster lags while no replica is recent enough for any read of its routes.
+func TestLagOfAllReplicasIsSeen(t *testing.T) {
+	bubble(t, clustertest.Config{}, func(t *testing.T, is *is.I, w *clustertest.World, view func() blackboard.ClusterView) {
+		s := w.Open(t, 0, clustertest.Primary)
+		lag := func(member int, d time.Duration) {
+			w.Cluster.Set(clustertest.MemberID(member), func(f *cluster.Faults) { f.Lag = d })
+			s.Do(context.Background(), chervilladder.Command{Kind: chervilladder.CommandWrite, ID: "w", Rest: "1a4 x"})
+			time.Sleep(2500 * time.Millisecond)
+		}
+		lag(1, 20*time.Second)
+		is.True(view().LaggingSince.IsZero()) // the other one is recent
+		lag(2, clustertest.MaxAge-10*time.Millisecond)
+		is.True(view().LaggingSince.IsZero()) // and recent enough
+		lag(2, 20*time.Second)
+		is.True(time.Since(view().LaggingSince) < 2500*time.Millisecond-clustertest.MaxAge)
+		time.Sleep(21 * time.Second)
+		is.True(view().LaggingSince.IsZero()) // it has passed
+	})
+}
--- a/internal/control/evidence/prober.go
+++ b/internal/control/evidence/prober.go
@@ -30,6 +30,10 @@
 	overrun = 200 * time.Millisecond
 )
 
+// minLag is the lag below which the routes are not looked through for what their reads
+// accept.
+const minLag = 500 * time.Millisecond
+
 // doubled is how many questions are asked at once, each on a fresh connection,
 // after a first one had no answer.
 const doubled = 2
@@ -208,6 +212,7 @@
 		markHeld(v, p.upstream.ID, asked)
 		markDeparted(v, p.upstream.ID, s)
 		markStalled(v, asked)
+		p.k.markLagging(v, p.service, asked)
 		seen = v.Members[p.upstream.ID]
 	})
 	if regained {
@@ -258,6 +263,27 @@
 	v.Members[v.Primary] = p
 }
 
+// markLagging dates since when no replica is recent enough for any read.
+func (k *Controller) markLagging(v *blackboard.ClusterView, service chervilladder.ServiceID, now time.Time) {
+	least, replicas := time.Duration(0), 0
+	for id, s := range v.Members {
+		if id == v.Primary || s.Asked.IsZero() || s.Leaves() {
+			continue
+		}
+		if replicas == 0 || s.Status.Lag < least {
+			least = s.Status.Lag
+		}
+		replicas++
+	}
+	routing := k.c.Board.Routing.Load()
+	switch {
+	case replicas == 0 || least < minLag || routing == nil || least <= routing.MaxAge(service):
+		v.LaggingSince = time.Time{}
+	case v.LaggingSince.IsZero():
+		v.LaggingSince = now
+	}
+}
+
 // reached reports whether some replica has received a mark, or none is known.
 func reached(v *blackboard.ClusterView, m chervilladder.Mark) bool {
 	replicas := 0
--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -32,6 +32,9 @@
 	// replaced because its replicas did not follow: if they don't follow
 	// the new one either, replacing it again doesn't help.
 	cutOffPause = 8 * time.Second
+	// laggingPause is the same for one that was replaced because they were too far
+	// behind.
+	laggingPause = 20 * time.Second
 )
 
 // Config configures a Controller.
@@ -159,8 +162,11 @@
 	r := &replacement{k: k, service: service, cluster: c, view: view, cause: cause, log: log, acted: acted}
 	err := r.run(ctx)
 	pause := backOff
-	if err == nil && cause == lead.CauseCutOff {
+	switch {
+	case err == nil && cause == lead.CauseCutOff:
 		pause = cutOffPause
+	case err == nil && cause == lead.CauseLagging:
+		pause = laggingPause
 	}
 	k.done(service, pause)
 	var wait *notMineError
--- a/internal/control/failover/failover_test.go
+++ b/internal/control/failover/failover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -135,6 +136,64 @@
 	})
 }
 
+// A commit that takes long to be applied holds up all behind it at both replicas, so
+// that the primary has to take all reads, and is not enough. The one that takes over
+// has applied what it received, and the old primary is a recent replica. Found by an
+// incident on salas-valle, inc-765e: work was turned away for 20 s.
+func TestPrimaryThatAllReplicasLagBehindIsRelieved(t *testing.T) {
+	for name, readers := range map[string]int{"flooded": 64, "calm": 1} {
+		t.Run(name, func(t *testing.T) {
+			slow := func(c *cluster.Config) { c.WorkTime = 50 * time.Millisecond }
+			bubble(t, clustertest.Config{VMs: 2, Adjust: slow}, func(t *testing.T, is *is.I, w *clustertest.World) {
+				for i := 1; i < 3; i++ {
+					w.Cluster.Set(clustertest.MemberID(i), func(f *cluster.Faults) { f.Lag = 40 * time.Second })
+				}
+				var stop atomic.Bool
+				var running sync.WaitGroup
+				var refused atomic.Int64
+				for i := range readers {
+					s := w.Open(t, i%2, clustertest.Bounded)
+					running.Go(func() {
+						for !stop.Load() {
+							r := s.Do(context.Background(), chervilladder.Command{Kind: chervilladder.CommandRead, ID: "r", Rest: "1a4"})
+							if r.Code != chervilladder.CodeNone {
+								refused.Add(1)
+							}
+							time.Sleep(600 * time.Millisecond)
+						}
+					})
+				}
+				writer := w.Open(t, 0, clustertest.Primary)
+				var acked []string
+				for i := range 300 {
+					if id := fmt.Sprint("w", i); write(w, writer, id).Code == chervilladder.CodeNone {
+						acked = append(acked, id)
+					}
+					if i == 20 {
+						for i := 1; i < 3; i++ { // only what is there by now is held up
+							w.Cluster.Set(clustertest.MemberID(i), func(f *cluster.Faults) { f.Lag = 0 })
+						}
+					}
+					if i == 200 {
+						refused.Store(0)
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				stop.Store(true)
+				running.Wait()
+				checkKept(t, w, acked)
+				checkOrders(t, w)
+				if name == "calm" {
+					is.Equal(len(w.Cluster.Orders()), 0) // nobody is turned away
+					return
+				}
+				is.Equal(len(w.Cluster.Orders()), 1)
+				is.Equal(refused.Load(), int64(0)) // two members take reads by now
+			})
+		})
+	}
+}
+
 func TestHealthyPrimaryStays(t *testing.T) {
 	bubble(t, clustertest.Config{VMs: 3}, func(t *testing.T, is *is.I, w *clustertest.World) {
 		s := w.Open(t, 0, clustertest.Primary)
--- a/internal/decide/lead/lead.go
+++ b/internal/decide/lead/lead.go
@@ -94,6 +94,10 @@
 	CauseCutOff Cause = "cut-off"
 	// CauseLeaving is a primary that works and has to leave.
 	CauseLeaving Cause = "leaving"
+	// CauseLagging is a primary that turns work away while all replicas are too
+	// far behind to take any. Whoever takes over is up to date, and so is the old
+	// primary as a replica.
+	CauseLagging Cause = "lagging"
 	// CauseUnfinished is a replacement that somebody began and left.
 	CauseUnfinished Cause = "unfinished"
 	// CauseForgotten is a replica that is still paused for a replacement
@@ -105,7 +109,7 @@
 )
 
 // Planned reports whether the old primary still works.
-func (c Cause) Planned() bool { return c == CauseLeaving }
+func (c Cause) Planned() bool { return c == CauseLeaving || c == CauseLagging }
 
 // The times after which evidence ripens into a cause.
 const (
@@ -113,6 +117,9 @@
 	stalledAfter    = 1200 * time.Millisecond
 	unfinishedAfter = 2 * time.Second
 	forgottenAfter  = 400 * time.Millisecond
+	laggingAfter    = time.Second
+	// shedWithin is how lately work must have been turned away for it to count.
+	shedWithin = 2 * time.Second
 	// missingAfter is longer than an order to promote takes to show: the old
 	// primary steps down before its successor is ordered.
 	missingAfter = 2500 * time.Millisecond
@@ -155,11 +162,20 @@
 		return CauseLeaving
 	case len(Outdated(v)) > 0:
 		return CauseOutdated
+	case lagging(v, now):
+		return CauseLagging
 	default:
 		return CauseNone
 	}
 }
 
+// lagging reports whether the primary alone can take work, and is not enough. Without
+// confirmations a change of primary may lose commits, so it is not worth it.
+func lagging(v blackboard.ClusterView, now time.Time) bool {
+	return v.Confirmations > 0 && !v.LaggingSince.IsZero() &&
+		now.Sub(v.LaggingSince) >= laggingAfter && now.Sub(v.Shed) <= shedWithin
+}
+
 // Outdated returns the members that answer as primaries of earlier terms.
 func Outdated(v blackboard.ClusterView) []chervilladder.UpstreamID {
 	var list []chervilladder.UpstreamID
--- a/internal/decide/lead/lead_test.go
+++ b/internal/decide/lead/lead_test.go
@@ -111,6 +111,11 @@
 		return func(s *blackboard.Sighting) { s.FailingSince, s.Failures = at(sinceMS), failures }
 	}
 	two := func() blackboard.ClusterView { return view(replica(now, 3, 0), replica(now, 3, 0)) }
+	lagging := func(sinceMS, shedMS, confirmations int) blackboard.ClusterView {
+		v := two()
+		v.LaggingSince, v.Shed, v.Confirmations = at(sinceMS), at(shedMS), confirmations
+		return v
+	}
 	for name, c := range map[string]struct {
 		view blackboard.ClusterView
 		want lead.Cause
@@ -123,6 +128,10 @@
 		"stalled":                   {change(two(), "p", func(s *blackboard.Sighting) { s.StalledSince = at(now - 1300) }), lead.CauseCutOff},
 		"stalled for a moment":      {change(two(), "p", func(s *blackboard.Sighting) { s.StalledSince = at(now - 500) }), lead.CauseNone},
 		"leaving":                   {change(two(), "p", func(s *blackboard.Sighting) { s.DrainingSince = at(now - 1) }), lead.CauseLeaving},
+		"all lag, work is shed":     {lagging(now-1100, now-500, 1), lead.CauseLagging},
+		"all lag, all is served":    {lagging(now-1100, now-2500, 1), lead.CauseNone},
+		"all lag for a moment":      {lagging(now-900, now-500, 1), lead.CauseNone},
+		"all lag, none confirms":    {lagging(now-1100, now-500, 0), lead.CauseNone},
 		"paused for long":           {change(two(), "a", func(s *blackboard.Sighting) { s.Status.Held, s.HeldSince = 4, at(now-2100) }), lead.CauseUnfinished},
 		"being replaced":            {change(two(), "a", func(s *blackboard.Sighting) { s.Status.Held, s.HeldSince = 4, at(now-900) }), lead.CauseNone},
 		"left paused":               {change(two(), "a", func(s *blackboard.Sighting) { s.Status.Held, s.HeldSince = 3, at(now-900) }), lead.CauseForgotten},
--- a/internal/decide/lead/reach.go
+++ b/internal/decide/lead/reach.go
@@ -64,7 +64,7 @@
 		return chervilladder.Led{}, false
 	}
 	switch Assess(v, blackboard.Testimony{}, now) {
-	case CauseNone, CauseLeaving, CauseForgotten, CauseOutdated:
+	case CauseNone, CauseLeaving, CauseLagging, CauseForgotten, CauseOutdated:
 		return chervilladder.Led{Primary: v.Primary, Term: v.Term}, true
 	default:
 		return chervilladder.Led{}, false
--- a/internal/session/place.go
+++ b/internal/session/place.go
@@ -267,6 +267,9 @@
 func (w *work) refused(err error) chervilladder.Result {
 	var notRun *chervilladder.NotRunError
 	if errors.As(err, &notRun) {
+		if notRun.Reason == chervilladder.ReasonDeadline || notRun.Reason == chervilladder.ReasonOverload {
+			w.cluster.Shed.Raise(w.session.m.c.Clock())
+		}
 		return failure(chervilladder.CodeBusy, fmt.Sprintf("%s; retry after %d ms", notRun.Reason, notRun.RetryAfter.Milliseconds()))
 	}
 	return failure(answer.Unsent(err), err.Error())
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -86,14 +86,19 @@
 	term    chervilladder.Term
 	held    chervilladder.Term
 	log     []Entry
-	// appliedAt says when each entry of a replica's log is applied.
-	appliedAt []time.Time
-	conns     map[*Conn]struct{}
-	busy      int
-	waiting   int
-	faults    Faults
+	// arrivals says when each entry of a replica's log was received and is
+	// applied.
+	arrivals []arrival
+	conns    map[*Conn]struct{}
+	busy     int
+	waiting  int
+	faults   Faults
 }
 
+// arrival is when an entry was received and is applied; zero for what a member had
+// when it became a replica.
+type arrival struct{ received, applied time.Time }
+
 // Faults are what is wrong with a member. The zero value is nothing.
 type Faults struct {
 	// Down members refuse connections; their log stays.
@@ -102,7 +107,7 @@
 	Silent bool
 	// Alone members neither send nor receive the log.
 	Alone bool
-	// Lag replaces the cluster's lag if it is above zero.
+	// Lag replaces the cluster's lag if it is above that.
 	Lag time.Duration
 	// LoseAnswers is how many answers are lost after their statement ran.
 	LoseAnswers int
@@ -133,7 +138,7 @@
 	if !m.faults.Down && k.newer(m.term) && wasDown {
 		// It comes back with its log, as a replica.
 		m.primary = false
-		m.appliedAt = make([]time.Time, len(m.log))
+		m.arrivals = make([]arrival, len(m.log))
 	}
 	var lost []*Conn
 	if m.faults.Down {
@@ -269,14 +274,12 @@
 	for common < len(r.log) && common < len(p.log) && r.log[common].Mark == p.log[common].Mark {
 		common++
 	}
-	r.log, r.appliedAt = r.log[:common], r.appliedAt[:common]
-	lag := k.c.Lag
-	if r.faults.Lag > 0 {
-		lag = r.faults.Lag
-	}
+	r.log, r.arrivals = r.log[:common], r.arrivals[:common]
+	lag := max(k.c.Lag, r.faults.Lag)
 	for _, e := range p.log[common:] {
 		r.log = append(r.log, e)
-		r.appliedAt = append(r.appliedAt, time.Now().Add(lag))
+		now := time.Now()
+		r.arrivals = append(r.arrivals, arrival{received: now, applied: now.Add(lag)})
 	}
 }
 
@@ -286,12 +289,21 @@
 		return len(m.log)
 	}
 	n := 0
-	for n < len(m.log) && !m.appliedAt[n].After(now) {
+	for n < len(m.log) && !m.arrivals[n].applied.After(now) {
 		n++
 	}
 	return n
 }
 
+// lag returns for how long a member has held the oldest entry that it has not applied.
+func (k *Cluster) lag(m *member) time.Duration {
+	now := time.Now()
+	if n := m.applied(now); n < len(m.log) {
+		return max(k.c.Lag, now.Sub(m.arrivals[n].received))
+	}
+	return k.c.Lag
+}
+
 // mark returns the mark of the first n entries of a member's log.
 func (m *member) mark(n int) chervilladder.Mark {
 	return chervilladder.Mark{Term: m.term, Position: chervilladder.Position(n)}
--- a/internal/standin/cluster/commit.go
+++ b/internal/standin/cluster/commit.go
@@ -1,8 +1,6 @@
 package cluster
 
 import (
-	"time"
-
 	"github.com/chervilladder/chervilladder"
 )
 
@@ -46,7 +44,7 @@
 	}
 	e := Entry{Mark: chervilladder.Mark{Term: m.term, Position: chervilladder.Position(len(m.log) + 1)}, Commands: writes, Acked: new(bool)}
 	m.log = append(m.log, e)
-	m.appliedAt = append(m.appliedAt, time.Now())
+	m.arrivals = append(m.arrivals, arrival{})
 	k.replicate()
 	k.wake()
 	for !k.confirmed(m, e) {
--- a/internal/standin/cluster/conn.go
+++ b/internal/standin/cluster/conn.go
@@ -237,14 +237,14 @@
 	case chervilladder.CommandStepDown:
 		if m.primary && cmd.Term > m.term {
 			m.primary = false
-			m.appliedAt = make([]time.Time, len(m.log))
+			m.arrivals = make([]arrival, len(m.log))
 		}
 	}
 	c.k.replicate()
 	c.k.wake()
 	return chervilladder.LinkStatus{
 		Primary: m.primary, Term: m.term, Received: m.mark(len(m.log)), Held: m.held,
-		Lag: c.k.c.Lag, Busy: m.busy, Connections: len(m.conns),
+		Lag: c.k.lag(m), Busy: m.busy, Connections: len(m.conns),
 	}, nil
 }
 
--- a/routing.go
+++ b/routing.go
@@ -56,3 +56,15 @@
 	// TransactionIdle is how long an open transaction may rest.
 	TransactionIdle time.Duration
 }
+
+// MaxAge returns the greatest age that any route of a service accepts; zero if all its
+// reads go to the primary.
+func (r *Routing) MaxAge(s ServiceID) time.Duration {
+	age := time.Duration(0)
+	for _, route := range r.Routes {
+		if route.Service == s && route.Freshness != FreshPrimary {
+			age = max(age, route.MaxAge)
+		}
+	}
+	return age
+}
