Soak members out of reach of some VMs, and replicas that fall behind

New harms, in a test of their own so that the kept seeds go on as they went: a member, mostly the primary, out of reach of some VMs; commits that all replicas take 5 to 25 s to apply, under more work than one member can take.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -18,6 +18,10 @@
 	v := w.vms[w.rng.IntN(len(w.vms))]
 	id := memberID(w.rng.IntN(3))
 	length := time.Duration(300+w.rng.IntN(3000)) * time.Millisecond
+	if w.shape.partly && w.rng.IntN(2) == 0 {
+		w.harmPartly(id, length)
+		return
+	}
 	switch w.rng.IntN(14) {
 	case 0:
 		w.harmed(length, "%s is killed", v.name)
@@ -57,6 +61,45 @@
 	}
 }
 
+// harmPartly cuts some VMs off from a member, in most cases from the primary, or has
+// replicas fall behind.
+func (w *world) harmPartly(id chervilladder.UpstreamID, d time.Duration) {
+	if w.rng.IntN(3) == 0 {
+		w.fallBehind(time.Duration(5+w.rng.IntN(20)) * time.Second)
+		return
+	}
+	if leader, _ := w.cluster.Leader(); leader != "" && w.rng.IntN(4) > 0 {
+		id = leader
+	}
+	var names []string
+	for _, v := range w.vms {
+		if w.rng.IntN(2) == 0 {
+			names = append(names, v.name)
+		}
+	}
+	d += splitAtLeast / 2
+	w.harmed(d, "%s is out of reach of %v", id, names)
+	p := w.members[id]
+	p.set(trouble{toServer: true, toClient: true, refuse: true, only: append(names, "nobody")})
+	w.later(d, func() { p.set(trouble{}) })
+}
+
+// stuckFor is how long commits arrive that replicas take long to apply. Those that
+// arrive later wait for them.
+const stuckFor = 200 * time.Millisecond
+
+// fallBehind has the replicas apply some commits late.
+func (w *world) fallBehind(lag time.Duration) {
+	leader, _ := w.cluster.Leader()
+	w.harmed(lag, "all replicas of %s fall behind", leader)
+	for id := range w.members {
+		if id != leader {
+			w.cluster.Set(id, func(f *cluster.Faults) { f.Lag = lag })
+			w.later(stuckFor, func() { w.cluster.Set(id, func(f *cluster.Faults) { f.Lag = 0 }) })
+		}
+	}
+}
+
 func (w *world) later(d time.Duration, f func()) {
 	w.pending.Add(1)
 	time.AfterFunc(d, func() {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -62,8 +62,13 @@
 
 // shape is the size of what a seed runs.
 type shape struct {
-	// vms is how many VMs serve, connections how many each member takes.
-	vms, connections int
+	// vms is how many VMs serve, connections how many each member takes, callers
+	// how many callers there are besides those of the flag.
+	vms, connections, callers int
+	// work is how long a statement takes at a member; zero is the usual.
+	work time.Duration
+	// partly adds harms that only some VMs, or only replicas, notice.
+	partly bool
 }
 
 // plenty is connections for each VM to hold some.
@@ -83,6 +88,16 @@
 	{seed: 69}, // the stand-in's own: a primary that had been replaced came back as one
 }
 
+// TestSoakOfDetours has members that some VMs reach and others don't, and replicas that
+// fall far behind while there is more work than one member can take.
+func TestSoakOfDetours(t *testing.T) {
+	for _, r := range chosen(nil) {
+		t.Run(fmt.Sprintf("seed-%d", r.seed), func(t *testing.T) {
+			soak(t, r, shape{vms: 4, connections: plenty, callers: 18, work: 20 * time.Millisecond, partly: true})
+		})
+	}
+}
+
 // chosen returns the seeds to run: those that have failed, and those asked for.
 func chosen(failed []seeded) []seeded {
 	runs := slices.Clone(failed)
@@ -107,7 +122,7 @@
 	stop := make(chan struct{})
 	var ended sync.WaitGroup
 	var callers []*caller
-	for i := range *callFlag {
+	for i := range *callFlag + s.callers {
 		c := &caller{w: w, number: i, rng: rand.New(rand.NewPCG(run.seed, uint64(100+i))), kind: kinds[i%len(kinds)]}
 		callers = append(callers, c)
 		ended.Add(1)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -7,6 +7,7 @@
 package soak_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -41,6 +42,7 @@
 type world struct {
 	t       *testing.T
 	rng     *rand.Rand
+	shape   shape
 	cluster *cluster.Cluster
 	prep    *prepared.World
 	store   *proxy
@@ -100,10 +102,10 @@
 // start starts the stand-ins and the VMs, and waits until all are ready.
 func start(t *testing.T, seed uint64, s shape) *world {
 	t.Helper()
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), members: make(map[chervilladder.UpstreamID]*proxy), ended: make(chan error, 1)}
+	w := &world{t: t, shape: s, rng: rand.New(rand.NewPCG(seed, 1)), members: make(map[chervilladder.UpstreamID]*proxy), ended: make(chan error, 1)}
 	c := cluster.Config{
 		Service: service, Confirmations: 1, Connections: s.connections, Queue: 24, Lag: 40 * time.Millisecond,
-		ConnectTime: 2 * time.Millisecond, WorkTime: 2 * time.Millisecond, PromoteTime: 400 * time.Millisecond,
+		ConnectTime: 2 * time.Millisecond, WorkTime: cmp.Or(s.work, 2*time.Millisecond), PromoteTime: 400 * time.Millisecond,
 	}
 	announce := make(map[chervilladder.UpstreamID]chervilladder.Address)
 	listeners := make(map[chervilladder.UpstreamID]net.Listener)
