Answer a peer at once when this VM has lost the primary for long

Thought through: while a service has no primary for anybody, each VM asks all others four times a second, and each of these presses its upstreams for 300 ms at a time: twenty questions a second to each member, for as long as it lasts.

Change: a VM that has found its own way lost (no primary for 3 s, or no replica) says so without asking again; its own questions go on each 100 ms.

TestReachesNothing failed first; the others of the package hold what a witness tells, and how often peers are asked.

--- a/internal/control/witness/witness.go
+++ b/internal/control/witness/witness.go
@@ -156,11 +156,14 @@
 	if !known || k.c.Leaving() || !k.c.Board.Hosting.Load().Here(service) {
 		return chervilladder.Led{}, &outOfReachError{Service: service}
 	}
+	moment := k.c.Clock()
+	if lead.OutOfReach(c.View.Load(), blackboard.Testimony{}, moment) {
+		return chervilladder.Led{}, &outOfReachError{Service: service} // asked often enough as it is
+	}
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	again := time.NewTicker(againEvery)
 	defer again.Stop()
-	moment := k.c.Clock()
 	c.Wanted.Ask()
 	for {
 		v, changed := c.View.Watch()
--- /dev/null
+++ b/internal/control/witness/witness_test.go
@@ -0,0 +1,110 @@
+package witness_test
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/clustertest"
+	"github.com/chervilladder/chervilladder/internal/control/witness"
+	"github.com/chervilladder/chervilladder/internal/standin/cluster"
+)
+
+// none is peers of which none reaches anything. It counts the questions.
+type none struct{ asked atomic.Int64 }
+
+func (n *none) Reaches(ctx context.Context, _ chervilladder.Address, _ chervilladder.ServiceID) (chervilladder.Led, error) {
+	n.asked.Add(1)
+	<-ctx.Done()
+	return chervilladder.Led{}, ctx.Err()
+}
+
+// witnessOf returns a further controller on a VM's board.
+func witnessOf(t *testing.T, vm *clustertest.VM, peers chervilladder.Witnesses, leaving bool) *witness.Controller {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	k, err := witness.New(witness.Config{
+		Board: vm.Board, Peers: peers, Log: log, Clock: time.Now, Leaving: func() bool { return leaving },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+func bubble(t *testing.T, f func(t *testing.T, is *is.I, w *clustertest.World)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { f(t, is.New(t), clustertest.New(t, clustertest.Config{VMs: 2})) })
+}
+
+func TestReaches(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, w *clustertest.World) {
+		k := witnessOf(t, w.VMs[1], &none{}, false)
+		asked := time.Now()
+		led, err := k.Reaches(t.Context(), clustertest.Service)
+		is.NoErr(err)
+		is.Equal(led, chervilladder.Led{Primary: clustertest.MemberID(0), Term: 1})
+		v := w.VMs[1].Board.Clusters.Get(clustertest.Service).View.Load()
+		is.True(!v.Members[led.Primary].Asked.Before(asked)) // it was asked anew
+
+		_, err = k.Reaches(t.Context(), "registry")
+		is.True(err != nil) // a service that is not known
+		_, err = witnessOf(t, w.VMs[1], &none{}, true).Reaches(t.Context(), clustertest.Service)
+		is.True(err != nil) // the VM leaves
+		w.Pass(1, 0)
+		_, err = k.Reaches(t.Context(), clustertest.Service)
+		is.True(err != nil) // another VM hosts the service
+	})
+}
+
+// A VM that has itself lost the primary says so, and at once when it has for long.
+func TestReachesNothing(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, w *clustertest.World) {
+		for _, vm := range w.VMs {
+			vm.Record.Off.Store(true) // nobody replaces it
+		}
+		k := witnessOf(t, w.VMs[1], &none{}, false)
+		w.Cluster.Set(clustertest.MemberID(0), func(f *cluster.Faults) { f.Silent = true })
+		_, err := k.Reaches(t.Context(), clustertest.Service)
+		is.True(err != nil)
+		time.Sleep(5 * time.Second)
+		began := time.Now()
+		_, err = k.Reaches(t.Context(), clustertest.Service)
+		is.True(err != nil)
+		is.Equal(time.Since(began), time.Duration(0))
+	})
+}
+
+// Peers are asked only while a primary is out of reach, and not more often than each
+// 250 ms.
+func TestPeersAreAskedWhileAPrimaryIsOutOfReach(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, w *clustertest.World) {
+		peers := &none{}
+		k := witnessOf(t, w.VMs[0], peers, false)
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- k.Run(ctx) }()
+		time.Sleep(3 * time.Second)
+		is.Equal(peers.asked.Load(), int64(0))
+		w.VMs[0].Linker.Off(true, clustertest.MemberID(0))
+		time.Sleep(3 * time.Second)
+		asked := peers.asked.Load()
+		is.True(asked >= 4 && asked <= 12)
+		w.VMs[0].Linker.Off(false, clustertest.MemberID(0))
+		time.Sleep(time.Second)
+		asked = peers.asked.Load()
+		time.Sleep(3 * time.Second)
+		is.Equal(peers.asked.Load(), asked)
+		stop()
+		is.NoErr(<-ended)
+		is.True(w.VMs[0].Board.Clusters.Get(clustertest.Service).Testimony.Load().By != "") // the VM's own controller has heard its peer
+	})
+}
