Let replicas go by a certain holder only, and let no newcomer confirm

Another VM took the duty over and paused the replica for the next replacement. The first one thawed and resumed it: RESUME names no term. The replica then spoke for the primary that was being replaced, and a read was proven by it. An order to promote was guarded against this, an order to go on was not.

A new replica, registered 30 ms after the others were paused, confirmed a commit after the promotion had taken effect.

Ruled out: pausing the newcomer (it may already have confirmed), asking the record before each order (the store may be away; 1.6 s after a write nobody can have taken over), having a leaving primary always step down first (each release would cost a second without writes).

Change: replicas are let go only within 1.6 s of a conditional write of the record, which is made again after the order and, if need be, before. The old primary steps down first if all replicas are paused; a leaving one that goes on does so as soon as a replica shows that is new, has started anew or is no longer paused. A lagging primary is not worth that risk: it steps down first.

--- /dev/null
+++ b/internal/control/failover/alone_test.go
@@ -0,0 +1,119 @@
+package failover_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/clustertest"
+	"github.com/chervilladder/chervilladder/internal/standin/cluster"
+)
+
+// The holder stands still between its order and the order's effect. Meanwhile another
+// VM takes the duty over and pauses the replica for a later replacement. Found by a day
+// of lags on ncdaf-ladder (lag-212): the replica was let go, and its word proved a
+// primary that had been replaced.
+func TestHolderThatStoodStillLetsNoReplicaGo(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 1}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		vm, old := w.VMs[0], clustertest.MemberID(0)
+		var other chervilladder.UpstreamID
+		var stood atomic.Bool
+		vm.Promoter.OnOrder(func(id chervilladder.UpstreamID) {
+			if stood.Swap(true) {
+				return
+			}
+			vm.Suspend(4 * time.Second)
+			d, err := vm.Record.Read(context.Background())
+			is.NoErr(err)
+			d.Holder, d.Epoch = "vm-9", d.Epoch+1
+			_, err = vm.Record.Write(context.Background(), d)
+			is.NoErr(err)
+			for i := 1; i < 3; i++ {
+				if m := clustertest.MemberID(i); m != id {
+					other = m
+					c, err := w.Cluster.Connect(m, clustertest.Service, "", nil)
+					is.NoErr(err)
+					_, err = c.Order(chervilladder.Command{Kind: chervilladder.CommandPause, Term: 9})
+					is.NoErr(err)
+					c.Close()
+				}
+			}
+		})
+		w.Cluster.Set(old, func(f *cluster.Faults) { f.Down = true })
+		awaitLeader(t, w, old)
+		for range 100 {
+			time.Sleep(10 * time.Millisecond)
+			is.Equal(w.Cluster.Held(other), chervilladder.Term(9))
+		}
+	})
+}
+
+// A replica starts while a leaving primary, which goes on until its successor leads,
+// is replaced. It is not paused, and confirms what the successor does not receive any
+// more. Found by a day of lags on ncdaf-ladder (lag-214).
+func TestReplicaThatStartsInAPlannedReplacementConfirmsNothing(t *testing.T) {
+	for seed := range 10 {
+		bubble(t, clustertest.Config{VMs: 2, Adjust: func(c *cluster.Config) { c.WorkTime = time.Millisecond }}, func(t *testing.T, is *is.I, w *clustertest.World) {
+			members := []chervilladder.Registered{clustertest.Member(0), clustertest.Member(1), clustertest.Member(2)}
+			members[0].Draining = true
+			var stop atomic.Bool
+			ended := make(chan []string)
+			for k := range 4 {
+				s := w.Open(t, k%2, clustertest.Primary)
+				go func() {
+					var list []string
+					for i := 0; !stop.Load(); i++ {
+						if id := fmt.Sprintf("w%d-%d", k, i); write(w, s, id).Code == chervilladder.CodeNone {
+							list = append(list, id)
+						}
+						time.Sleep(time.Duration(1+(i*3+seed)%4) * time.Millisecond)
+					}
+					ended <- list
+				}()
+			}
+			for _, vm := range w.VMs {
+				vm.Promoter.OnOrder(func(chervilladder.UpstreamID) {
+					w.Cluster.Add(clustertest.Member(3))
+					time.AfterFunc(time.Duration(20+seed*40)*time.Millisecond, func() {
+						for _, vm := range w.VMs {
+							vm.Enroll(append(members, clustertest.Member(3))...)
+						}
+					})
+				})
+			}
+			time.Sleep(200 * time.Millisecond)
+			for _, vm := range w.VMs {
+				vm.Enroll(members...)
+			}
+			awaitLeader(t, w, clustertest.MemberID(0))
+			time.Sleep(2 * time.Second)
+			stop.Store(true)
+			var acked []string
+			for range 4 {
+				acked = append(acked, <-ended...)
+			}
+			is.True(len(acked) > 300)
+			if n := len(missing(w, acked)); n > 0 {
+				t.Errorf("seed %d: %d of %d acknowledged writes are gone", seed, n, len(acked))
+			}
+		})
+	}
+}
+
+// missing returns the writes that are not in the leader's log.
+func missing(w *clustertest.World, ids []string) []string {
+	leader, _ := w.Cluster.Leader()
+	held := make(map[string]bool)
+	for _, e := range w.Cluster.Log(leader) {
+		for _, c := range e.Commands {
+			held[string(c.ID)] = true
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return held[id] })
+}
--- a/internal/control/failover/depose.go
+++ b/internal/control/failover/depose.go
@@ -38,6 +38,31 @@
 	}
 }
 
+// guard has the old primary step down as soon as a replica may confirm its commits that
+// is neither paused nor the one that takes over: one that is new, that has started
+// anew, or that somebody has let go.
+func (r *replacement) guard(ctx context.Context) {
+	if r.cluster.Await(ctx, r.strays) {
+		r.log.Info("failover: a replica is not paused, so the old primary steps down first")
+		r.depose(ctx, r.term)
+	}
+}
+
+// strays reports whether there is such a replica.
+func (r *replacement) strays(v blackboard.ClusterView) bool {
+	for id, s := range v.Members {
+		paused, known := r.view.Members[id]
+		switch {
+		case id == r.view.Primary || id == r.goesOn:
+		case !known || !s.Born.Equal(paused.Born):
+			return true
+		case s.Asked.After(r.pausedAt) && !s.Status.Primary && s.Status.Held < r.term:
+			return true
+		}
+	}
+	return false
+}
+
 // insistEvery is the time between two attempts to reach an old primary while the
 // promotion of its successor is awaited.
 const insistEvery = 100 * time.Millisecond
--- a/internal/control/failover/duty.go
+++ b/internal/control/failover/duty.go
@@ -17,6 +17,9 @@
 const (
 	validFor      = time.Second
 	takeOverAfter = 2 * time.Second
+	// aloneFor is how long after it has written the record a holder gives orders
+	// that name no term: nobody can have taken the duty over before they arrive.
+	aloneFor = takeOverAfter - orderTimeout
 	// orderedFor is how long after a change of the holder an order of the
 	// former one may still take effect.
 	orderedFor = 10 * time.Second
--- a/internal/control/failover/orders.go
+++ b/internal/control/failover/orders.go
@@ -175,6 +175,7 @@
 		return list, failed
 	}
 	if confirms(list, spared) {
+		r.goesOn = spared
 		return list, nil
 	}
 	// Another replica was ahead, so the spared one stops too. What it has
@@ -195,8 +196,7 @@
 func (r *replacement) resume(ctx context.Context, list []chervilladder.UpstreamID) error {
 	var failed error
 	for _, id := range list {
-		_, err := r.order(ctx, r.view.Members[id], chervilladder.Command{Kind: chervilladder.CommandResume})
-		failed = errors.Join(failed, err)
+		failed = errors.Join(failed, r.letGo(ctx, r.view.Members[id]))
 	}
 	return failed
 }
@@ -205,10 +205,16 @@
 // is in sight of some VM has done so before, or does so sooner.
 const oldFirst = 40 * time.Millisecond
 
+// errNotAlone reports replicas that were not let go: another VM may have paused them.
+var errNotAlone = errors.New("the duty may have been taken over, so the replicas stay as they are")
+
 // release makes the old primary a replica if it can be reached, and then lets the
 // others follow the new one. Replicas that stay paused, and a primary that goes
 // on, show as such later.
-func (r *replacement) release(ctx context.Context, leader chervilladder.UpstreamID) {
+func (r *replacement) release(ctx context.Context, leader chervilladder.UpstreamID) error {
+	if err := r.stayAlone(ctx); err != nil {
+		return fmt.Errorf("%w: %w", errNotAlone, err)
+	}
 	var orders sync.WaitGroup
 	defer orders.Wait()
 	if r.view.Primary != leader {
@@ -226,15 +232,30 @@
 	}
 	for id, s := range r.view.Members {
 		if id != leader && id != r.view.Primary {
-			orders.Go(func() { r.tell(ctx, s, chervilladder.Command{Kind: chervilladder.CommandResume}) })
+			orders.Go(func() {
+				if err := r.letGo(ctx, s); err != nil {
+					r.log.WithError(err).WithField("upstream", id).Info("failover: member not told of the new primary")
+				}
+			})
 		}
 	}
+	return nil
 }
 
-// tell gives a member an order after a promotion. One that does not arrive is
-// given again once the member is seen.
-func (r *replacement) tell(ctx context.Context, s blackboard.Sighting, c chervilladder.Command) {
-	if _, err := r.order(ctx, s, c); err != nil {
-		r.log.WithError(err).WithField("upstream", s.ID).Info("failover: member not told of the new primary")
+// letGo has a paused replica go on. The order names no term, so it is not given once
+// another VM may have paused the replica for a later one.
+func (r *replacement) letGo(ctx context.Context, s blackboard.Sighting) error {
+	deadline := time.Now().Add(orderTimeout)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	channel, err := r.reach(ctx, s)
+	if err != nil {
+		return err
+	}
+	defer channel.close()
+	if !r.alone() {
+		return errNotAlone
 	}
+	_, err = r.give(channel, deadline, chervilladder.Command{Kind: chervilladder.CommandResume})
+	return err
 }
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -26,6 +26,12 @@
 	acted time.Time
 	// term is that of the new primary.
 	term chervilladder.Term
+	// until is until when this VM may order a promotion.
+	until time.Time
+	// pausedAt is when the replicas had been paused, goesOn the one that was not:
+	// the old primary goes on with its confirmations. It is empty if all were.
+	pausedAt time.Time
+	goesOn   chervilladder.UpstreamID
 	// deposed is set once the old primary has been made a replica. It is told again
 	// when its successor shows: it may have started anew meanwhile.
 	deposed atomic.Bool
@@ -65,7 +71,7 @@
 			return err // before a replica is paused for nothing
 		}
 	}
-	duty, until, err := r.k.duty.begin(ctx, r.service, r.term)
+	duty, err := r.begin(ctx)
 	if err == nil {
 		err = r.lookAgain(ctx, r.k.duty.since())
 	}
@@ -81,32 +87,62 @@
 	case lead.CauseOutdated:
 		return r.stepDown(ctx, lead.Outdated(r.view))
 	}
-	leader, err := r.succeed(ctx, duty, until)
+	leader, err := r.succeed(ctx, duty)
 	var superseded *supersededError
 	if errors.As(err, &superseded) {
 		leader = superseded.By // the paused replicas are to follow it
 	}
 	if leader != "" {
-		r.release(ctx, leader)
+		err = errors.Join(err, r.release(ctx, leader))
+	}
+	return err
+}
+
+// begin records that this VM replaces the primary.
+func (r *replacement) begin(ctx context.Context) (chervilladder.Duty, error) {
+	duty, until, err := r.k.duty.begin(ctx, r.service, r.term)
+	if err == nil {
+		r.until = until
 	}
+	return duty, err
+}
+
+// alone reports whether nobody can have taken the duty over by the time that an order
+// given now arrives.
+func (r *replacement) alone() bool {
+	return r.k.c.Clock().Before(r.until.Add(aloneFor - validFor))
+}
+
+// stayAlone records the duty again unless that was lately done. Another VM may have
+// taken it over while this one stood still, and paused the same replicas.
+func (r *replacement) stayAlone(ctx context.Context) error {
+	if r.alone() {
+		return nil
+	}
+	_, err := r.begin(ctx)
 	return err
 }
 
 // succeed pauses the replicas and promotes the one that holds most. It returns the
 // new primary.
-func (r *replacement) succeed(ctx context.Context, duty chervilladder.Duty, until time.Time) (chervilladder.UpstreamID, error) {
-	best, err := r.choose(ctx)
+func (r *replacement) succeed(ctx context.Context, duty chervilladder.Duty) (chervilladder.UpstreamID, error) {
+	choosing, chosen := context.WithCancel(ctx)
+	defer chosen()
+	best, err := r.choose(choosing)
 	var superseded *supersededError
 	if err != nil && !errors.As(err, &superseded) {
-		return "", errors.Join(err, r.giveUp(ctx, until))
+		return "", errors.Join(err, r.giveUp(ctx))
 	}
 	if err != nil {
 		return "", err
 	}
 	r.k.duty.order(r.service)
-	if err := r.promote(ctx, duty, until, best.Upstream); err != nil {
+	if err := r.promote(ctx, duty, best.Upstream); err != nil {
 		return "", err
 	}
+	if _, err := r.begin(ctx); err != nil {
+		r.log.WithError(err).Info("failover: duty not recorded again after the order")
+	}
 	if err := r.awaitEffect(ctx, best.Upstream); err != nil {
 		return "", err
 	}
@@ -156,20 +192,23 @@
 	if err != nil {
 		return lead.Paused{}, err
 	}
-	settled := r.k.c.Clock().Add(lead.Settle)
+	r.pausedAt = r.k.c.Clock()
+	settled := r.pausedAt.Add(lead.Settle)
 	best, ok := lead.Candidate(paused)
 	if !ok {
 		return best, errNoCandidate
 	}
-	if spared := r.spared(); confirms(paused, spared) {
-		best = find(paused, spared)
+	if r.goesOn != "" {
+		best = find(paused, r.goesOn)
 	}
 	r.log.WithFields(logrus.Fields{"candidate": best.Upstream, "received": best.Received.String(), "paused": len(paused)}).Info("failover: replicas paused")
 	if !best.Received.Covers(r.cluster.View.Load().Departed) {
 		return best, errBehind
 	}
-	if best.Upstream != r.spared() {
+	if r.goesOn == "" {
 		r.depose(ctx, r.term)
+	} else {
+		go r.guard(ctx)
 	}
 	if err := r.sleepUntil(ctx, settled); err != nil {
 		return best, err
@@ -197,8 +236,8 @@
 // is safe only if no promotion can take effect any more: with a new primary
 // somewhere, they would confirm what the old one must not acknowledge. Where it
 // isn't, they stay paused and show as an unfinished replacement.
-func (r *replacement) giveUp(ctx context.Context, until time.Time) error {
-	if !r.k.c.Clock().Before(until) || !r.k.duty.nothingOrdered(r.service) {
+func (r *replacement) giveUp(ctx context.Context) error {
+	if !r.k.c.Clock().Before(r.until) || !r.k.duty.nothingOrdered(r.service) {
 		return nil
 	}
 	var list []chervilladder.UpstreamID
@@ -252,17 +291,17 @@
 
 // promote gives the order, and again if its answer is lost, while the duty
 // was recorded recently enough that nobody can have taken it over.
-func (r *replacement) promote(ctx context.Context, d chervilladder.Duty, until time.Time, id chervilladder.UpstreamID) error {
+func (r *replacement) promote(ctx context.Context, d chervilladder.Duty, id chervilladder.UpstreamID) error {
 	for {
 		if v := r.cluster.View.Load(); v.Term > r.view.Term && v.Primary != "" {
 			return &supersededError{By: v.Primary, Term: v.Term}
 		}
-		if !r.k.c.Clock().Before(until) {
+		if !r.k.c.Clock().Before(r.until) {
 			var err error
-			if d, until, err = r.k.duty.begin(ctx, r.service, r.term); err != nil {
+			if d, err = r.begin(ctx); err != nil {
 				return err
 			}
-			if !r.k.c.Clock().Before(until) {
+			if !r.k.c.Clock().Before(r.until) {
 				return errTooLate
 			}
 		}
@@ -288,7 +327,7 @@
 	ctx, cancel := context.WithTimeout(ctx, effectTimeout)
 	defer cancel()
 	go r.press(ctx)
-	if id != r.spared() {
+	if r.goesOn == "" {
 		go r.insist(ctx)
 	}
 	leads := func(v blackboard.ClusterView) bool { return v.Primary == id && v.Term > r.view.Term }
--- a/internal/decide/lead/lead.go
+++ b/internal/decide/lead/lead.go
@@ -108,8 +108,8 @@
 	CauseOutdated Cause = "outdated"
 )
 
-// Planned reports whether the old primary still works.
-func (c Cause) Planned() bool { return c == CauseLeaving || c == CauseLagging }
+// Planned reports whether the old primary goes on until its successor leads.
+func (c Cause) Planned() bool { return c == CauseLeaving }
 
 // The times after which evidence ripens into a cause.
 const (
