Say in the log that replicas were not let go, and not that none was replaced

A replacement whose last step finds the duty taken over ended with the line 'primary not replaced', though its successor leads.

--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -173,6 +173,8 @@
 	switch {
 	case err == nil:
 		log.WithField("took", k.c.Clock().Sub(began)).Info("failover: " + done[r.replaces()])
+	case errors.Is(err, errNotAlone):
+		log.WithError(err).Warn("failover: replicas not let go")
 	case errors.As(err, &wait):
 		log.WithError(err).Debug("failover: left to the holder of the duty")
 	default:
