Count the writes of the duty's record, so that each one shows

A holder that records the same attempt again (same service, same term, as after a failed attempt while answers are lost) counts on a second of its own from then. Another VM has seen the record unchanged for two, and its conditional write succeeds: both order.

Change: the record counts its writes.

TestEachWriteOfTheRecordShows failed first, with a test double that takes a write of the same content for none, as the store does.

--- a/internal/clustertest/record.go
+++ b/internal/clustertest/record.go
@@ -31,6 +31,9 @@
 	if d.Revision != r.current.Revision {
 		return d, &chervilladder.DutyConflictError{Current: r.current}
 	}
+	if d == r.current {
+		return d, nil // the store takes what changes nothing for no write
+	}
 	d.Revision++
 	r.current = d
 	return d, nil
--- a/internal/control/failover/duty.go
+++ b/internal/control/failover/duty.go
@@ -140,6 +140,7 @@
 func (d *duty) write(ctx context.Context, next chervilladder.Duty) (chervilladder.Duty, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	next.Writes++
 	written, err := d.record.Write(ctx, next)
 	var conflict *chervilladder.DutyConflictError
 	switch {
--- a/internal/control/failover/duty_test.go
+++ b/internal/control/failover/duty_test.go
@@ -27,6 +27,34 @@
 	})
 }
 
+// Each write of the record shows to the others, also one that says the same as the last:
+// they take the duty over once the record has not changed for a time, and the holder
+// counts on that from its last write. Found by a hunt on salas-valle, mix 64401370388:
+// a holder recorded the same attempt again, another VM took it for idle, and both
+// ordered.
+func TestEachWriteOfTheRecordShows(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 2}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		var mu sync.Mutex
+		var revisions []chervilladder.Revision
+		for _, vm := range w.VMs {
+			vm.Record.OnWrite(func(d chervilladder.Duty) {
+				mu.Lock()
+				defer mu.Unlock()
+				revisions = append(revisions, d.Revision)
+			})
+		}
+		w.Cluster.Set(clustertest.MemberID(0), func(f *cluster.Faults) { f.Down = true })
+		awaitLeader(t, w, clustertest.MemberID(0))
+		time.Sleep(time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		is.True(len(revisions) >= 2)
+		for i := range revisions[1:] {
+			is.True(revisions[i+1] > revisions[i])
+		}
+	})
+}
+
 func holderOf(w *clustertest.World) int {
 	d, err := w.VMs[0].Record.Read(context.Background())
 	if err != nil {
--- a/store.go
+++ b/store.go
@@ -40,6 +40,9 @@
 	// Service and Term tell of the promotion that was begun last.
 	Service ServiceID
 	Term    Term
+	// Writes counts the writes of the record. A write that changed nothing would
+	// not be seen by others.
+	Writes uint64
 	// Revision is that of the record; zero means that there is none.
 	Revision Revision
 }
