Classify an incomplete SET SESSION as a write instead of panicking

Cause: classifySet took the rest of an empty list after the word SESSION, so any caller's simple query `SET SESSION` ended the process of the VM. Change: a SET without a parameter is a write, whose syntax error the upstream reports. A test scans all lists of one to four words from a vocabulary of keywords, quotes and comments.

--- a/internal/caller/sqltext/scan_test.go
+++ b/internal/caller/sqltext/scan_test.go
@@ -100,7 +100,31 @@
 	}
 }
 
+// An incomplete or unusual statement must not panic: the text comes from callers. SET
+// SESSION alone ended the process.
+func TestScanIncompleteStatements(t *testing.T) {
+	is := is.New(t)
+	is.Equal(sqltext.Scan("SET SESSION"), []sqltext.Statement{{Kind: sqltext.KindWrite}})
+	words := []string{
+		"set", "reset", "session", "local", "time", "zone", "to", "=", "search_path", "names", "role", "all", "x",
+		"'x'", "\"x\"", "-5", "characteristics", "authorization", "transaction", "begin", "rollback", "savepoint", "release",
+		"select", "set_config", "(", "with", "as", "discard", "deallocate", "show", "create", "temp", "$a$", "E'", ";", "--", "/*",
+	}
+	for _, a := range words {
+		for _, b := range words {
+			for _, c := range words {
+				sqltext.Scan(a + " " + b + " " + c)
+				sqltext.Scan(a + " " + b + " " + c + " " + a)
+			}
+			sqltext.Scan(a + b)
+		}
+		sqltext.Scan(a)
+	}
+}
+
 func FuzzScan(f *testing.F) {
+	f.Add("set session")
+	f.Add("set time zone interval")
 	f.Add("select 'a' /* class=x */ from t; -- b")
 	f.Add("$a$ x $a$ E'\\'' \"q\"")
 	f.Add("/* /* */")
--- a/internal/caller/sqltext/set.go
+++ b/internal/caller/sqltext/set.go
@@ -5,6 +5,7 @@
 // searchPath is the only parameter whose value is a list of identifiers.
 const searchPath = "search_path"
 
+// classifySet classifies SET and RESET. An incomplete one is a write.
 func classifySet(w []token) Statement {
 	if len(w) < 2 {
 		return Statement{Kind: KindWrite}
@@ -24,6 +25,9 @@
 	case "role":
 		return unsupported("SET ROLE")
 	}
+	if len(w) == 0 {
+		return Statement{Kind: KindWrite} // SET SESSION alone is a syntax error, which the upstream reports
+	}
 	if isTimeZone(w) {
 		return classifyTimeZone(w[2:])
 	}
