Update the sources before a stream chooses a peer to follow

Cause: until the store's first answer a VM counts it as unavailable. A stream chose its peer from the sources of the last check, up to 100 ms old, so 100 ms after the start it depended on the order of two timers whether the peer was chosen from the sources of before that answer. Change: a stream updates the sources before it chooses. Result: TestPeersAreFollowedOnlyWhileTheStoreIsUnavailable failed 44 of 100 before; 200 of 200 pass now, beside three busy processes.

--- a/internal/control/relay/follower.go
+++ b/internal/control/relay/follower.go
@@ -164,9 +164,11 @@
 	return slices.Contains(k.sources, peer)
 }
 
-// runStream follows one peer at a time while there are peers to follow.
+// runStream follows one peer at a time while there are peers to follow. It updates the
+// sources first: those of the last check may be from before the store's first answer.
 func (k *Controller) runStream(ctx context.Context, stream int) {
 	for pause(ctx, checkEvery) {
+		k.updateSources()
 		if peer, ok := k.nextSource(stream); ok {
 			ended := k.followPeer(ctx, peer, stream > 0)
 			if ended == peerNewer {
