Read the store's responses object by object, within bounds

Cause: one object of another writer that is nested more than 10,000 deep made encoding/json reject the whole response, so no VM followed the registry while the object stayed; so did a number too large in an envelope or in an object's revision, and a page whose last object had no readable name. Ports out of range, 2^62 slots and starts after the year 9999 were accepted; the last can't be encoded for peers, so a reader's feed failed for all its followers. A record of failover leadership that was null was read as one of epoch 0. A longer response than the limit was cut. Change: one decoder for lists, watches, configuration, leadership record and VMs. Values that are nested too deep are cut before the response is decoded, each object is decoded for itself, and names, addresses and numbers are checked against named bounds. An odd object costs itself only; it is counted by fault and logged once for each revision. An unreadable route or service costs itself, and a configuration that is unreadable as a whole replaces none.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -38,7 +38,7 @@
 
 // build returns the actors in the order in which they are to stop.
 func build(c Config, board *blackboard.Board) ([]actor, error) {
-	store, err := platform.NewClient(platform.ClientConfig{Store: c.Settings.Platform})
+	store, err := platform.NewClient(platform.ClientConfig{Store: c.Settings.Platform, Log: c.Log})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -85,13 +85,15 @@
 
 // buildOnPlatform returns the actors in the order in which they are to stop.
 func buildOnPlatform(c PlatformConfig, board *blackboard.Board, shutdown *shutdownHandler) ([]actor, error) {
-	client, err := platform.NewClient(platform.ClientConfig{Store: c.Settings.Store, Promotions: c.Settings.Promotions})
+	metricSet := metrics.NewSet()
+	client, err := platform.NewClient(platform.ClientConfig{
+		Store: c.Settings.Store, Promotions: c.Settings.Promotions, Log: c.Log, Metrics: metricSet,
+	})
 	if err != nil {
 		return nil, err
 	}
 	linker := platform.Linker{Name: c.Settings.VM}
 	pools := link.NewPools(link.PoolsConfig{Board: board, Linker: linker})
-	metricSet := metrics.NewSet()
 	peers := peer.NewClient(board)
 	sessions, err := session.New(session.Config{
 		Board: board, Pools: pools, Log: c.Log, Clock: clock.SinceBoot, Remote: peers,
