Limit a panic to the session, call or controller in which it happens

Cause: nothing in the product recovered from a panic, so any fault on the path of one caller, one peer's stream or one store event ended the VM with all its callers. On the PostgreSQL path a failed accept, for example without a free file descriptor, ended it too. Change: internal/recovery runs each of them. A caller's session ends with INDOUBT, its slot is released and its connection closed, never pooled. A peer's call ends with an error that leaves the outcome unknown. Goroutines that work for one replacement pass their panic on to it, so that it fails as a whole and a later attempt completes it.

--- a/internal/caller/listener.go
+++ b/internal/caller/listener.go
@@ -14,6 +14,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/burn"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 // Config configures a Server.
@@ -44,6 +45,10 @@
 	DrainTimeout time.Duration
 }
 
+// acceptDelay is the pause after a failed accept, for example when the process is out of
+// file descriptors.
+const acceptDelay = 20 * time.Millisecond
+
 // Server serves callers.
 type Server struct {
 	Config
@@ -95,10 +100,17 @@
 func (s *Server) accept(ctx context.Context) error {
 	for {
 		conn, err := s.Listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return err
 		}
-		s.sessions.Go(func() { s.serve(ctx, conn) })
+		if err != nil {
+			s.Log.WithError(err).Warn("caller: accept failed")
+			time.Sleep(acceptDelay)
+			continue
+		}
+		s.sessions.Go(func() {
+			_ = recovery.Call(s.Log, "caller", func() { s.serve(ctx, conn) }) // the caller's connection is closed
+		})
 	}
 }
 
--- a/internal/clustertest/record.go
+++ b/internal/clustertest/record.go
@@ -116,8 +116,12 @@
 	unreachable map[chervilladder.UpstreamID]bool
 	full        map[chervilladder.UpstreamID]bool
 	onStatus    func(chervilladder.UpstreamID, chervilladder.Command)
+	received    hook[chervilladder.UpstreamID]
 }
 
+// OnReceive sets a function that is called after each response to a session's command.
+func (fl *FaultyLinker) OnReceive(f func(chervilladder.UpstreamID)) { fl.received.set(f) }
+
 // OnStatus sets a function that is called before each status command.
 func (fl *FaultyLinker) OnStatus(f func(chervilladder.UpstreamID, chervilladder.Command)) {
 	fl.mu.Lock()
@@ -217,7 +221,9 @@
 	if err := l.waitWhileUnreachable(deadline); err != nil {
 		return chervilladder.Result{}, err
 	}
-	return l.Link.Receive(deadline)
+	r, err := l.Link.Receive(deadline)
+	l.linker.received.call(l.id)
+	return r, err
 }
 
 // Status sends a status command. It times out if the member is unreachable, and
--- a/internal/control/configuration/configuration.go
+++ b/internal/control/configuration/configuration.go
@@ -21,6 +21,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/publish"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 // Config configures a Controller.
@@ -72,8 +73,8 @@
 // Run follows the platform and the peers until the context ends.
 func (c *Controller) Run(ctx context.Context) error {
 	var parts sync.WaitGroup
-	parts.Go(func() { c.followPeers(ctx) })
-	parts.Go(func() { c.followPlatform(ctx) })
+	recovery.Go(ctx, &parts, c.Log, "configuration", c.followPeers)
+	recovery.Go(ctx, &parts, c.Log, "configuration", c.followPlatform)
 	parts.Wait()
 	return nil
 }
--- a/internal/control/failover/demotion.go
+++ b/internal/control/failover/demotion.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +13,7 @@
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/decide/hosting"
 	"github.com/chervilladder/chervilladder/internal/decide/lead"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 // maxDemotionPeers is the maximum number of peers that are asked to demote an old
@@ -73,7 +73,7 @@
 // goroutine of its own, as one that began while the old primary was unreachable may
 // hang.
 func (r *replacement) retryDemotion(ctx context.Context) {
-	var attempts sync.WaitGroup
+	var attempts recovery.Group
 	defer attempts.Wait()
 	t := time.NewTicker(demotionRetryInterval)
 	defer t.Stop()
@@ -108,7 +108,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	var demoted atomic.Bool
-	var calls sync.WaitGroup
+	var calls recovery.Group
 	calls.Go(func() {
 		if _, err := r.sendOrder(ctx, old, chervilladder.Command{Kind: chervilladder.CommandStepDown, Term: term}); err == nil {
 			demoted.Store(true)
--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -15,6 +15,7 @@
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/decide/lead"
 	"github.com/chervilladder/chervilladder/internal/link"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 const (
@@ -38,6 +39,9 @@
 	laggingPause = 20 * time.Second
 )
 
+// part names this package in reports of panics.
+const part recovery.Part = "failover"
+
 // Config configures a Controller.
 type Config struct {
 	Board    *blackboard.Board
@@ -88,10 +92,12 @@
 
 // Run assesses the clusters until the context ends.
 func (k *Controller) Run(ctx context.Context) error {
+	initializing, stop := context.WithCancel(ctx)
 	defer k.running.Wait()
+	defer stop()
 	ticker := time.NewTicker(assessInterval)
 	defer ticker.Stop()
-	k.running.Go(func() { k.leadership.initialize(ctx) })
+	recovery.Go(initializing, &k.running, k.c.Log, part, k.leadership.initialize)
 	leave := k.c.Leave
 	for {
 		select {
@@ -101,7 +107,7 @@
 			}
 		case <-leave:
 			leave = nil
-			k.running.Go(func() {
+			recovery.Go(ctx, &k.running, k.c.Log, part, func(ctx context.Context) {
 				k.replacing.Wait() // another holder would order the same promotion again
 				k.leadership.release(ctx)
 			})
@@ -163,7 +169,11 @@
 		"service": service, "cause": cause, "primary": view.Primary, "term": view.Term,
 	})
 	r := &replacement{k: k, service: service, cluster: c, view: view, cause: cause, log: log, lastAttempt: lastAttempt}
-	err := r.run(ctx)
+	var err error
+	// A panic ends this attempt: a later one finds replicas that stay paused.
+	if panicked := recovery.Call(k.c.Log, part, func() { err = r.run(ctx) }); panicked != nil {
+		err = panicked
+	}
 	pause := backOff
 	switch {
 	case err == nil && cause == lead.CauseCutOff:
--- a/internal/control/failover/orders.go
+++ b/internal/control/failover/orders.go
@@ -13,6 +13,7 @@
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/decide/lead"
 	"github.com/chervilladder/chervilladder/internal/link"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 // orderConn is a connection for orders to a member: one opened for this purpose, or one
@@ -79,7 +80,7 @@
 	var mu sync.Mutex
 	var conns []*orderConn
 	var failed error
-	var opened sync.WaitGroup
+	var opened recovery.Group
 	for id, o := range r.view.Members {
 		if id == r.view.Primary {
 			continue
@@ -149,7 +150,7 @@
 	var mu sync.Mutex
 	var list []lead.Paused
 	var failed error
-	var orders sync.WaitGroup
+	var orders recovery.Group
 	deadline := time.Now().Add(orderTimeout)
 	for _, conn := range conns {
 		id, kind := conn.member.ID, chervilladder.CommandPause
@@ -217,7 +218,7 @@
 	if err := r.ensureExclusive(ctx); err != nil {
 		return fmt.Errorf("%w: %w", errNotExclusive, err)
 	}
-	var orders sync.WaitGroup
+	var orders recovery.Group
 	defer orders.Wait()
 	if r.view.Primary != newPrimary {
 		demoted := make(chan struct{})
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -12,6 +12,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/decide/lead"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 // replacement is one attempt to correct a cluster, in most cases by replacing its
@@ -212,7 +213,7 @@
 	if r.unpaused == "" {
 		r.demoteOldPrimary(ctx, r.term)
 	} else {
-		go r.demoteIfUnpaused(ctx)
+		recovery.Go(ctx, &r.k.running, r.k.c.Log, part, r.demoteIfUnpaused)
 	}
 	if err := r.sleepUntil(ctx, promoteAfter); err != nil {
 		return best, err
@@ -329,9 +330,9 @@
 func (r *replacement) awaitPromotion(ctx context.Context, id chervilladder.UpstreamID) error {
 	ctx, cancel := context.WithTimeout(ctx, effectTimeout)
 	defer cancel()
-	go r.pollStatuses(ctx)
+	recovery.Go(ctx, &r.k.running, r.k.c.Log, part, r.pollStatuses)
 	if r.unpaused == "" {
-		go r.retryDemotion(ctx)
+		recovery.Go(ctx, &r.k.running, r.k.c.Log, part, r.retryDemotion)
 	}
 	leads := func(v blackboard.ClusterView) bool { return v.Primary == id && v.Term > r.view.Term }
 	if !r.cluster.Await(ctx, leads) {
--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -11,6 +11,7 @@
 
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/decide/retry"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 // Loop calls the store repeatedly. A call that fails is followed by a pause, and the
@@ -38,9 +39,11 @@
 
 // Run repeats Step until the context ends.
 func (l *Loop) Run(ctx context.Context) {
+	ctx, stop := context.WithCancel(ctx)
 	var updates sync.WaitGroup
-	updates.Go(func() { l.applyUpdates(ctx) })
+	recovery.Go(ctx, &updates, l.Log, recovery.Part(l.Name), l.applyUpdates)
 	defer updates.Wait()
+	defer stop()
 	for l.await(ctx) {
 		err := l.Step(ctx)
 		if ctx.Err() != nil {
--- a/internal/control/group/group.go
+++ b/internal/control/group/group.go
@@ -16,11 +16,15 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/decide/promotion"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 // Dialer opens a control connection to an upstream.
 type Dialer func(ctx context.Context, u chervilladder.Upstream) (chervilladder.Member, error)
 
+// part names this package in reports of panics.
+const part recovery.Part = "group"
+
 // Config configures a Controller.
 type Config struct {
 	Board *blackboard.Board
@@ -71,7 +75,6 @@
 	setDefault(&c.ReleaseTimeout, 15*time.Second)
 	return &Controller{
 		Config:  c,
-		running: make(map[chervilladder.DatabaseID]*supervisor),
 		retired: make(chan chervilladder.DatabaseID),
 	}, nil
 }
@@ -84,8 +87,11 @@
 
 // Run supervises owned databases until the context ends.
 func (c *Controller) Run(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
 	defer c.wait.Wait()
+	defer stop()
 	defer c.stopAll()
+	c.running = make(map[chervilladder.DatabaseID]*supervisor) // those of a run that panicked have ended
 	for {
 		owners, ownersChanged := c.Board.Owners.Watch()
 		catalogue, catalogueChanged := c.Board.Catalogue.Watch()
@@ -139,14 +145,11 @@
 		id:     db.ID,
 		state:  c.Board.Databases.Get(db.ID),
 		stop:   stop,
-		done:   make(chan struct{}),
 		log:    c.Log.WithField("database", db.ID),
 	}
 	s.database.Store(db)
-	c.wait.Go(func() {
-		defer close(s.done)
-		s.run(ctx)
-	})
+	recovery.Go(ctx, &s.running, c.Log, part, s.run)
+	c.wait.Go(s.running.Wait)
 	return s
 }
 
@@ -156,7 +159,7 @@
 func (c *Controller) retire(ctx context.Context, s *supervisor) {
 	c.wait.Go(func() {
 		s.retire(ctx)
-		<-s.done
+		s.running.Wait()
 		select {
 		case c.retired <- s.id:
 		case <-ctx.Done():
--- a/internal/control/group/promote.go
+++ b/internal/control/group/promote.go
@@ -11,6 +11,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/decide/promotion"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 // promote replaces the primary. The members decide: a majority must accept the
@@ -57,7 +58,7 @@
 func (s *supervisor) collectAcceptances(ctx context.Context, db *chervilladder.Database, b chervilladder.Ballot) []chervilladder.MemberStatus {
 	var mu sync.Mutex
 	var accepted []chervilladder.MemberStatus
-	var wait sync.WaitGroup
+	var wait recovery.Group
 	for _, u := range db.Upstreams {
 		wait.Go(func() {
 			status, err := s.call(ctx, db, u.ID, func(ctx context.Context, m chervilladder.Member) (chervilladder.MemberStatus, error) {
@@ -85,7 +86,7 @@
 
 // follow makes the other members follow the new primary.
 func (s *supervisor) follow(ctx context.Context, db *chervilladder.Database, b chervilladder.Ballot, primary chervilladder.UpstreamID) {
-	var wait sync.WaitGroup
+	var wait recovery.Group
 	for _, u := range db.Upstreams {
 		if u.ID == primary {
 			continue
--- a/internal/control/group/supervisor.go
+++ b/internal/control/group/supervisor.go
@@ -14,6 +14,7 @@
 	"github.com/chervilladder/chervilladder/internal/decide/promotion"
 	"github.com/chervilladder/chervilladder/internal/decide/proof"
 	"github.com/chervilladder/chervilladder/internal/decide/schedule"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 // assessEvery is the interval at which a group is assessed when nothing changes.
@@ -26,7 +27,7 @@
 	database atomic.Pointer[chervilladder.Database]
 	state    *blackboard.Database
 	stop     context.CancelFunc
-	done     chan struct{} // closed once the supervisor has stopped
+	running  sync.WaitGroup // done once the supervisor has stopped
 	log      *logrus.Entry
 
 	usage usage
@@ -50,8 +51,10 @@
 func (s *supervisor) run(ctx context.Context) {
 	s.clearGroup()
 	defer s.clearGroup()
+	ctx, stop := context.WithCancel(ctx)
 	var watchers sync.WaitGroup
 	defer watchers.Wait()
+	defer stop()
 	watched := make(map[chervilladder.UpstreamID]watcher)
 	tick := time.NewTimer(0)
 	defer tick.Stop()
@@ -91,7 +94,7 @@
 		}
 		memberCtx, stop := context.WithCancel(ctx)
 		watched[u.ID] = watcher{address: u.Address, stop: stop}
-		wait.Go(func() { s.watch(memberCtx, u) })
+		recovery.Go(memberCtx, wait, s.Log, part, func(ctx context.Context) { s.watch(ctx, u) })
 	}
 	for id, w := range watched {
 		if !listed[id] {
--- a/internal/control/reachability/reachability.go
+++ b/internal/control/reachability/reachability.go
@@ -15,6 +15,7 @@
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/decide/hosting"
 	"github.com/chervilladder/chervilladder/internal/decide/lead"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 const (
@@ -33,6 +34,9 @@
 	maxQueriedPeers = 8
 )
 
+// part names this package in reports of panics.
+const part recovery.Part = "reachability"
+
 // Config configures a Controller.
 type Config struct {
 	Board *blackboard.Board
@@ -60,12 +64,15 @@
 	if c.Board == nil || c.Peers == nil || c.Log == nil || c.Clock == nil || c.Leaving == nil {
 		return nil, errors.New("reachability: a board, peers, a log, a clock and whether the VM leaves are needed")
 	}
-	return &Controller{c: c, querying: make(map[chervilladder.ServiceID]bool), finished: make(chan chervilladder.ServiceID)}, nil
+	return &Controller{c: c, finished: make(chan chervilladder.ServiceID)}, nil
 }
 
 // Run checks for unreachable primaries until the context ends.
 func (k *Controller) Run(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
 	defer k.running.Wait()
+	defer stop()
+	k.querying = make(map[chervilladder.ServiceID]bool) // the rounds of a run that panicked have ended
 	t := time.NewTicker(checkInterval)
 	defer t.Stop()
 	for {
@@ -87,7 +94,13 @@
 			continue
 		}
 		k.querying[service] = true
-		k.running.Go(func() { k.round(ctx, service, c) })
+		k.running.Go(func() {
+			_ = recovery.Call(k.c.Log, part, func() { k.round(ctx, service, c) }) // the next round tries again
+			select {
+			case k.finished <- service:
+			case <-ctx.Done():
+			}
+		})
 	}
 }
 
@@ -109,10 +122,6 @@
 	case <-next.C:
 	case <-ctx.Done():
 	}
-	select {
-	case k.finished <- service:
-	case <-ctx.Done():
-	}
 }
 
 // query queries peers in parallel, and returns the first report of one that reaches the
@@ -125,12 +134,13 @@
 	reports := make(chan blackboard.PeerReport, len(peers))
 	for _, peer := range peers {
 		k.running.Go(func() {
-			primary, err := k.c.Peers.ReachablePrimary(ctx, peer.Peer, service)
-			if err != nil {
-				reports <- blackboard.PeerReport{}
-				return
-			}
-			reports <- blackboard.PeerReport{By: peer.ID, Reached: primary, RequestedAt: queriedAt}
+			var report blackboard.PeerReport
+			_ = recovery.Call(k.c.Log, part, func() { // no report, as after an error
+				if primary, err := k.c.Peers.ReachablePrimary(ctx, peer.Peer, service); err == nil {
+					report = blackboard.PeerReport{By: peer.ID, Reached: primary, RequestedAt: queriedAt}
+				}
+			})
+			reports <- report
 		})
 	}
 	for range peers {
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -15,6 +15,7 @@
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/control/follow"
 	"github.com/chervilladder/chervilladder/internal/decide/storereaders"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 // Timing of the calls to the source, and of entries that are missing.
@@ -63,12 +64,11 @@
 
 // Run follows the registry until the context ends.
 func (k *Controller) Run(ctx context.Context) error {
-	swept := make(chan struct{})
-	go func() {
-		defer close(swept)
-		k.sweep(ctx)
-	}()
-	defer func() { <-swept }()
+	ctx, stop := context.WithCancel(ctx)
+	var sweeping sync.WaitGroup
+	recovery.Go(ctx, &sweeping, k.c.Log, "registry", k.sweep)
+	defer sweeping.Wait()
+	defer stop()
 	loop := follow.Loop{
 		Name: "registry", Log: k.c.Log, RetryAfter: retryAfter, Step: k.step,
 		Board: k.c.Board, Answered: &k.c.Board.UpstreamsAnswered, Clock: k.c.Clock, ApplyFromPeer: k.applyFromPeer,
--- a/internal/control/relay/follower.go
+++ b/internal/control/relay/follower.go
@@ -170,15 +170,23 @@
 	for pause(ctx, checkEvery) {
 		k.updateSources()
 		if peer, ok := k.nextSource(stream); ok {
-			ended := k.followPeer(ctx, peer, stream > 0)
-			if ended == peerNewer {
-				ended = k.followPeer(ctx, peer, false)
-			}
-			k.release(stream, ended == peerLost && ctx.Err() == nil)
+			k.followUntilEnd(ctx, stream, peer)
 		}
 	}
 }
 
+// followUntilEnd follows a peer and then releases it. A panic counts as the peer's loss,
+// so that its next updates come from another one.
+func (k *Controller) followUntilEnd(ctx context.Context, stream int, peer chervilladder.VM) {
+	ended := peerLost
+	defer func() { k.release(stream, ended == peerLost && ctx.Err() == nil) }()
+	ended = k.followPeer(ctx, peer, stream > 0)
+	if ended == peerNewer {
+		ended = peerLost
+		ended = k.followPeer(ctx, peer, false)
+	}
+}
+
 // endReason says why a peer is no longer followed.
 type endReason uint8
 
--- a/internal/control/relay/healthcheck.go
+++ b/internal/control/relay/healthcheck.go
@@ -11,6 +11,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/decide/rendezvous"
 	"github.com/chervilladder/chervilladder/internal/decide/retry"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 // Intervals and limits of the health checks of other VMs.
@@ -48,7 +49,9 @@
 		var checks sync.WaitGroup
 		for _, vm := range assigned {
 			checks.Go(func() {
-				if k.responds(ctx, vm) {
+				responded := true // a panic says nothing about the VM
+				_ = recovery.Call(k.c.Log, part, func() { responded = k.responds(ctx, vm) })
+				if responded {
 					mu.Lock()
 					defer mu.Unlock()
 					reached[vm.ID] = k.c.Clock()
--- a/internal/control/relay/relay.go
+++ b/internal/control/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/decide/retry"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 // Intervals of the controller.
@@ -30,6 +31,9 @@
 	announceRetry = 2 * time.Second
 )
 
+// part names this package in reports of panics.
+const part recovery.Part = "relay"
+
 // Config configures a Controller.
 type Config struct {
 	Board     *blackboard.Board
@@ -75,12 +79,13 @@
 // Run runs the parts of the controller until the context ends.
 func (k *Controller) Run(ctx context.Context) error {
 	var parts sync.WaitGroup
-	parts.Go(func() { k.encodeRouting(ctx) })
-	parts.Go(func() { k.followDirectory(ctx) })
-	parts.Go(func() { k.chooseReaders(ctx) })
-	parts.Go(func() { k.checkPeers(ctx) })
+	run := func(f func(context.Context)) { recovery.Go(ctx, &parts, k.c.Log, part, f) }
+	run(k.encodeRouting)
+	run(k.followDirectory)
+	run(k.chooseReaders)
+	run(k.checkPeers)
 	for stream := range streams {
-		parts.Go(func() { k.runStream(ctx, stream) })
+		run(func(ctx context.Context) { k.runStream(ctx, stream) })
 	}
 	parts.Wait()
 	return nil
--- a/internal/control/statuspoll/prober.go
+++ b/internal/control/statuspoll/prober.go
@@ -11,6 +11,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/link"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 const (
@@ -131,8 +132,11 @@
 	results := make(chan result, requests)
 	for range requests {
 		p.k.running.Go(func() {
-			status, err := p.requestStatus(ctx, get)
-			results <- result{status, err}
+			var r result
+			if err := recovery.Call(p.k.c.Log, part, func() { r.status, r.err = p.requestStatus(ctx, get) }); err != nil {
+				r.err = err
+			}
+			results <- r
 		})
 	}
 	var last result
--- a/internal/control/statuspoll/statuspoll.go
+++ b/internal/control/statuspoll/statuspoll.go
@@ -18,9 +18,13 @@
 	"github.com/chervilladder/chervilladder/internal/decide/lead"
 	"github.com/chervilladder/chervilladder/internal/decide/schedule"
 	"github.com/chervilladder/chervilladder/internal/link"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 	"github.com/chervilladder/chervilladder/internal/session"
 )
 
+// part names this package in reports of panics.
+const part recovery.Part = "statuspoll"
+
 // Config configures a Controller.
 type Config struct {
 	Board *blackboard.Board
@@ -58,12 +62,15 @@
 	if c.Board == nil || c.Pools == nil || c.Log == nil || c.Clock == nil {
 		return nil, errors.New("statuspoll: a board, pools, a log and a clock are needed")
 	}
-	return &Controller{c: c, probers: make(map[chervilladder.UpstreamID]*prober), unresponsive: make(chan *prober)}, nil
+	return &Controller{c: c, unresponsive: make(chan *prober)}, nil
 }
 
 // Run polls until the context ends.
 func (k *Controller) Run(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
 	defer k.running.Wait()
+	defer stop()
+	k.probers = make(map[chervilladder.UpstreamID]*prober) // those of a run that panicked have ended
 	for {
 		upstreams, changed := k.c.Board.Upstreams.Watch()
 		hosting, moved := k.c.Board.Hosting.Watch()
@@ -150,7 +157,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	p := &prober{k: k, upstream: e.Registered, service: e.Service, stop: stop, cluster: k.c.Board.Clusters.Get(e.Service)}
 	k.probers[e.ID] = p
-	k.running.Go(func() { p.run(ctx) })
+	recovery.Go(ctx, &k.running, k.c.Log, part, p.run)
 }
 
 func (k *Controller) remove(service chervilladder.ServiceID, id chervilladder.UpstreamID) {
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -147,7 +147,7 @@
 		return nil, err
 	}
 	return []actor{
-		peer.NewServer(peer.ServerConfig{Board: board, Executor: local, Canceller: callers, Listener: listeners.peers}),
+		peer.NewServer(peer.ServerConfig{Board: board, Executor: local, Canceller: callers, Listener: listeners.peers, Log: c.Log}),
 		groups,
 		records,
 		peers,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"syscall"
 
 	"github.com/oklog/run"
@@ -9,6 +10,7 @@
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 // Config configures a daemon that serves the PostgreSQL protocol.
@@ -38,20 +40,20 @@
 	var g run.Group
 	g.Add(run.SignalHandler(context.Background(), syscall.SIGINT, syscall.SIGTERM))
 	for _, a := range actors {
-		add(&g, a)
+		add(&g, c.Log, a)
 	}
 	return g.Run()
 }
 
-// add adds an actor to the group. Its interrupt function returns once the actor
-// has ended. The group interrupts in the order of adding, so the actors end in
+// add adds an actor to the group. It runs again after a panic. Its interrupt function
+// returns once the actor has ended. The group interrupts in the order of adding, so the actors end in
 // that order.
-func add(g *run.Group, a actor) {
+func add(g *run.Group, log *logrus.Logger, a actor) {
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	g.Add(func() error {
 		defer close(done)
-		return a.Run(ctx)
+		return recovery.Loop(ctx, log, recovery.Part(fmt.Sprintf("%T", a)), a.Run)
 	}, func(error) {
 		stop()
 		<-done
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -31,6 +31,7 @@
 	"github.com/chervilladder/chervilladder/internal/logs"
 	"github.com/chervilladder/chervilladder/internal/observe"
 	"github.com/chervilladder/chervilladder/internal/peer"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 	"github.com/chervilladder/chervilladder/internal/session"
 	"github.com/chervilladder/chervilladder/platform"
 )
@@ -69,7 +70,7 @@
 	}
 	var g run.Group
 	for _, a := range actors {
-		add(&g, a)
+		add(&g, c.Log, a)
 	}
 	c.Log.WithFields(logrus.Fields{
 		"vm": c.Settings.VM, "data-centre": c.Settings.DataCentre, "callers": c.Settings.Callers, "store": c.Settings.Store,
@@ -140,8 +141,8 @@
 		shutdown,
 		front,
 		failovers,
-		platform.Readiness{Listener: readinessListener, Ready: func() bool { return canServe(board) && !shutdown.hasBegun() }},
-		platform.Metrics{Listener: metricsListener, Sets: []*metrics.Set{metricSet}},
+		platform.Readiness{Listener: readinessListener, Ready: func() bool { return canServe(board) && !shutdown.hasBegun() && !recovery.Failing() }},
+		platform.Metrics{Listener: metricsListener, Sets: []*metrics.Set{metricSet, recovery.Metrics}},
 	}, append(peering, controllers...)...), nil
 }
 
@@ -193,7 +194,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := peer.NewServer(peer.ServerConfig{Board: board, Listener: listener, Executor: executor, Feed: relays, Demoter: failovers, Reachability: reachabilityController})
+	server := peer.NewServer(peer.ServerConfig{Board: board, Listener: listener, Executor: executor, Feed: relays, Demoter: failovers, Reachability: reachabilityController, Log: c.Log})
 	return []actor{relays, hostingController, reachabilityController, server}, nil
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
@@ -16,6 +17,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/peer/peerpb"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 // ServerConfig configures a Server.
@@ -34,8 +36,12 @@
 	// may be nil.
 	Canceller chervilladder.Canceller
 	Listener  net.Listener
+	Log       *logrus.Logger
 }
 
+// part names this package in reports of panics.
+const part recovery.Part = "peer"
+
 // Server answers the calls of the other VMs.
 type Server struct {
 	config ServerConfig
@@ -60,12 +66,34 @@
 	s.grpc = grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxFrameBytes),
 		grpc.MaxSendMsgSize(maxFrameBytes),
+		grpc.UnaryInterceptor(s.recoverUnary),
+		grpc.StreamInterceptor(s.recoverStream),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepAliveEvery / 2, PermitWithoutStream: true}),
 	)
 	peerpb.RegisterPeerServer(s.grpc, &service{ServerConfig: c, followContext: followContext})
 	return s
 }
 
+// errPanic is what a peer gets for a call that panicked. Work that it forwarded may have
+// been run.
+var errPanic = status.Error(codes.Internal, "the call failed by a fault of the program")
+
+// recoverUnary limits a panic to the call.
+func (s *Server) recoverUnary(ctx context.Context, request any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (response any, err error) {
+	if recovery.Call(s.config.Log, part, func() { response, err = handle(ctx, request) }) != nil {
+		return nil, errPanic
+	}
+	return response, err
+}
+
+// recoverStream limits a panic to the stream.
+func (s *Server) recoverStream(server any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handle grpc.StreamHandler) (err error) {
+	if recovery.Call(s.config.Log, part, func() { err = handle(server, stream) }) != nil {
+		return errPanic
+	}
+	return err
+}
+
 // stopTimeout bounds the wait for unfinished calls when the server stops.
 const stopTimeout = 2 * time.Second
 
@@ -164,7 +192,10 @@
 	}
 	defer x.Close()
 	batches := make(chan chervilladder.Batch)
-	go receive(stream, x, batches)
+	go func() {
+		defer close(batches)
+		_ = recovery.Call(s.Log, part, func() { s.receive(stream, x, batches) }) // then no batches follow
+	}()
 	for b := range batches {
 		if err := reply(stream, x, b); err != nil {
 			return streamError(err)
@@ -175,15 +206,14 @@
 
 // receive forwards the peer's batches until the stream ends. A cancel request doesn't
 // wait for the batches before it.
-func receive(stream grpc.BidiStreamingServer[peerpb.RunRequest, peerpb.RunResponse], x chervilladder.Exchange, batches chan<- chervilladder.Batch) {
-	defer close(batches)
+func (s *service) receive(stream grpc.BidiStreamingServer[peerpb.RunRequest, peerpb.RunResponse], x chervilladder.Exchange, batches chan<- chervilladder.Batch) {
 	for {
 		m, err := stream.Recv()
 		if err != nil {
 			return
 		}
 		if m.GetCancel() {
-			go x.Cancel()
+			go func() { _ = recovery.Call(s.Log, part, x.Cancel) }() // the statement then runs to its end
 			continue
 		}
 		select {
--- a/internal/session/hedge.go
+++ b/internal/session/hedge.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/decide/answer"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 // attemptResult is the outcome of one attempt of a hedged read.
@@ -61,7 +63,9 @@
 		c.exclude(other.upstream)
 	}
 	go func() {
-		r := c.try(ctx)
+		_, code := answer.AutocommitLost(w.access)
+		r := failure(code, "internal error")
+		_ = recovery.Call(w.session.m.c.Log, part, func() { r = c.try(ctx) }) // then r is that the answer was lost
 		results <- attemptResult{work: &c, result: r}
 	}()
 	return &c
--- a/internal/session/manager.go
+++ b/internal/session/manager.go
@@ -12,8 +12,12 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/link"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
+// part names this package in reports of panics.
+const part recovery.Part = "session"
+
 // Config configures a Manager.
 type Config struct {
 	Board *blackboard.Board
--- a/internal/session/place.go
+++ b/internal/session/place.go
@@ -80,7 +80,6 @@
 		if err == nil {
 			return p, nil
 		}
-		w.cluster.Queue.Release(t)
 		if !errors.Is(err, errPrimaryChanged) {
 			return nil, err
 		}
@@ -108,17 +107,24 @@
 
 // awaitSlot waits until a ticket is granted a slot.
 func (w *work) awaitSlot(ctx context.Context, t *schedule.Ticket) (chervilladder.UpstreamID, error) {
+	ended := false
+	defer func() {
+		if !ended {
+			w.cluster.Queue.Withdraw(t) // the context has ended, or the queue has panicked
+		}
+	}()
 	if err := w.cluster.Queue.Submit(t); err != nil {
+		ended = true
 		return "", err
 	}
 	select {
 	case id, ok := <-t.Granted():
+		ended = true
 		if !ok {
 			return "", t.Refused()
 		}
 		return id, nil
 	case <-ctx.Done():
-		w.cluster.Queue.Withdraw(t)
 		return "", context.Cause(ctx)
 	}
 }
@@ -136,8 +142,15 @@
 	}
 }
 
-// newPlacement checks a granted slot and returns its placement.
+// newPlacement checks a granted slot and returns its placement. It releases the slot if
+// it returns none.
 func (w *work) newPlacement(ctx context.Context, t *schedule.Ticket, id chervilladder.UpstreamID, required minPosition) (*placement, error) {
+	placed := false
+	defer func() {
+		if !placed {
+			w.cluster.Queue.Release(t)
+		}
+	}()
 	view := w.cluster.View.Load()
 	o, ok := view.Members[id]
 	if !ok {
@@ -160,6 +173,7 @@
 	p.pool = w.session.m.c.Pools.For(o.Registered)
 	p.grantedAt = w.session.m.c.Clock()
 	w.grantedAt, w.upstream, w.minMark = time.Now(), id, p.minMark
+	placed = true
 	return p, nil
 }
 
--- a/internal/session/transaction.go
+++ b/internal/session/transaction.go
@@ -8,6 +8,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/decide/answer"
 	"github.com/chervilladder/chervilladder/internal/link"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 // rollbackTimeout bounds the rollback before a connection is reused.
@@ -118,21 +119,27 @@
 		return
 	}
 	go func() {
-		deadline := time.Now().Add(rollbackTimeout)
-		err := conn.Send(deadline, chervilladder.Command{Kind: chervilladder.CommandRollback})
-		if err != nil {
-			conn.Discard()
-			return
-		}
-		r, err := conn.Receive(deadline)
-		if err != nil || r.State != chervilladder.StateIdle {
+		clean := false
+		_ = recovery.Call(t.session.m.c.Log, part, func() { clean = rollBack(conn) }) // then the connection is closed
+		if clean {
+			conn.Release()
+		} else {
 			conn.Discard()
-			return
 		}
-		conn.Release()
 	}()
 }
 
+// rollBack rolls back the transaction of a connection, and reports whether it succeeded.
+func rollBack(conn *link.Conn) bool {
+	deadline := time.Now().Add(rollbackTimeout)
+	err := conn.Send(deadline, chervilladder.Command{Kind: chervilladder.CommandRollback})
+	if err != nil {
+		return false
+	}
+	r, err := conn.Receive(deadline)
+	return err == nil && r.State == chervilladder.StateIdle
+}
+
 // statement runs a read or write within the transaction.
 func (t *transaction) statement(ctx context.Context, w *work) chervilladder.Result {
 	command, access, statement, ok := t.session.resolve(w.command)
@@ -191,12 +198,21 @@
 
 // exchange runs a command on the transaction's connection. It retries while the
 // upstream rejects the command for load and keeps the transaction open.
+// After a panic the connection is closed, as an answer may be outstanding.
 func (t *transaction) exchange(ctx context.Context, w *work) (chervilladder.Result, error) {
+	ended := false
+	defer func() {
+		if !ended {
+			t.discardConn()
+		}
+	}()
 	for {
 		r, err := w.exchange(t.conn, w.command)
+		ended = true
 		if err != nil || r.Code != chervilladder.CodeBusy || r.State != chervilladder.StateOpen || !w.backOff(ctx) {
 			return r, err
 		}
+		ended = false
 		w.attempts++
 	}
 }
@@ -209,14 +225,23 @@
 	ticket := w.ticket(w.access)
 	w.cluster.Queue.Occupy(ticket, t.placement.member.ID)
 	w.upstream, w.grantedAt, w.attempts = t.placement.member.ID, time.Now(), 1
-	if err := w.runSetupCommands(t.conn, t.conn.SetupCommands(t.session.values, w.statement)); err != nil {
-		w.cluster.Queue.Release(ticket)
-		t.discardUnlessRefused(err)
-		return nil, err
+	set, failed := false, errSetupNotEnded
+	defer func() {
+		if !set {
+			w.cluster.Queue.Release(ticket)
+			t.discardUnlessRefused(failed)
+		}
+	}()
+	if failed = w.runSetupCommands(t.conn, t.conn.SetupCommands(t.session.values, w.statement)); failed != nil {
+		return nil, failed
 	}
+	set = true
 	return func() { w.cluster.Queue.Release(ticket) }, nil
 }
 
+// errSetupNotEnded stands for the result of set-up commands that panicked.
+var errSetupNotEnded = errors.New("the set-up of the connection did not end")
+
 // discardUnlessRefused closes the connection of a failed set-up unless the upstream
 // answered with a refusal: after any other error answers may be outstanding. After a
 // refusal, the connection returns to the pool once the transaction is rolled back.
@@ -260,15 +285,21 @@
 	if err != nil {
 		return err
 	}
+	opened := false
+	defer func() {
+		if !opened {
+			conn.Discard() // after an error or a panic
+		}
+	}()
 	begin := chervilladder.Command{Kind: chervilladder.CommandBegin, Since: p.minMark}
 	if t.readOnly {
 		begin.Kind = chervilladder.CommandBeginRead
 	}
 	list := append(conn.SetupCommands(t.session.values, w.statement), begin)
 	if err := w.runSetupCommands(conn, list); err != nil {
-		conn.Discard()
 		return err
 	}
+	opened = true
 	t.conn, t.placement = conn, p
 	return nil
 }
--- a/internal/session/work.go
+++ b/internal/session/work.go
@@ -170,12 +170,19 @@
 	c.Since = p.minMark
 	// A late answer may be lost: its slot is given to other work, and the member's
 	// status is polled, as the member may be down.
+	ended := false
+	defer func() {
+		if !ended {
+			conn.Discard() // after a panic an answer may be outstanding
+		}
+	}()
 	slow := time.AfterFunc(w.hedgeDelay(), func() {
 		p.release()
 		w.cluster.PollTrigger.Ask()
 	})
 	defer slow.Stop()
 	r, err := w.exchange(conn, c)
+	ended = true
 	if err != nil {
 		w.handleLost(p, conn)
 		next, code := answer.AutocommitLost(w.access)
@@ -228,10 +235,16 @@
 	if err != nil {
 		return nil, err
 	}
+	set := false
+	defer func() {
+		if !set {
+			conn.Discard() // after an error or a panic
+		}
+	}()
 	if err := w.runSetupCommands(conn, conn.SetupCommands(w.values, w.statement)); err != nil {
-		conn.Discard()
 		return nil, err
 	}
+	set = true
 	return conn, nil
 }
 
