Show that the registry's controller continues after a panic

Cause: a controller that runs again after a panic must end what the former run had started, or it waits for it for ever; no test showed that. Change: the test's store can panic in the middle of a watch.

--- a/internal/control/registry/registry_test.go
+++ b/internal/control/registry/registry_test.go
@@ -14,6 +14,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/control/registry"
+	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 // answer is one response of the store: a list, events or an error.
@@ -21,6 +22,7 @@
 	list   []chervilladder.Registered
 	events []chervilladder.RegistryEvent
 	err    error
+	panics bool
 }
 
 // source returns the answers that the tests put in.
@@ -31,6 +33,9 @@
 func (s source) next(ctx context.Context) answer {
 	select {
 	case a := <-s.answers:
+		if a.panics {
+			panic("injected")
+		}
 		return a
 	case <-ctx.Done():
 		return answer{err: ctx.Err()}
@@ -69,7 +74,7 @@
 		is.NoErr(err)
 		ctx, stop := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
-		go func() { ended <- k.Run(ctx) }()
+		go func() { ended <- recovery.Loop(ctx, log, "test", k.Run) }()
 		f(is, s, func() map[chervilladder.UpstreamID]blackboard.KnownUpstream {
 			synctest.Wait()
 			return board.Upstreams.Load().ByID
@@ -87,6 +92,22 @@
 	return answer{events: []chervilladder.RegistryEvent{{ID: id, Removed: true}}}
 }
 
+// A panic while the controller reads the store must end neither it nor its sweep of
+// missing entries.
+func TestRegistryContinuesAfterAPanic(t *testing.T) {
+	bubble(t, func(is *is.I, s source, known func() map[chervilladder.UpstreamID]blackboard.KnownUpstream) {
+		s.answers <- answer{list: []chervilladder.Registered{upstream("a"), upstream("b")}}
+		is.Equal(len(known()), 2)
+		s.answers <- answer{panics: true}
+		time.Sleep(time.Second)
+		s.answers <- changed(upstream("c"))
+		is.Equal(len(known()), 3)
+		s.answers <- removed("a")
+		time.Sleep(4 * time.Second)
+		is.Equal(len(known()), 2)
+	})
+}
+
 func TestUpstreamsComeAndLeave(t *testing.T) {
 	bubble(t, func(is *is.I, s source, known func() map[chervilladder.UpstreamID]blackboard.KnownUpstream) {
 		s.answers <- answer{list: []chervilladder.Registered{upstream("a"), upstream("b")}}
