Limit how often a VM calls the store

Each VM made a watch for each of 60 upstreams that registered, and listed the configuration each 100 ms until there was one. While the store was away each VM tried it 15 times a second. Each call is charged, refused ones too. Change: a controller makes one call each 300 ms after the first three, waits for the first configuration by a watch, and backs off to 500 ms while the store is away.

--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -8,19 +8,31 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/decide/retry"
 	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
-// Loop calls the store repeatedly. A call that fails is followed by a pause, and the
-// loss and recovery of the store are logged.
+// The limits of how often a Loop calls the store, which each VM does.
+const (
+	// callEvery is the mean time between two calls at most, after the first callBurst:
+	// changes that follow each other closely, as when all upstreams register, are
+	// read together.
+	callEvery = 300 * time.Millisecond
+	callBurst = 3
+	// maxRetryPause bounds the mean pause after a call that failed.
+	maxRetryPause = 500 * time.Millisecond
+)
+
+// Loop calls the store repeatedly. A call that fails is followed by a pause, which doubles
+// with each failure, and the loss and recovery of the store are logged.
 type Loop struct {
 	// Name is the prefix of the log lines.
 	Name string
 	Log  *logrus.Logger
-	// RetryAfter is the mean pause after a call that failed.
+	// RetryAfter is the mean pause after the first call that failed.
 	RetryAfter time.Duration
 	// Step makes one call and applies its result.
 	Step func(context.Context) error
@@ -44,7 +56,9 @@
 	recovery.Go(ctx, &updates, l.Log, recovery.Part(l.Name), l.applyUpdates)
 	defer updates.Wait()
 	defer stop()
-	for l.await(ctx) {
+	limiter := rate.NewLimiter(rate.Every(callEvery), callBurst)
+	failures := 0
+	for l.await(ctx) && limiter.Wait(ctx) == nil {
 		err := l.Step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -52,11 +66,20 @@
 		l.logState(err)
 		if err == nil {
 			l.Answered.Raise(l.Clock())
+			failures = 0
+			continue
 		}
-		if err != nil {
-			sleep(ctx, retry.Jitter(l.RetryAfter))
-		}
+		sleep(ctx, retry.Jitter(l.retryPause(failures)))
+		failures++
+	}
+}
+
+// retryPause returns the mean pause after a call that failed, after so many before it.
+func (l *Loop) retryPause(failures int) time.Duration {
+	if failures >= 4 {
+		return maxRetryPause
 	}
+	return min(maxRetryPause, l.RetryAfter<<failures)
 }
 
 // await waits until this VM is to read the store, and returns false if the context ends.
--- a/internal/control/routing/routing.go
+++ b/internal/control/routing/routing.go
@@ -77,6 +77,11 @@
 func (k *Controller) step(ctx context.Context) error {
 	if k.after == 0 {
 		r, revision, err := k.c.Source.Current(ctx)
+		var notFound *chervilladder.NotFoundError
+		if errors.As(err, &notFound) {
+			k.after = revision // the watch returns the first configuration
+			return nil
+		}
 		if err != nil {
 			return err
 		}
--- a/internal/control/routing/routing_test.go
+++ b/internal/control/routing/routing_test.go
@@ -23,6 +23,8 @@
 	version uint64
 	silent  bool // watches receive nothing and end by their timeout
 	down    bool
+	none    bool // there is no configuration yet
+	reads   int  // calls of Current
 	lost    bool // the store no longer has the history
 	// staleVersion is the older version that Current returns instead, unless it is zero.
 	staleVersion uint64
@@ -39,9 +41,13 @@
 func (s *source) Current(context.Context) (*chervilladder.Routing, chervilladder.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reads++
 	if s.down {
 		return nil, 0, errDown
 	}
+	if s.none {
+		return nil, chervilladder.Revision(s.version), &chervilladder.NotFoundError{}
+	}
 	v := s.version
 	if s.staleVersion != 0 {
 		v = s.staleVersion
@@ -135,3 +141,27 @@
 		})
 	}
 }
+
+// While there is no configuration yet, a VM must wait for it by a watch, and must not
+// list it again and again: all VMs start before the first one is written.
+func TestFirstConfigurationIsWatchedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &source{version: 5, none: true}
+		board := blackboard.New(chervilladder.VM{ID: "vm"})
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		k, err := routing.New(routing.Config{Board: board, Source: s, Log: log, Clock: time.Now})
+		is.NoErr(err)
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- k.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		is.Equal(s.reads, 1)
+		s.set(func() { s.none, s.version = false, 9 })
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(board.Routing.Load().Revision, chervilladder.Revision(9))
+		stop()
+		is.NoErr(<-ended)
+	})
+}
--- a/store.go
+++ b/store.go
@@ -26,7 +26,7 @@
 // RoutingSource provides the operator's configuration.
 type RoutingSource interface {
 	// Current returns the configuration in force, and the revision to watch
-	// from. It returns a *NotFoundError while there is none.
+	// from, also with the *NotFoundError that it returns while there is none.
 	Current(ctx context.Context) (*Routing, Revision, error)
 	// Next waits for a newer configuration; nil means that there is none
 	// yet. It returns a *HistoryLostError as Registry.Watch does.
