--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -220,3 +220,15 @@
 		}
 	})
 }
+
+// Of two snapshots of a VM the newer one must count, in whatever order they are given.
+func TestMergeUsesTheNewestSnapshotOfAVM(t *testing.T) {
+	is := is.New(t)
+	at := time.Date(2026, 5, 4, 10, 0, 0, 0, time.UTC)
+	older := burn.Snapshot{VMs: []chervilladder.VMID{"a"}, Revision: 3, Taken: at}
+	newer := burn.Snapshot{VMs: []chervilladder.VMID{"a"}, Revision: 4, Taken: at.Add(time.Minute)}
+	sameRevision := burn.Snapshot{VMs: []chervilladder.VMID{"a"}, Revision: 4, Taken: at.Add(2 * time.Minute)}
+	is.Equal(burn.Merge(older, newer).Revision, newer.Revision)
+	is.Equal(burn.Merge(newer, older).Revision, newer.Revision)
+	is.Equal(burn.Merge(sameRevision, older, newer).Taken, sameRevision.Taken)
+}
--- a/internal/burn/merge.go
+++ b/internal/burn/merge.go
@@ -9,19 +9,11 @@
 
 // Merge merges the snapshots of several VMs. Histograms and counts are added,
 // never averaged. A class's priority, target and objective are those of the
-// newest revision. Of several snapshots of a VM, only that of the oldest revision
-// is used, or the first one if their revisions are equal.
+// newest revision. Of several snapshots of a VM, only the newest is used.
 func Merge(snapshots ...Snapshot) Snapshot {
-	snapshots = slices.Clone(snapshots)
-	slices.SortStableFunc(snapshots, func(a, b Snapshot) int {
-		return cmp.Compare(a.Revision, b.Revision)
-	})
 	merged := Snapshot{Classes: []ClassSnapshot{}}
 	indexes := make(map[classKey]int)
-	for _, s := range snapshots {
-		if slices.ContainsFunc(s.VMs, func(vm chervilladder.VMID) bool { return slices.Contains(merged.VMs, vm) }) {
-			continue
-		}
+	for _, s := range newest(snapshots) {
 		merged.Revision = s.Revision
 		merged.VMs = append(merged.VMs, s.VMs...)
 		if s.Taken.After(merged.Taken) {
@@ -43,6 +35,27 @@
 	return merged
 }
 
+// newest returns the snapshots without those of VMs that have a newer one, oldest first.
+func newest(snapshots []Snapshot) []Snapshot {
+	sorted := slices.Clone(snapshots)
+	slices.SortStableFunc(sorted, func(a, b Snapshot) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), a.Taken.Compare(b.Taken))
+	})
+	var kept []Snapshot
+	seen := make(map[chervilladder.VMID]bool)
+	for _, s := range slices.Backward(sorted) {
+		if slices.ContainsFunc(s.VMs, func(vm chervilladder.VMID) bool { return seen[vm] }) {
+			continue
+		}
+		for _, vm := range s.VMs {
+			seen[vm] = true
+		}
+		kept = append(kept, s)
+	}
+	slices.Reverse(kept)
+	return kept
+}
+
 // merge adds a snapshot of the same class, of the same or a newer revision.
 func (c *ClassSnapshot) merge(o ClassSnapshot) {
 	c.Priority = o.Priority
