Take a member that still leads for not demoted

Cause: the replacing VM took any answer to its order to step down for success, also a status that still leads, so an old primary could go on unnoticed. Change: only an answer that doesn't lead counts, as for a peer's order. Result: TestMemberThatStillLeadsIsNotDemoted fails before and passes after.

--- a/internal/control/failover/demotion.go
+++ b/internal/control/failover/demotion.go
@@ -102,15 +102,15 @@
 }
 
 // demote demotes a primary through this VM or any peer that reaches it, and reports
-// whether one of them succeeded. For an order of this VM any response other than an error
-// counts as success, even a status that still leads; a peer reports that as an error.
+// whether one of them succeeded. A member that answers and still leads isn't demoted.
 func (r *replacement) demote(ctx context.Context, old blackboard.MemberObservation, term chervilladder.Term) bool {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	var demoted atomic.Bool
 	var calls recovery.Group
 	calls.Go(func() {
-		if _, err := r.sendOrder(ctx, old, chervilladder.Command{Kind: chervilladder.CommandStepDown, Term: term}); err == nil {
+		status, err := r.sendOrder(ctx, old, chervilladder.Command{Kind: chervilladder.CommandStepDown, Term: term})
+		if err == nil && !status.Primary {
 			demoted.Store(true)
 			cancel() // ends the calls to peers
 		}
