Reset a connection after a refused set-up command

Cause: a connection notes variables and prepared statements as set when it lists the commands. If an upstream refused one inside a transaction, the connection went back to the pool with the note, and a later session ran without its variable or got NOSTMT. Change: after a refusal nothing counts as set, and the connection is reset first.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -33,13 +33,15 @@
 const maxPrepared = 256
 
 // Conn is a pooled connection. It records the commands that SetupCommands returned as
-// done, so a connection on which one of them failed is in an unknown state and must be
-// discarded.
+// done. If one of them is refused, ForgetSetup must be called; after any other failure the
+// connection must be discarded.
 type Conn struct {
 	chervilladder.Link
 	pool     *Pool
 	values   map[string]string
 	prepared map[string]Prepared
+	// unknown is set while it isn't known what is set and prepared.
+	unknown bool
 	// returnedAt is when the connection was last returned to the pool, sessionUsedAt
 	// when a session last returned it.
 	returnedAt, sessionUsedAt time.Time
@@ -49,9 +51,9 @@
 // statement on the connection, as far as it lacks them.
 func (c *Conn) SetupCommands(values map[string]string, statement *Prepared) []chervilladder.Command {
 	var list []chervilladder.Command
-	if c.hasOtherValues(values) || len(c.prepared) >= maxPrepared {
+	if c.unknown || c.hasOtherValues(values) || len(c.prepared) >= maxPrepared {
 		list = append(list, chervilladder.Command{Kind: chervilladder.CommandReset})
-		c.values, c.prepared = nil, nil
+		c.values, c.prepared, c.unknown = nil, nil, false
 	}
 	for name, value := range values {
 		if have, ok := c.values[name]; !ok || have != value {
@@ -64,6 +66,10 @@
 	return append(list, c.prepare(statement)...)
 }
 
+// ForgetSetup records that a command of SetupCommands was refused. The connection is
+// reset before the next session uses it.
+func (c *Conn) ForgetSetup() { c.unknown = true }
+
 // prepare returns the command that prepares a statement. If two shapes have the same
 // name, the later one replaces the earlier.
 func (c *Conn) prepare(statement *Prepared) []chervilladder.Command {
--- a/internal/link/pool_test.go
+++ b/internal/link/pool_test.go
@@ -127,6 +127,11 @@
 		other := &link.Prepared{Shape: "q2c", Access: chervilladder.AccessRead}
 		is.True(other.Name() != shape.Name())
 		is.Equal(kinds(nil, other), []chervilladder.CommandKind{chervilladder.CommandPrepare})
+		// A command may have been refused, so nothing is known to be set or prepared.
+		c.ForgetSetup()
+		everything := []chervilladder.CommandKind{chervilladder.CommandReset, chervilladder.CommandSet, chervilladder.CommandPrepare}
+		is.Equal(kinds(map[string]string{"a": "2"}, other), everything)
+		is.Equal(kinds(map[string]string{"a": "2"}, other), nil)
 		c.Discard()
 	})
 }
--- a/internal/session/transaction.go
+++ b/internal/session/transaction.go
@@ -249,7 +249,9 @@
 	var refusal *chervilladder.LinkRefusedError
 	if !errors.As(err, &refusal) {
 		t.discardConn()
+		return
 	}
+	t.conn.ForgetSetup()
 }
 
 // open begins the transaction at a member. One that refuses to begin has run nothing,
