End exchanges whose VM is suspended in a transaction

Cause: the owner of a database waited without limit for the next batch of a forwarded transaction, and held its slot meanwhile. Change: an exchange that waits for its next batch ends when its VM is listed as dead, or after 12 s, which is longer than a VM lets its own callers be idle. Calls carry the id of the calling VM in their metadata. Result: TestExchangeOfASuspendedVMEnds hangs before and passes after.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return nil, &chervilladder.NotRunError{Database: w.Database, Reason: chervilladder.ReasonNoOwner, Err: err}
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(withCallingVM(ctx, c.board.Self.ID))
 	stream, err := client.Run(ctx)
 	if err == nil {
 		err = stream.Send(&peerpb.RunRequest{Kind: &peerpb.RunRequest_Work{Work: encodeWork(w)}})
--- /dev/null
+++ b/internal/peer/idle_test.go
@@ -0,0 +1,80 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+)
+
+// holding is an executor whose exchanges stay open after each batch, as in a transaction.
+type holding struct{ closed chan struct{} }
+
+func (h holding) Open(context.Context, chervilladder.Work) (chervilladder.Exchange, error) {
+	return holdingExchange(h), nil
+}
+
+type holdingExchange struct{ closed chan struct{} }
+
+func (x holdingExchange) Send(chervilladder.Batch) error { return nil }
+
+func (x holdingExchange) Recv() (chervilladder.Reply, error) {
+	return chervilladder.Reply{Last: true, Open: true}, nil
+}
+
+func (x holdingExchange) Cancel() {}
+
+func (x holdingExchange) Close() { x.closed <- struct{}{} }
+
+// A VM that is suspended in the middle of a transaction must not hold the exchange, and
+// its slot, any longer than until it is listed as dead, or than the idle timeout: three
+// such transactions held all slots of a database.
+func TestExchangeOfASuspendedVMEnds(t *testing.T) {
+	for name, end := range map[string]func(board *blackboard.Board){
+		"idle": func(*blackboard.Board) {},
+		"dead": func(board *blackboard.Board) {
+			board.Members.Update(func(m blackboard.Membership) blackboard.Membership {
+				return blackboard.Membership{Members: map[chervilladder.VMID]blackboard.Member{"vm-2": {State: blackboard.MemberDead}}}
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			host := chervilladder.VM{ID: "vm-1", Peer: chervilladder.Address(listener.Addr().String())}
+			hostBoard, callerBoard := blackboard.New(host), blackboard.New(chervilladder.VM{ID: "vm-2"})
+			callerBoard.Members.Store(blackboard.Membership{Members: map[chervilladder.VMID]blackboard.Member{"vm-1": {VM: host}}})
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			c := ServerConfig{Board: hostBoard, Executor: holding{make(chan struct{}, 1)}, Listener: listener, IdleTimeout: 200 * time.Millisecond}
+			if name == "dead" {
+				c.IdleTimeout = time.Hour
+			}
+			server := NewServer(c)
+			go func() { _ = server.Run(ctx) }()
+			client := NewClient(callerBoard)
+			defer func() { _ = client.Close() }()
+			x, err := client.Open(ctx, "vm-1", chervilladder.Work{Database: "x", Deadline: time.Now().Add(time.Minute)})
+			is.NoErr(err)
+			is.NoErr(x.Send(chervilladder.Batch{}))
+			r, err := x.Recv()
+			is.NoErr(err)
+			is.True(r.Open)
+			end(hostBoard)
+			select {
+			case <-c.Executor.(holding).closed:
+			case <-time.After(5 * time.Second):
+				t.Fatal("the exchange is still open")
+			}
+			is.NoErr(x.Send(chervilladder.Batch{}))
+			_, err = x.Recv()
+			is.True(err != nil)
+		})
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -37,8 +38,15 @@
 	Canceller chervilladder.Canceller
 	Listener  net.Listener
 	Log       *logrus.Logger
+	// IdleTimeout bounds how long an exchange waits for the next batch of an open
+	// transaction; zero means 12 s.
+	IdleTimeout time.Duration
 }
 
+// defaultIdleTimeout is longer than a VM lets its own callers' transactions be idle, so
+// it ends only exchanges whose VM doesn't end them itself.
+const defaultIdleTimeout = 12 * time.Second
+
 // part names this package in reports of panics.
 const part recovery.Part = "peer"
 
@@ -61,6 +69,7 @@
 
 // NewServer returns a server; it serves once Run is called.
 func NewServer(c ServerConfig) *Server {
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, defaultIdleTimeout)
 	followContext, stopFollow := context.WithCancel(context.Background())
 	s := &Server{config: c, stopFollow: stopFollow}
 	s.grpc = grpc.NewServer(
@@ -196,12 +205,43 @@
 		defer close(batches)
 		_ = recovery.Call(s.Log, part, func() { s.receive(stream, x, batches) }) // then no batches follow
 	}()
-	for b := range batches {
+	from := callingVM(stream.Context())
+	for {
+		b, err := s.nextBatch(from, batches)
+		if err != nil {
+			return streamError(err)
+		}
 		if err := reply(stream, x, b); err != nil {
 			return streamError(err)
 		}
 	}
-	return nil
+}
+
+// errIdle ends an exchange whose VM sent no further batch. Its transaction is rolled back.
+var errIdle = status.Error(codes.Aborted, "the exchange was idle for too long, or its VM is dead; its transaction is rolled back")
+
+// nextBatch waits for the next batch. It returns io.EOF when the peer has ended the
+// stream, and errIdle after IdleTimeout or when the peer is listed as dead: the exchange
+// holds a slot, which a VM that is suspended in a transaction would keep from all others.
+func (s *service) nextBatch(from chervilladder.VMID, batches <-chan chervilladder.Batch) (chervilladder.Batch, error) {
+	idle := time.NewTimer(s.IdleTimeout)
+	defer idle.Stop()
+	for {
+		members, changed := s.Board.Members.Watch()
+		if members.Members[from].State == blackboard.MemberDead {
+			return chervilladder.Batch{}, errIdle
+		}
+		select {
+		case b, ok := <-batches:
+			if !ok {
+				return b, io.EOF
+			}
+			return b, nil
+		case <-changed:
+		case <-idle.C:
+			return chervilladder.Batch{}, errIdle
+		}
+	}
 }
 
 // receive forwards the peer's batches until the stream ends. A cancel request doesn't
