Shorten the set-up of a transaction's connection and the routing tests

Cause: read as a newcomer would, the guards against a panic were mixed with the flow, and three tests started the controller by the same eight lines.

--- a/internal/control/relay/follower.go
+++ b/internal/control/relay/follower.go
@@ -179,10 +179,9 @@
 // so that its next updates come from another one.
 func (k *Controller) followUntilEnd(ctx context.Context, stream int, peer chervilladder.VM) {
 	ended := peerLost
-	defer func() { k.release(stream, ended == peerLost && ctx.Err() == nil) }()
+	defer func() { k.release(stream, ended != notWanted && ctx.Err() == nil) }()
 	ended = k.followPeer(ctx, peer, stream > 0)
 	if ended == peerNewer {
-		ended = peerLost
 		ended = k.followPeer(ctx, peer, false)
 	}
 }
--- a/internal/control/routing/routing_test.go
+++ b/internal/control/routing/routing_test.go
@@ -79,27 +79,40 @@
 	return nil, after, nil
 }
 
+// start runs a controller until the returned function is called.
+func start(t *testing.T, s *source, b chervilladder.Bounds) (*blackboard.Board, func()) {
+	t.Helper()
+	board := blackboard.New(chervilladder.VM{ID: "vm"})
+	board.Bounds.Store(b)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	k, err := routing.New(routing.Config{Board: board, Source: s, Log: log, Clock: time.Now})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- k.Run(ctx) }()
+	return board, func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // A shorter bound in the settings must shorten the watches.
 func TestConfigurationIsInForceWithinATighterBound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		const bound = 1500 * time.Millisecond
 		s := &source{version: 5}
-		board := blackboard.New(chervilladder.VM{ID: "vm"})
-		board.Bounds.Store(chervilladder.Bounds{ConfigInForce: bound})
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		k, err := routing.New(routing.Config{Board: board, Source: s, Log: log, Clock: time.Now})
-		is.NoErr(err)
-		ctx, stop := context.WithCancel(t.Context())
-		ended := make(chan error, 1)
-		go func() { ended <- k.Run(ctx) }()
+		board, stop := start(t, s, chervilladder.Bounds{ConfigInForce: bound})
+		defer stop()
 		time.Sleep(2100 * time.Millisecond) // a watch of maxWait would just have started
 		s.set(func() { s.silent, s.version = true, 9 })
 		time.Sleep(bound)
 		is.Equal(board.Routing.Load().Revision, chervilladder.Revision(9))
-		stop()
-		is.NoErr(<-ended)
 	})
 }
 
@@ -117,14 +130,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				s := &source{version: 5}
-				board := blackboard.New(chervilladder.VM{ID: "vm"})
-				log := logrus.New()
-				log.SetOutput(io.Discard)
-				k, err := routing.New(routing.Config{Board: board, Source: s, Log: log, Clock: time.Now})
-				is.NoErr(err)
-				ctx, stop := context.WithCancel(context.Background())
-				ended := make(chan error, 1)
-				go func() { ended <- k.Run(ctx) }()
+				board, stop := start(t, s, chervilladder.Bounds{})
+				defer stop()
 				time.Sleep(500 * time.Millisecond)
 				is.Equal(board.Routing.Load().Revision, chervilladder.Revision(5))
 				s.set(func() { fault(s); s.version = 9 })
@@ -135,8 +142,6 @@
 				s.set(func() { s.staleVersion, s.lost = 7, true })
 				time.Sleep(inForceWithin)
 				is.Equal(board.Routing.Load().Revision, chervilladder.Revision(9))
-				stop()
-				is.NoErr(<-ended)
 			})
 		})
 	}
@@ -148,20 +153,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := &source{version: 5, none: true}
-		board := blackboard.New(chervilladder.VM{ID: "vm"})
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		k, err := routing.New(routing.Config{Board: board, Source: s, Log: log, Clock: time.Now})
-		is.NoErr(err)
-		ctx, stop := context.WithCancel(t.Context())
-		ended := make(chan error, 1)
-		go func() { ended <- k.Run(ctx) }()
+		board, stop := start(t, s, chervilladder.Bounds{})
+		defer stop()
 		time.Sleep(10 * time.Second)
 		is.Equal(s.reads, 1)
 		s.set(func() { s.none, s.version = false, 9 })
 		time.Sleep(100 * time.Millisecond)
 		is.Equal(board.Routing.Load().Revision, chervilladder.Revision(9))
-		stop()
-		is.NoErr(<-ended)
 	})
 }
--- a/internal/session/transaction.go
+++ b/internal/session/transaction.go
@@ -198,25 +198,30 @@
 
 // exchange runs a command on the transaction's connection. It retries while the
 // upstream rejects the command for load and keeps the transaction open.
-// After a panic the connection is closed, as an answer may be outstanding.
 func (t *transaction) exchange(ctx context.Context, w *work) (chervilladder.Result, error) {
-	ended := false
-	defer func() {
-		if !ended {
-			t.discardConn()
-		}
-	}()
 	for {
-		r, err := w.exchange(t.conn, w.command)
-		ended = true
+		r, err := t.exchangeOnce(w)
 		if err != nil || r.Code != chervilladder.CodeBusy || r.State != chervilladder.StateOpen || !w.backOff(ctx) {
 			return r, err
 		}
-		ended = false
 		w.attempts++
 	}
 }
 
+// exchangeOnce sends a command and receives its answer. After a panic it closes the
+// connection, as an answer may be outstanding.
+func (t *transaction) exchangeOnce(w *work) (chervilladder.Result, error) {
+	ended := false
+	defer func() {
+		if !ended {
+			t.discardConn()
+		}
+	}()
+	r, err := w.exchange(t.conn, w.command)
+	ended = true
+	return r, err
+}
+
 // acquire takes a slot and sets up the connection for a statement.
 func (t *transaction) acquire(ctx context.Context, w *work) (release func(), err error) {
 	if t.conn == nil {
@@ -225,20 +230,30 @@
 	ticket := w.ticket(w.access)
 	w.cluster.Queue.Occupy(ticket, t.placement.member.ID)
 	w.upstream, w.grantedAt, w.attempts = t.placement.member.ID, time.Now(), 1
-	set, failed := false, errSetupNotEnded
+	set := false
 	defer func() {
 		if !set {
-			w.cluster.Queue.Release(ticket)
-			t.discardUnlessRefused(failed)
+			w.cluster.Queue.Release(ticket) // after an error or a panic
 		}
 	}()
-	if failed = w.runSetupCommands(t.conn, t.conn.SetupCommands(t.session.values, w.statement)); failed != nil {
-		return nil, failed
+	if err := t.setUp(w); err != nil {
+		return nil, err
 	}
 	set = true
 	return func() { w.cluster.Queue.Release(ticket) }, nil
 }
 
+// setUp sets up the transaction's connection for a statement.
+func (t *transaction) setUp(w *work) (err error) {
+	err = errSetupNotEnded // what the deferred call sees after a panic
+	defer func() {
+		if err != nil {
+			t.discardUnlessRefused(err)
+		}
+	}()
+	return w.runSetupCommands(t.conn, t.conn.SetupCommands(t.session.values, w.statement))
+}
+
 // errSetupNotEnded stands for the result of set-up commands that panicked.
 var errSetupNotEnded = errors.New("the set-up of the connection did not end")
 
