--- a/internal/control/routing/routing_test.go
+++ b/internal/control/routing/routing_test.go
@@ -156,8 +156,10 @@
 		board, stop := start(t, s, chervilladder.Bounds{})
 		defer stop()
 		time.Sleep(10 * time.Second)
-		is.Equal(s.reads, 1)
-		s.set(func() { s.none, s.version = false, 9 })
+		s.set(func() {
+			is.Equal(s.reads, 1)
+			s.none, s.version = false, 9
+		})
 		time.Sleep(100 * time.Millisecond)
 		is.Equal(board.Routing.Load().Revision, chervilladder.Revision(9))
 	})
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,10 +47,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
-		runs, panics := 0, 4
+		var runs, panics atomic.Int64
+		panics.Store(4)
 		part := func(ctx context.Context) {
-			runs++
-			if runs <= panics {
+			if runs.Add(1) <= panics.Load() {
 				panic("broken")
 			}
 			<-ctx.Done()
@@ -57,13 +58,14 @@
 		var group sync.WaitGroup
 		recovery.Go(ctx, &group, silent(), "test", part)
 		time.Sleep(time.Minute)
-		is.Equal(runs, 5)
+		is.Equal(runs.Load(), int64(5))
 		is.True(!recovery.Failing())
 		cancel()
 		group.Wait()
 
 		ctx, cancel = context.WithCancel(t.Context())
-		runs, panics = 0, 6
+		runs.Store(0)
+		panics.Store(6)
 		recovery.Go(ctx, &group, silent(), "test", part)
 		time.Sleep(3 * time.Second)
 		is.True(recovery.Failing())
