Reuse compressors of updates for peers

Cause: each update of each follower took a new compressor of 1.2 MB. Change: compressors and decompressors are pooled.

--- a/internal/control/relay/encoding.go
+++ b/internal/control/relay/encoding.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/chervilladder/chervilladder"
@@ -14,14 +15,26 @@
 // maxUpdateBytes bounds the decompressed size of a part of a peer's update.
 const maxUpdateBytes = 64 << 20
 
+// compressors holds compressors for reuse. A new one takes over a megabyte, far more than
+// most updates.
+var compressors = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		panic(err) // the level is valid
+	}
+	return w
+}}
+
+// decompressors holds decompressors for reuse.
+var decompressors = sync.Pool{New: func() any { return flate.NewReader(bytes.NewReader(nil)) }}
+
 // encode returns a part of an update in its wire format, JSON with DEFLATE
 // compression: configurations are long and repetitive.
 func encode(v any) ([]byte, error) {
 	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
+	w := compressors.Get().(*flate.Writer)
+	defer compressors.Put(w)
+	w.Reset(&b)
 	if err := json.NewEncoder(w).Encode(v); err != nil {
 		return nil, err
 	}
@@ -32,8 +45,11 @@
 }
 
 func decode(b []byte, into any) error {
-	r := flate.NewReader(bytes.NewReader(b))
-	defer r.Close()
+	r := decompressors.Get().(io.ReadCloser)
+	defer decompressors.Put(r)
+	if err := r.(flate.Resetter).Reset(bytes.NewReader(b), nil); err != nil {
+		return err
+	}
 	return json.NewDecoder(io.LimitReader(r, maxUpdateBytes)).Decode(into)
 }
 
--- a/internal/control/relay/encoding_test.go
+++ b/internal/control/relay/encoding_test.go
@@ -67,3 +67,30 @@
 		}
 	})
 }
+
+// A reader encodes each change of an upstream for each of its followers.
+func BenchmarkEncodeChange(b *testing.B) {
+	c := listChange{At: 4, Entries: []chervilladder.Registered{{ID: "i-1", Service: "s", Address: "10.0.0.1:1", DataCentre: "a", Slots: 3}}}
+	b.ReportAllocs()
+	for b.Loop() {
+		mustEncode(b, c)
+	}
+}
+
+// Compressors are reused, so a part that could not be encoded or decoded must leave no
+// trace in the next one.
+func TestEncodingAfterAFailure(t *testing.T) {
+	is := is.New(t)
+	c := listChange{At: 4, Whole: true, Entries: []chervilladder.Registered{{ID: "i-1", Service: "s"}}}
+	for range 3 {
+		_, err := encode(map[string]any{"text": "x", "unencodable": func() {}})
+		is.True(err != nil)
+		var into listChange
+		is.True(decode([]byte("\xff\xff"), &into) != nil)
+		is.True(decode(mustEncode(t, c)[:5], &into) != nil)
+		list, at, err := upstreams(nil).apply(mustEncode(t, c))
+		is.NoErr(err)
+		is.Equal(at, chervilladder.Revision(4))
+		is.Equal(len(list), 1)
+	}
+}
