Share the start of a server among the tests of peer

Cause: two new tests started a server and a client by the same ten lines. Result: the package's tests pass under the race detector.

--- a/internal/peer/idle_test.go
+++ b/internal/peer/idle_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -45,28 +44,18 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			host := chervilladder.VM{ID: "vm-1", Peer: chervilladder.Address(listener.Addr().String())}
-			hostBoard, callerBoard := blackboard.New(host), blackboard.New(chervilladder.VM{ID: "vm-2"})
-			callerBoard.Members.Store(blackboard.Membership{Members: map[chervilladder.VMID]blackboard.Member{"vm-1": {VM: host}}})
-			ctx, stop := context.WithCancel(t.Context())
-			defer stop()
-			c := ServerConfig{Board: hostBoard, Executor: holding{make(chan struct{}, 1)}, Listener: listener, IdleTimeout: 200 * time.Millisecond}
+			c := ServerConfig{Executor: holding{make(chan struct{}, 1)}, IdleTimeout: 200 * time.Millisecond}
 			if name == "dead" {
 				c.IdleTimeout = time.Hour
 			}
-			server := NewServer(c)
-			go func() { _ = server.Run(ctx) }()
-			client := NewClient(callerBoard)
-			defer func() { _ = client.Close() }()
-			x, err := client.Open(ctx, "vm-1", chervilladder.Work{Database: "x", Deadline: time.Now().Add(time.Minute)})
+			client, host := connect(t, c)
+			x, err := client.Open(t.Context(), "vm-1", chervilladder.Work{Database: "x", Deadline: time.Now().Add(time.Minute)})
 			is.NoErr(err)
 			is.NoErr(x.Send(chervilladder.Batch{}))
 			r, err := x.Recv()
 			is.NoErr(err)
 			is.True(r.Open)
-			end(hostBoard)
+			end(host)
 			if name == "dead" {
 				is.NoErr(x.Send(chervilladder.Batch{})) // it was only silent, and goes on
 				_, err = x.Recv()
--- a/internal/peer/panic_test.go
+++ b/internal/peer/panic_test.go
@@ -32,33 +32,48 @@
 	panic("injected")
 }
 
+// connect starts a server of vm-1, and returns a client of vm-2 and the server's board.
+func connect(t *testing.T, c ServerConfig) (*Client, *blackboard.Board) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	host := chervilladder.VM{ID: "vm-1", Peer: chervilladder.Address(listener.Addr().String())}
+	c.Board, c.Listener = blackboard.New(host), listener
+	board := blackboard.New(chervilladder.VM{ID: "vm-2"})
+	board.Members.Store(blackboard.Membership{Members: map[chervilladder.VMID]blackboard.Member{"vm-1": {VM: host}}})
+	ctx, stop := context.WithCancel(context.Background())
+	server, client := NewServer(c), NewClient(board)
+	ended := make(chan error, 1)
+	go func() { ended <- server.Run(ctx) }()
+	t.Cleanup(func() {
+		_ = client.Close() // the test is over
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return client, c.Board
+}
+
 // A panic while a VM runs forwarded work, or answers a query, must cost that call only.
 // The outcome of the work is unknown, and never "not run".
 func TestPanicInACall(t *testing.T) {
 	is := is.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	self := chervilladder.VM{ID: "vm-1", Peer: chervilladder.Address(listener.Addr().String())}
-	board := blackboard.New(self)
-	board.Members.Store(blackboard.Membership{Members: map[chervilladder.VMID]blackboard.Member{"vm-1": {VM: self}}})
-	ctx, stop := context.WithCancel(t.Context())
-	defer stop()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	closed := make(chan struct{}, 3)
-	server := NewServer(ServerConfig{Board: board, Executor: panicking{closed}, Reachability: panickingExchange{}, Listener: listener, Log: log})
-	go func() { _ = server.Run(ctx) }()
-	client := NewClient(board)
-	defer func() { _ = client.Close() }()
+	client, host := connect(t, ServerConfig{Executor: panicking{closed}, Reachability: panickingExchange{}, Log: log})
 	for range 3 {
-		x, err := client.Open(ctx, "vm-1", chervilladder.Work{Database: "x", Access: chervilladder.AccessWrite, Deadline: time.Now().Add(time.Minute)})
+		x, err := client.Open(t.Context(), "vm-1", chervilladder.Work{Database: "x", Access: chervilladder.AccessWrite, Deadline: time.Now().Add(time.Minute)})
 		is.NoErr(err)
 		is.NoErr(x.Send(chervilladder.Batch{Commits: true}))
 		_, err = x.Recv()
 		var unknown *chervilladder.UnknownError
 		is.True(errors.As(err, &unknown))
 		<-closed
-		_, err = client.ReachablePrimary(ctx, self.Peer, "s")
+		_, err = client.ReachablePrimary(t.Context(), host.Self.Peer, "s")
 		is.True(err != nil)
 	}
 }
