--- a/review/harness/vm.go
+++ b/review/harness/vm.go
@@ -93,6 +93,12 @@
 	return nil
 }
 
+// Terminate asks the process to stop.
+func (v *VM) Terminate() {
+	_ = v.process.Process.Signal(syscall.SIGTERM) // it may have ended
+	v.w.Recordf("%s gets SIGTERM", v.Name)
+}
+
 // Kill ends the process at once.
 func (v *VM) Kill() {
 	if v.process == nil {
