--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -71,23 +71,13 @@
 
 	mu       sync.Mutex
 	members  map[chervilladder.UpstreamID]*member
-	Orders   []Order
 	recordMu sync.Mutex
 }
 
-// Order is a promotion order as the platform received it.
-type Order struct {
-	At       time.Time
-	Holder   chervilladder.VMID
-	Epoch    chervilladder.Epoch
-	Upstream chervilladder.UpstreamID
-}
-
 // member is a member's registration.
 type member struct {
 	chervilladder.Registered
-	draining bool
-	missed   int
+	missed int
 }
 
 // VM is one process of the product.
@@ -233,20 +223,10 @@
 
 // Promote carries out a promotion for the platform.
 func (w *World) Promote(_ chervilladder.ServiceID, id chervilladder.UpstreamID, holder chervilladder.VMID, epoch chervilladder.Epoch) error {
-	w.mu.Lock()
-	w.Orders = append(w.Orders, Order{At: time.Now(), Holder: holder, Epoch: epoch, Upstream: id})
-	w.mu.Unlock()
 	w.Recordf("platform: POST /promotion of %s by %s with fencing token %d", id, holder, epoch)
 	return w.Cluster.Promote(holder, epoch, id)
 }
 
-// ReceivedOrders returns the promotion orders received so far.
-func (w *World) ReceivedOrders() []Order {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return append([]Order(nil), w.Orders...)
-}
-
 func (w *World) configure() error {
 	spec, err := json.Marshal(map[string]any{
 		"version": 3,
@@ -305,31 +285,19 @@
 }
 
 func (w *World) writeEntry(id chervilladder.UpstreamID, m *member) {
-	state, role := "ready", "replica"
-	if m.draining {
-		state = "draining"
-	}
+	role := "replica"
 	if primary, _ := w.Cluster.Primary(); primary == id {
 		role = "primary"
 	}
 	spec, err := json.Marshal(map[string]any{
 		"service": m.Service, "address": m.Address, "zone": m.DataCentre, "version": "v1", "slots": m.Slots,
-		"state": state, "cold_remaining_ms": 0, "db_role": role, "seq_no": time.Since(w.began).Milliseconds(), "born": m.Born.UnixMilli(),
+		"state": "ready", "cold_remaining_ms": 0, "db_role": role, "seq_no": time.Since(w.began).Milliseconds(), "born": m.Born.UnixMilli(),
 	})
 	if err == nil {
 		_ = w.put("servers", chervilladder.ObjectName(id), spec)
 	}
 }
 
-// Drain makes a member report at once that it is draining.
-func (w *World) Drain(id chervilladder.UpstreamID) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.members[id].draining = true
-	w.writeEntry(id, w.members[id])
-	w.Recordf("server %s reports draining", id)
-}
-
 // Crash stops a member. It keeps its log.
 func (w *World) Crash(id chervilladder.UpstreamID) {
 	w.Recordf("server %s crashes", id)
