--- a/review/harness/vm.go
+++ b/review/harness/vm.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	_ "embed" // for the texts
 	"fmt"
 	"os"
 	"os/exec"
@@ -8,59 +9,16 @@
 	"syscall"
 )
 
-// settings are those of a machine of the site salas-valle.
-const settings = `node_name = %[1]q
-role = "chervilladder"
-machine_class = "front"
-serves = ["front"]
-ip = %[2]q
-zone = "a"
-region = "r"
-port_range = [7440, 7455]
-bootstrap = true
-discovery = "platform"
-entry = "vip"
-heartbeat_ms = 1200
-contracts = ["base","drain","config","cost","recover","sql","platform"]
-[zones]
-a = "r"
-[listen]
-front = "%[2]s:7001"
-ready = "%[2]s:7002"
-[limits]
-cpu_share = 0.608
-cores = 1
-memory_mb = 414
-max_fds = 6300
-link_mbps = 1500.0
-disk_mb = 0
-[bounds]
-seed_lag_s = 3
-reuse_after_s = 2
-stability_window_ms = 4000
-ack_ms = 5000
-catch_up_s = 4
-drain_ms = 7000
-grace_s = 6
-loss_slack_ms = 200
-config_apply_ms = 3000
-revert_slack_ms = 250
-outer_ms = 12000
-recovery_s = 12
-fencing_required = false
-thaw_ms = 300
-[platform]
-address = %[3]q
-form = "objects"
-writes_per_s = 400
-reads_per_s = 2000
-history_s = 20
-value_bytes = 1048576
-[cloud]
-address = %[3]q
-duties = ["failover"]
-duty_per_s = 50.0
-`
+// settings are those of a machine of the site salas-valle; config and entry are the
+// operator's configuration and a server's entry. Their formats are the platform's.
+var (
+	//go:embed texts/settings.toml
+	settings string
+	//go:embed texts/config.json
+	config string
+	//go:embed texts/entry.json
+	entry string
+)
 
 func (w *World) newVM(name, ip, platformAddress string) (*VM, error) {
 	v := &VM{Name: name, IP: ip, w: w, settings: filepath.Join(w.dir, name+".toml")}
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -5,13 +5,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -209,7 +207,7 @@
 		return "", err
 	}
 	w.store = p.Store()
-	if err := w.configure(); err != nil {
+	if err := w.put("config", "main", []byte(config)); err != nil {
 		return "", err
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -227,22 +225,6 @@
 	return w.Cluster.Promote(holder, epoch, id)
 }
 
-func (w *World) configure() error {
-	spec, err := json.Marshal(map[string]any{
-		"version": 3,
-		"routes": []map[string]any{{
-			"host": "bookings", "route_type": "primary", "service": Service, "timeout_ms": 1000,
-			"target_latency_ms": 200, "priority": 0, "max_attempts": 2, "max_staleness_ms": 0,
-		}},
-		"services": []map[string]any{{"name": Service, "max_conns": connections, "sync_replicas": syncReplicas}},
-		"limits":   map[string]int{"tx_idle_ms": 3000},
-	})
-	if err != nil {
-		return err
-	}
-	return w.put("config", "main", spec)
-}
-
 func (w *World) put(kind chervilladder.ObjectKind, name chervilladder.ObjectName, spec []byte) error {
 	o, _ := w.store.Get(kind, name)
 	_, err := w.store.Put(kind, name, spec, o.Version)
@@ -289,13 +271,8 @@
 	if primary, _ := w.Cluster.Primary(); primary == id {
 		role = "primary"
 	}
-	spec, err := json.Marshal(map[string]any{
-		"service": m.Service, "address": m.Address, "zone": m.DataCentre, "version": "v1", "slots": m.Slots,
-		"state": "ready", "cold_remaining_ms": 0, "db_role": role, "seq_no": time.Since(w.began).Milliseconds(), "born": m.Born.UnixMilli(),
-	})
-	if err == nil {
-		_ = w.put("servers", chervilladder.ObjectName(id), spec)
-	}
+	text := fmt.Sprintf(entry, m.Service, m.Address, m.DataCentre, m.Slots, role, time.Since(w.began).Milliseconds(), m.Born.UnixMilli())
+	_ = w.put("servers", chervilladder.ObjectName(id), []byte(text))
 }
 
 // Crash stops a member. It keeps its log.
@@ -324,30 +301,26 @@
 	w.Recordf("server %s has started again under its id and holds nothing; its entry has a new born", id)
 }
 
+// awaitReady waits until each process opens sessions.
 func (w *World) awaitReady() error {
-	client := &http.Client{Timeout: time.Second}
 	deadline := time.Now().Add(startDeadline)
 	for _, v := range w.VMs {
-		for !ready(client, v.IP) {
+		for {
+			c, err := Dial(v.IP, "bookings", "start")
+			if err == nil {
+				c.Close()
+				break
+			}
 			if time.Now().After(deadline) {
-				return fmt.Errorf("%s does not become ready", v.Name)
+				return fmt.Errorf("%s opens no session: %w", v.Name, err)
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
-	w.Recordf("all processes are ready")
+	w.Recordf("all processes open sessions")
 	return nil
 }
 
-func ready(client *http.Client, ip string) bool {
-	resp, err := client.Get("http://" + ip + ":7002/chervilladder/readiness")
-	if err != nil {
-		return false
-	}
-	resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
-
 // close ends the processes and the stand-ins.
 func (w *World) close() {
 	for _, v := range w.VMs {
