failover: a VM that starts assumes that replicas left before

Cause: DepartedMark, up to which replicas that left may have confirmed commits, was raised only by a VM that itself had removed a member. A process that starts after a replica is gone took its first list for all members there ever were, and replaced a working primary by the replica that lacked what the other one had confirmed.

Ruled out: the choice among paused replicas, the pause and lease, a second holder.

Change: a VM that begins to poll a cluster counts as one that has just seen a replica leave, so the first status of the primary sets the mark. It is set with the first observation of the primary; before, only a later status counted. The error of a refused replacement names the mark.

--- /dev/null
+++ b/internal/control/failover/departed_test.go
@@ -0,0 +1,94 @@
+package failover_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/clustertest"
+	"github.com/chervilladder/chervilladder/internal/standin/cluster"
+)
+
+// Commits were confirmed only by a replica that then leaves, since the other replica
+// receives nothing. The other one must not be promoted without them (regression: fault
+// injection, ncdaf-ladder mix, seed 544690670164).
+func TestCommitsConfirmedByAReplicaThatIsGoneAreKept(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 1}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		s := w.Open(t, 0, clustertest.PrimaryDB)
+		isolated, leaver := clustertest.MemberID(1), clustertest.MemberID(2)
+		w.Cluster.Set(isolated, func(f *cluster.Faults) { f.NoReplication = true })
+		left := clustertest.Member(2)
+		left.Draining = true
+		w.VMs[0].SetMembers(clustertest.Member(0), clustertest.Member(1), left)
+		var acked []string
+		for i := range 40 {
+			if i == 20 { // the entry is removed shortly before the member
+				w.VMs[0].SetMembers(clustertest.Member(0), clustertest.Member(1))
+			}
+			is.Equal(write(w, s, fmt.Sprint("w", i)).Code, chervilladder.CodeNone)
+			acked = append(acked, fmt.Sprint("w", i))
+			time.Sleep(20 * time.Millisecond)
+		}
+		w.Cluster.Set(leaver, func(f *cluster.Faults) { f.Down = true })
+		write(w, s, "unconfirmed")
+		time.Sleep(6 * time.Second)
+		is.Equal(len(w.Cluster.Promotions()), 0)
+		w.Cluster.Set(isolated, func(f *cluster.Faults) { f.NoReplication = false })
+		time.Sleep(5 * time.Second)
+		checkKept(t, w, acked)
+		is.Equal(write(w, s, "after").Code, chervilladder.CodeNone)
+	})
+}
+
+// Commits were confirmed only by a replica that has crashed and whose entry has expired,
+// since the other replica receives nothing. A VM that starts then knows the primary and
+// the other replica only. It must not replace the primary by that one (regression:
+// review/3).
+func TestVMThatStartsAfterAReplicaIsGoneKeepsItsCommits(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 2}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		acked := confirmByOneReplica(t, is, w)
+		w.Restart(t, clustertest.Member(0), clustertest.Member(2))
+		time.Sleep(6 * time.Second)
+		is.Equal(len(w.Cluster.Promotions()), 0)
+		w.Cluster.Set(clustertest.MemberID(2), func(f *cluster.Faults) { f.NoReplication = false })
+		time.Sleep(time.Second)
+		is.Equal(write(w, w.Open(t, 0, clustertest.PrimaryDB), "after").Code, chervilladder.CodeNone)
+		checkKept(t, w, append(acked, "after"))
+	})
+}
+
+// The same VM replaces the primary once the other replica has received its log. This
+// guards against a VM that never replaces a primary again.
+func TestVMThatStartsAfterAReplicaIsGoneReplacesThePrimaryLater(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 2}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		acked := confirmByOneReplica(t, is, w)
+		w.Restart(t, clustertest.Member(0), clustertest.Member(2), clustertest.Member(3))
+		time.Sleep(2 * time.Second)
+		w.Cluster.Set(clustertest.MemberID(2), func(f *cluster.Faults) { f.NoReplication = false })
+		w.Cluster.Add(clustertest.Member(3))
+		time.Sleep(time.Second)
+		old := clustertest.MemberID(0)
+		w.Cluster.Set(old, func(f *cluster.Faults) { f.Down = true })
+		awaitPrimary(t, w, old)
+		checkKept(t, w, acked)
+	})
+}
+
+// confirmByOneReplica writes while m2 receives nothing, so that m1 confirms alone, and
+// then stops m1. It returns the acknowledged writes.
+func confirmByOneReplica(t *testing.T, is *is.I, w *clustertest.World) []string {
+	t.Helper()
+	s := w.Open(t, 0, clustertest.PrimaryDB)
+	w.Cluster.Set(clustertest.MemberID(2), func(f *cluster.Faults) { f.NoReplication = true })
+	var acked []string
+	for i := range 20 {
+		id := fmt.Sprint("w", i)
+		is.Equal(write(w, s, id).Code, chervilladder.CodeNone)
+		acked = append(acked, id)
+	}
+	w.Cluster.Set(clustertest.MemberID(1), func(f *cluster.Faults) { f.Down = true })
+	return acked
+}
--- a/internal/control/failover/failover_test.go
+++ b/internal/control/failover/failover_test.go
@@ -291,37 +291,6 @@
 	})
 }
 
-// Commits were confirmed only by a replica that then leaves, since the other replica
-// receives nothing. The other one must not be promoted without them (regression: fault
-// injection, ncdaf-ladder mix, seed 544690670164).
-func TestCommitsConfirmedByAReplicaThatIsGoneAreKept(t *testing.T) {
-	bubble(t, clustertest.Config{VMs: 1}, func(t *testing.T, is *is.I, w *clustertest.World) {
-		s := w.Open(t, 0, clustertest.PrimaryDB)
-		isolated, leaver := clustertest.MemberID(1), clustertest.MemberID(2)
-		w.Cluster.Set(isolated, func(f *cluster.Faults) { f.NoReplication = true })
-		left := clustertest.Member(2)
-		left.Draining = true
-		w.VMs[0].SetMembers(clustertest.Member(0), clustertest.Member(1), left)
-		var acked []string
-		for i := range 40 {
-			if i == 20 { // the entry is removed shortly before the member
-				w.VMs[0].SetMembers(clustertest.Member(0), clustertest.Member(1))
-			}
-			is.Equal(write(w, s, fmt.Sprint("w", i)).Code, chervilladder.CodeNone)
-			acked = append(acked, fmt.Sprint("w", i))
-			time.Sleep(20 * time.Millisecond)
-		}
-		w.Cluster.Set(leaver, func(f *cluster.Faults) { f.Down = true })
-		write(w, s, "unconfirmed")
-		time.Sleep(6 * time.Second)
-		is.Equal(len(w.Cluster.Promotions()), 0)
-		w.Cluster.Set(isolated, func(f *cluster.Faults) { f.NoReplication = false })
-		time.Sleep(5 * time.Second)
-		checkKept(t, w, acked)
-		is.Equal(write(w, s, "after").Code, chervilladder.CodeNone)
-	})
-}
-
 // The response to a promotion order is lost, and the holder can't reach the promoted
 // member while the old primary is back. The other replica must not confirm the old
 // primary's commits (regression: soak test, seed 4).
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -44,7 +44,6 @@
 // The reasons why a replacement was not completed.
 var (
 	errUnreachable       = errors.New("a replica that may hold an acknowledged commit is unreachable")
-	errBehind            = errors.New("no replica holds all commits that a departed replica may have confirmed")
 	errNoCandidate       = errors.New("no replica can be promoted")
 	errLeadershipExpired = errors.New("the failover leadership was recorded too long ago to order a promotion")
 	errChanged           = errors.New("the state of the cluster has changed since it was assessed")
@@ -62,6 +61,17 @@
 	return fmt.Sprintf("%s is already primary of term %d", e.By, e.Term)
 }
 
+// behindError reports that all replicas lack commits that a departed replica may have
+// confirmed, so that a promotion might lose acknowledged commits.
+type behindError struct {
+	// Needed is the mark that a replica must have received.
+	Needed chervilladder.Mark
+}
+
+func (e *behindError) Error() string {
+	return fmt.Sprintf("no replica holds all commits that a departed replica may have confirmed: the log up to %s", e.Needed)
+}
+
 // run corrects the cluster. To replace the primary, it pauses the replicas, promotes the
 // one with the most advanced log, and has the others follow it.
 func (r *replacement) run(ctx context.Context) error {
@@ -207,8 +217,8 @@
 		best = findPaused(paused, r.unpaused)
 	}
 	r.log.WithFields(logrus.Fields{"candidate": best.Upstream, "received": best.Received.String(), "paused": len(paused)}).Info("failover: replicas paused")
-	if !best.Received.Covers(r.cluster.View.Load().DepartedMark) {
-		return best, errBehind
+	if err := r.checkDeparted(best); err != nil {
+		return best, err
 	}
 	if r.unpaused == "" {
 		r.demoteOldPrimary(ctx, r.term)
@@ -218,10 +228,16 @@
 	if err := r.sleepUntil(ctx, promoteAfter); err != nil {
 		return best, err
 	}
-	if !best.Received.Covers(r.cluster.View.Load().DepartedMark) {
-		return best, errBehind
+	return best, r.checkDeparted(best)
+}
+
+// checkDeparted returns an error if a paused replica lacks commits that a departed
+// replica may have confirmed.
+func (r *replacement) checkDeparted(candidate lead.Paused) error {
+	if needed := r.cluster.View.Load().DepartedMark; !candidate.Received.Covers(needed) {
+		return &behindError{Needed: needed}
 	}
-	return best, nil
+	return nil
 }
 
 // checkFeasible returns why a replacement can't succeed by the last observed statuses.
@@ -232,7 +248,7 @@
 		}
 	}
 	if !lead.CoversDeparted(r.view) {
-		return errBehind
+		return &behindError{Needed: r.view.DepartedMark}
 	}
 	return nil
 }
--- a/internal/control/statuspoll/prober.go
+++ b/internal/control/statuspoll/prober.go
@@ -214,7 +214,6 @@
 		o.FailingSince, o.Failures = time.Time{}, 0
 		v.Members[p.upstream.ID] = o
 		markPaused(v, p.upstream.ID, requestedAt)
-		markDeparted(v, p.upstream.ID, o)
 		markStalled(v, requestedAt)
 		p.k.markLagging(v, p.service, requestedAt)
 		observed = v.Members[p.upstream.ID]
@@ -230,12 +229,14 @@
 	return p.k.c.Log.WithFields(logrus.Fields{"upstream": p.upstream.ID, "service": p.service})
 }
 
-// markDeparted records what a primary's log holds, by a status requested after a replica
-// was found gone.
-func markDeparted(v *blackboard.ClusterView, id chervilladder.UpstreamID, o blackboard.MemberObservation) {
-	if id == v.Primary && o.Status.Primary && !v.DepartedSince.IsZero() && !o.RequestedAt.Before(v.DepartedSince) {
-		v.DepartedMark, v.DepartedSince = v.DepartedMark.Later(o.Status.Received), time.Time{}
+// markDeparted records what the primary's log holds, by a status requested after a
+// replica was found gone or this VM began to poll the cluster.
+func markDeparted(v *blackboard.ClusterView) {
+	p, known := v.Members[v.Primary]
+	if !known || !p.Status.Primary || v.DepartedSince.IsZero() || p.RequestedAt.Before(v.DepartedSince) {
+		return
 	}
+	v.DepartedMark, v.DepartedSince = v.DepartedMark.Later(p.Status.Received), time.Time{}
 }
 
 // markPaused records since when a replica has been paused.
--- a/internal/control/statuspoll/statuspoll.go
+++ b/internal/control/statuspoll/statuspoll.go
@@ -127,11 +127,7 @@
 		}
 	}
 	for id, e := range u.ByID {
-		k.update(e.Service, func(v *blackboard.ClusterView) {
-			o := v.Members[id]
-			o.KnownUpstream, o.Deregistered = e, false
-			v.Members[id] = o
-		})
+		k.register(e)
 		if p := k.probers[id]; p != nil {
 			p.deregistered.Store(false)
 		} else {
@@ -140,6 +136,20 @@
 	}
 }
 
+// register adds a member to the view of its cluster, or updates its registration. With
+// the first member this VM begins to poll the cluster.
+func (k *Controller) register(e blackboard.KnownUpstream) {
+	now := k.c.Clock()
+	k.update(e.Service, func(v *blackboard.ClusterView) {
+		if len(v.Members) == 0 {
+			v.DepartedSince = now
+		}
+		o := v.Members[e.ID]
+		o.KnownUpstream, o.Deregistered = e, false
+		v.Members[e.ID] = o
+	})
+}
+
 // drop removes a member that is gone, has restarted, or is of a service that only other
 // VMs host now.
 func (k *Controller) drop(p *prober) {
@@ -187,6 +197,7 @@
 		}
 		change(&after)
 		after.Primary, after.Term = lead.Primary(after)
+		markDeparted(&after)
 		switch {
 		case after.Primary != "":
 			after.MissingSince = time.Time{}
--- a/internal/control/statuspoll/statuspoll_test.go
+++ b/internal/control/statuspoll/statuspoll_test.go
@@ -187,3 +187,33 @@
 		is.True(view().LaggingSince.IsZero()) // the replicas have caught up
 	})
 }
+
+// A VM that starts doesn't know which replicas left before. It holds every member to what
+// the primary's log holds then (regression: review/3).
+func TestVMThatStartsAssumesDepartedReplicas(t *testing.T) {
+	bubble(t, clustertest.Config{}, func(t *testing.T, is *is.I, w *clustertest.World, view func() blackboard.ClusterView) {
+		s := w.Open(t, 0, clustertest.PrimaryDB)
+		r := s.Do(context.Background(), chervilladder.Command{Kind: chervilladder.CommandWrite, ID: "w", Rest: "1a4 x"})
+		is.Equal(r.Code, chervilladder.CodeNone)
+		w.Restart(t, clustertest.Member(0), clustertest.Member(1))
+		time.Sleep(time.Second)
+		is.Equal(view().DepartedMark, r.Mark)
+		is.True(view().DepartedSince.IsZero()) // the primary has been polled since
+	})
+}
+
+// The same holds for a VM that hosts a service again after other VMs did.
+func TestVMThatHostsAgainAssumesDepartedReplicas(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 2}, func(t *testing.T, is *is.I, w *clustertest.World, view func() blackboard.ClusterView) {
+		w.Forward(0, 1)
+		time.Sleep(time.Second)
+		is.Equal(len(view().Members), 0)
+		s := w.Open(t, 1, clustertest.PrimaryDB)
+		r := s.Do(context.Background(), chervilladder.Command{Kind: chervilladder.CommandWrite, ID: "w", Rest: "1a4 x"})
+		is.Equal(r.Code, chervilladder.CodeNone)
+		w.VMs[0].Board.Hosting.Store(blackboard.Hosting{})
+		time.Sleep(time.Second)
+		is.Equal(view().DepartedMark, r.Mark)
+		is.True(view().DepartedSince.IsZero())
+	})
+}
