lead: a replica without a log is no evidence for a VM that saw no primary

What callers would see: acknowledged commits gone after a restart of all VMs while the primary is down.

Cause: a VM that has observed no primary for 5 s promotes the most advanced of two members that answer. One of them may be a replica that has started again under its id, without its log, and had confirmed commits that the other one lacks; the primary comes back with them.

Change: at such a VM members without a log don't count among others that have one. If nothing was ever written all count, as before. Only decide/lead changes.

--- a/internal/control/failover/departed_test.go
+++ b/internal/control/failover/departed_test.go
@@ -77,13 +77,40 @@
 	})
 }
 
+// When all VMs start, the replica that confirmed alone has started again without its log,
+// and the primary is down and its entry has expired. The primary comes back with its log,
+// so the other replica must not be promoted.
+func TestReplicaWithoutALogIsNoEvidence(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 2}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		acked := confirmByOneReplica(t, is, w)
+		old := clustertest.MemberID(0)
+		w.Cluster.Set(old, func(f *cluster.Faults) { f.Down = true })
+		reborn := clustertest.Member(1)
+		reborn.Born = time.UnixMilli(7)
+		w.Cluster.Remove(reborn.ID)
+		w.Cluster.Add(reborn)
+		w.Restart(t, reborn, clustertest.Member(2))
+		time.Sleep(8 * time.Second)
+		is.Equal(len(w.Cluster.Promotions()), 0)
+		w.Cluster.Set(old, func(f *cluster.Faults) { f.Down = false })
+		for _, vm := range w.VMs {
+			vm.SetMembers(clustertest.Member(0), reborn, clustertest.Member(2))
+		}
+		w.Cluster.Set(clustertest.MemberID(2), func(f *cluster.Faults) { f.NoReplication = false })
+		time.Sleep(time.Second)
+		is.Equal(write(w, w.Open(t, 0, clustertest.PrimaryDB), "after").Code, chervilladder.CodeNone)
+		checkKept(t, w, append(acked, "after"))
+	})
+}
+
 // confirmByOneReplica writes while m2 receives nothing, so that m1 confirms alone, and
 // then stops m1. It returns the acknowledged writes.
 func confirmByOneReplica(t *testing.T, is *is.I, w *clustertest.World) []string {
 	t.Helper()
 	s := w.Open(t, 0, clustertest.PrimaryDB)
+	is.Equal(write(w, s, "before").Code, chervilladder.CodeNone)
 	w.Cluster.Set(clustertest.MemberID(2), func(f *cluster.Faults) { f.NoReplication = true })
-	var acked []string
+	acked := []string{"before"}
 	for i := range 20 {
 		id := fmt.Sprint("w", i)
 		is.Equal(write(w, s, id).Code, chervilladder.CodeNone)
--- a/internal/decide/lead/lead.go
+++ b/internal/decide/lead/lead.go
@@ -261,21 +261,30 @@
 // since the primary went missing: one that is too busy to report may be the
 // primary.
 func assessMissing(v blackboard.ClusterView, now time.Time) Cause {
-	answering := 0
+	answering, withLog := 0, 0
 	for _, o := range v.Members {
 		if o.RequestedAt.IsZero() && o.Failures < unreachableFailures {
 			return CauseNone // not polled often enough yet
 		}
-		if o.Answers() {
-			answering++
-			if o.RequestedAt.Before(v.MissingSince) {
-				return CauseNone
-			}
+		if !o.Answers() {
+			continue
+		}
+		if o.RequestedAt.Before(v.MissingSince) {
+			return CauseNone
+		}
+		answering++
+		if o.Status.Received.Position > 0 {
+			withLog++
 		}
 	}
 	after := missingAfter
 	if v.Term == 0 {
 		after = neverSeenAfter
+		// A member without a log among others that have one has lost it, and
+		// may have confirmed commits that the others lack.
+		if withLog > 0 {
+			answering = withLog
+		}
 	}
 	if answering < 2 || v.MissingSince.IsZero() || now.Sub(v.MissingSince) < after {
 		return CauseNone
--- a/internal/decide/lead/lead_test.go
+++ b/internal/decide/lead/lead_test.go
@@ -184,6 +184,36 @@
 	}
 }
 
+// At a VM that has observed no primary, a replica without a log among others that have one
+// doesn't count: it may have confirmed commits that the others lack, and lost them.
+func TestAssessCountsReplicasWithALog(t *testing.T) {
+	const now = 10000
+	for name, c := range map[string]struct {
+		term      chervilladder.Term
+		positions []chervilladder.Position
+		want      lead.Cause
+	}{
+		"all have a log":         {0, []chervilladder.Position{7, 5}, lead.CauseMissing},
+		"one has none":           {0, []chervilladder.Position{0, 5}, lead.CauseNone},
+		"one of three has none":  {0, []chervilladder.Position{0, 5, 7}, lead.CauseMissing},
+		"nothing was written":    {0, []chervilladder.Position{0, 0}, lead.CauseMissing},
+		"a primary was observed": {3, []chervilladder.Position{0, 5}, lead.CauseMissing},
+	} {
+		var replicas []blackboard.MemberObservation
+		for _, position := range c.positions {
+			r := replica(now, 3, 0)
+			r.Status.Received = chervilladder.Mark{Term: 3, Position: position}
+			replicas = append(replicas, r)
+		}
+		v := view(replicas...)
+		delete(v.Members, "p")
+		v.Primary, v.Term, v.MissingSince = "", c.term, at(now-6000)
+		if got := lead.Assess(v, blackboard.PeerReport{}, at(now)); got != c.want {
+			t.Errorf("%s: %q, not %q", name, got, c.want)
+		}
+	}
+}
+
 func TestCandidate(t *testing.T) {
 	is := is.New(t)
 	_, ok := lead.Candidate(nil)
