shutdown: take only what can be answered, and answer all that was taken

Cause: at five sixths of the grace the front end closed all connections whatever was in flight, and until then the path of a request took work as ever; no deadline knew of the end. A VM without callers also ended while a peer's transaction was open on it.

Ruled out: upstreams that don't answer, and resets by unread bytes.

--- a/errors.go
+++ b/errors.go
@@ -41,6 +41,12 @@
 	return s
 }
 
+// Refusal says to the caller of a line protocol why nothing was run, and when to try
+// again.
+func (e *NotRunError) Refusal() string {
+	return fmt.Sprintf("%s; retry after %d ms", e.Reason, e.RetryAfter.Milliseconds())
+}
+
 // Unwrap returns the cause.
 func (e *NotRunError) Unwrap() error { return e.Err }
 
--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -1,9 +1,11 @@
 package blackboard
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/decide/shutdown"
 )
 
 // Board is the blackboard of one VM.
@@ -27,8 +29,13 @@
 	// Owners says which VM owns each database. Written by
 	// control/ownership.
 	Owners Section[Owners]
-	// Local is the VM's own state. Written by control/drain.
+	// Local is the VM's own state. Written by control/drain, on the users'
+	// prepared platform by control/shutdown.
 	Local Section[Local]
+	// InFlight counts the sessions of callers and peers in which a command runs
+	// or a transaction is open at this VM, on the users' prepared platform.
+	// Written by the path of a request.
+	InFlight atomic.Int64
 	// Routing is the operator's configuration on the users' prepared platform;
 	// nil until it is known, and always nil on the platform whose object API
 	// holds service files (Catalogue). Written by control/routing.
@@ -76,6 +83,9 @@
 	return &Board{Self: self}
 }
 
+// ShutsDown reports whether the VM shuts down, on the users' prepared platform.
+func (b *Board) ShutsDown() bool { return b.Local.Load().Shutdown.Begun() }
+
 // Published is a configuration as it was published.
 type Published struct {
 	Revision chervilladder.Revision
@@ -112,6 +122,8 @@
 type Local struct {
 	// Draining is set once the VM takes no new callers and owns nothing.
 	Draining bool
+	// Shutdown is the plan of the VM's shutdown; zero while there is none.
+	Shutdown shutdown.Plan
 }
 
 // Hint is the newest known revision of the configuration and a peer at which it
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -4,13 +4,8 @@
 	"context"
 	"errors"
 	"net"
-	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"sync/atomic"
-	"syscall"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/oklog/run"
@@ -26,6 +21,7 @@
 	"github.com/chervilladder/chervilladder/internal/control/registry"
 	"github.com/chervilladder/chervilladder/internal/control/relay"
 	"github.com/chervilladder/chervilladder/internal/control/routing"
+	"github.com/chervilladder/chervilladder/internal/control/shutdown"
 	"github.com/chervilladder/chervilladder/internal/control/statuspoll"
 	"github.com/chervilladder/chervilladder/internal/link"
 	"github.com/chervilladder/chervilladder/internal/logs"
@@ -63,8 +59,7 @@
 	debug.SetGCPercent(gcPercent)
 	board := blackboard.New(chervilladder.VM{ID: c.Settings.VM, DataCentre: c.Settings.DataCentre, Peer: c.Settings.Peers})
 	board.Bounds.Store(c.Settings.Bounds)
-	shutdown := &shutdownHandler{c: c, board: board, closeIdle: make(chan struct{}), began: make(chan struct{}), reloadBounds: make(chan struct{}, 1)}
-	actors, err := buildOnPlatform(c, board, shutdown)
+	actors, err := buildOnPlatform(c, board)
 	if err != nil {
 		return err
 	}
@@ -78,14 +73,14 @@
 	err = g.Run()
 	c.Log.WithError(err).Info("daemon: stopped")
 	c.LogQueue.Flush()
-	if errors.Is(err, errShutDown) {
+	if errors.Is(err, shutdown.ErrShutDown) {
 		return nil
 	}
 	return err
 }
 
 // buildOnPlatform returns the actors in the order in which they are to stop.
-func buildOnPlatform(c PlatformConfig, board *blackboard.Board, shutdown *shutdownHandler) ([]actor, error) {
+func buildOnPlatform(c PlatformConfig, board *blackboard.Board) ([]actor, error) {
 	metricSet := metrics.NewSet()
 	client, err := platform.NewClient(platform.ClientConfig{
 		Store: c.Settings.Store, Promotions: c.Settings.Promotions, Log: c.Log, Metrics: metricSet,
@@ -115,38 +110,44 @@
 	if err != nil {
 		return nil, err
 	}
-	front, err := platform.NewFront(platform.FrontConfig{Listener: callers, Sessions: sessions, Log: c.Log, CloseIdle: shutdown.closeIdle})
+	closeIdle := make(chan struct{})
+	front, err := platform.NewFront(platform.FrontConfig{Listener: callers, Sessions: sessions, Log: c.Log, CloseIdle: closeIdle})
 	if err != nil {
 		return nil, err
 	}
+	stopping, err := shutdown.New(shutdown.Config{Board: board, Log: c.Log, Connected: front.Connected, CloseIdle: closeIdle})
+	if err != nil {
+		return nil, err
+	}
+	signals := &signalHandler{c: c, stopping: stopping, reloadBounds: make(chan struct{}, 1)}
 	metricSet.NewGauge("chervilladder_callers_connected", func() float64 { return float64(front.Connected()) })
 	metricSet.NewGauge("chervilladder_log_writes_dropped", func() float64 { return float64(c.LogQueue.Dropped()) })
-	shutdown.connected = front.Connected
 	failovers, err := failover.New(failover.Config{
 		Board: board, Record: client, Promoter: client, Linker: linker, Pools: pools, PeerDemoter: peers,
-		Log: c.Log, Clock: clock.SinceBoot, Leave: shutdown.began,
+		Log: c.Log, Clock: clock.SinceBoot, Leave: stopping.Began(),
 	})
 	if err != nil {
 		return nil, err
 	}
-	controllers, err := buildControllers(c, board, client, pools, shutdown)
+	controllers, err := buildControllers(c, board, client, pools, signals.reloadBounds)
 	if err != nil {
 		return nil, err
 	}
-	peering, err := buildPeering(c, board, client, peers, sessions, failovers, shutdown)
+	peering, err := buildPeering(c, board, client, peers, sessions, failovers)
 	if err != nil {
 		return nil, err
 	}
 	return append([]actor{
-		shutdown,
+		stopping,
 		front,
+		signals,
 		failovers,
-		platform.Readiness{Listener: readinessListener, Ready: func() bool { return canServe(board) && !shutdown.hasBegun() && !recovery.Failing() }},
+		platform.Readiness{Listener: readinessListener, Ready: func() bool { return canServe(board) && !board.ShutsDown() && !recovery.Failing() }},
 		platform.Metrics{Listener: metricsListener, Sets: []*metrics.Set{metricSet, recovery.Metrics}},
 	}, append(peering, controllers...)...), nil
 }
 
-func buildControllers(c PlatformConfig, board *blackboard.Board, client *platform.Client, pools *link.Pools, shutdown *shutdownHandler) ([]actor, error) {
+func buildControllers(c PlatformConfig, board *blackboard.Board, client *platform.Client, pools *link.Pools, reloadBounds <-chan struct{}) ([]actor, error) {
 	routes, err := routing.New(routing.Config{Board: board, Source: client.Routing(), Log: c.Log, Clock: clock.SinceBoot})
 	if err != nil {
 		return nil, err
@@ -159,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	boundsReader, err := bounds.New(bounds.Config{Board: board, Source: platform.SettingsPath(c.SettingsPath), Log: c.Log, Reload: shutdown.reloadBounds})
+	boundsReader, err := bounds.New(bounds.Config{Board: board, Source: platform.SettingsPath(c.SettingsPath), Log: c.Log, Reload: reloadBounds})
 	if err != nil {
 		return nil, err
 	}
@@ -168,7 +169,7 @@
 
 // buildPeering returns the actors by which VMs exchange the contents of the store
 // and their own observations of upstreams, and forward work to each other.
-func buildPeering(c PlatformConfig, board *blackboard.Board, client *platform.Client, peers *peer.Client, sessions *session.Manager, failovers *failover.Controller, shutdown *shutdownHandler) ([]actor, error) {
+func buildPeering(c PlatformConfig, board *blackboard.Board, client *platform.Client, peers *peer.Client, sessions *session.Manager, failovers *failover.Controller) ([]actor, error) {
 	if c.Settings.Peers == "" {
 		c.Log.Warn("daemon: the settings have no ports for peers; nothing is forwarded between VMs")
 		return nil, nil
@@ -185,12 +186,12 @@
 	if err != nil {
 		return nil, err
 	}
-	executor, err := session.NewForwardedExecutor(session.ForwardedExecutorConfig{Manager: sessions, Leaving: shutdown.hasBegun})
+	executor, err := session.NewForwardedExecutor(session.ForwardedExecutorConfig{Manager: sessions, Leaving: board.ShutsDown})
 	if err != nil {
 		return nil, err
 	}
 	board.Hosting.Store(blackboard.Hosting{HostsUnknown: true})
-	reachabilityController, err := reachability.New(reachability.Config{Board: board, Peers: peers, Log: c.Log, Clock: clock.SinceBoot, Leaving: shutdown.hasBegun})
+	reachabilityController, err := reachability.New(reachability.Config{Board: board, Peers: peers, Log: c.Log, Clock: clock.SinceBoot, Leaving: board.ShutsDown})
 	if err != nil {
 		return nil, err
 	}
@@ -235,107 +236,3 @@
 	}
 	return false
 }
-
-// errShutDown ends the run of a VM that a signal has stopped.
-var errShutDown = errors.New("the VM was shut down by a signal")
-
-// The times of a shutdown.
-const (
-	// A VM that shuts down closes idle sessions after
-	// closeIdleAfter/graceParts of Bounds.Grace, and all others after
-	// closeAllAfter/graceParts.
-	closeIdleAfter = 2
-	closeAllAfter  = 5
-	graceParts     = 6
-
-	// connectedCheckInterval is how often a VM that shuts down checks whether
-	// callers are connected.
-	connectedCheckInterval = 50 * time.Millisecond
-)
-
-// shutdownHandler stops the VM gracefully on SIGTERM or SIGINT. The readiness check
-// fails at once. When the platform has had time to observe that, idle sessions
-// are closed. The VM stops when no caller is connected any more,
-// at the latest at closeAllAfter.
-type shutdownHandler struct {
-	c     PlatformConfig
-	board *blackboard.Board
-	// A send on reloadBounds makes the bounds controller read the settings
-	// file again.
-	reloadBounds chan struct{}
-	// began is closed at the signal, just after shuttingDown is set, and
-	// closeIdle when idle sessions are to be closed.
-	began, closeIdle chan struct{}
-	shuttingDown     atomic.Bool
-	connected        func() int
-}
-
-func (h *shutdownHandler) hasBegun() bool { return h.shuttingDown.Load() }
-
-// Run handles signals until the context ends or the VM has shut down.
-func (h *shutdownHandler) Run(ctx context.Context) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				return h.shutDown(ctx)
-			}
-			h.reload()
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
-// reload requests that the bounds be read again. All other settings are fixed
-// while the process runs: if one has changed, reload logs that it takes effect at
-// the next start.
-func (h *shutdownHandler) reload() {
-	select {
-	case h.reloadBounds <- struct{}{}:
-	default: // a reload is pending already
-	}
-	s, err := platform.ReadSettings(h.c.SettingsPath)
-	s.Bounds = h.c.Settings.Bounds
-	if err == nil && s != h.c.Settings {
-		h.c.Log.Warn("daemon: changed settings other than the bounds take effect at the next start")
-	}
-}
-
-func (h *shutdownHandler) shutDown(ctx context.Context) error {
-	began := time.Now()
-	h.shuttingDown.Store(true)
-	close(h.began)
-	h.c.Log.WithField("connected", h.connected()).Info("daemon: shutting down")
-	grace := h.board.Bounds.Load().Grace
-	if !h.wait(ctx, began.Add(grace*closeIdleAfter/graceParts), false) {
-		return nil
-	}
-	close(h.closeIdle)
-	if !h.wait(ctx, began.Add(grace*closeAllAfter/graceParts), true) {
-		return nil
-	}
-	h.c.Log.WithFields(logrus.Fields{"connected": h.connected(), "took": time.Since(began)}).Info("daemon: shut down")
-	return errShutDown
-}
-
-// wait waits until a point in time or, if untilEmpty is set, until no caller is
-// connected. It returns false if the context ends first.
-func (h *shutdownHandler) wait(ctx context.Context, until time.Time, untilEmpty bool) bool {
-	t := time.NewTicker(connectedCheckInterval)
-	defer t.Stop()
-	for time.Now().Before(until) {
-		if untilEmpty && h.connected() == 0 {
-			return true
-		}
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return false
-		}
-	}
-	return true
-}
--- a/internal/session/manager.go
+++ b/internal/session/manager.go
@@ -85,10 +85,15 @@
 
 // Open begins a session.
 func (m *Manager) Open(db chervilladder.DatabaseID, caller string) (chervilladder.Session, error) {
-	if _, err := m.route(db); err != nil {
+	route, err := m.route(db)
+	if err != nil {
 		return nil, err
 	}
-	return &session{m: m, db: db, caller: caller}, nil
+	s := &session{m: m, db: db, caller: caller}
+	if err := s.checkTaken(route.UsualTime()); err != nil {
+		return nil, err
+	}
+	return s, nil
 }
 
 // route returns the route to a database in the current configuration.
--- a/internal/session/place.go
+++ b/internal/session/place.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/chervilladder/chervilladder"
@@ -37,10 +36,10 @@
 	errPrimaryChanged = errors.New("another member has become the primary")
 )
 
-// unreachableRetryAfter is the delay to suggest to callers whose work this VM can
-// neither run nor forward: another VM may be able to run it, and this one polls its
-// members several times in between.
-const unreachableRetryAfter = 300 * time.Millisecond
+// otherVMRetryAfter is the delay to suggest to callers whose work this VM can neither run
+// nor forward, or that it no longer takes: another VM may be able to run it, and a VM polls
+// its members several times in between.
+const otherVMRetryAfter = 300 * time.Millisecond
 
 // checkReachable returns an error if this VM can't run work that needs the primary. Work
 // that can be forwarded has been forwarded before this check.
@@ -48,7 +47,7 @@
 	if !lead.PrimaryUnreachable(c.View.Load(), c.PeerReport.Load(), m.c.Clock()) {
 		return nil
 	}
-	return &chervilladder.NotRunError{Database: db, Reason: chervilladder.ReasonNoPrimary, RetryAfter: unreachableRetryAfter}
+	return &chervilladder.NotRunError{Database: db, Reason: chervilladder.ReasonNoPrimary, RetryAfter: otherVMRetryAfter}
 }
 
 // checkReachable is the same for the work.
@@ -289,7 +288,7 @@
 		if notRun.Reason == chervilladder.ReasonDeadline || notRun.Reason == chervilladder.ReasonOverload {
 			w.cluster.LastShed.Raise(w.session.m.c.Clock())
 		}
-		return failure(chervilladder.CodeBusy, fmt.Sprintf("%s; retry after %d ms", notRun.Reason, notRun.RetryAfter.Milliseconds()))
+		return failure(chervilladder.CodeBusy, notRun.Refusal())
 	}
 	return failure(answer.Unsent(err), err.Error())
 }
--- a/internal/session/remote_transaction.go
+++ b/internal/session/remote_transaction.go
@@ -30,6 +30,10 @@
 	return chervilladder.StateOpen
 }
 
+func (t *remoteTransaction) mayContinue(kind chervilladder.CommandKind) bool {
+	return t.session.mayContinue(t.route, kind)
+}
+
 // do runs a command within the transaction. For a write or a COMMIT, w.access keeps its
 // zero value, AccessWrite.
 func (t *remoteTransaction) do(ctx context.Context, w *work) chervilladder.Result {
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -22,6 +22,8 @@
 	// one, and pinned is the session's route at the VM that forwarded it.
 	fromPeer bool
 	pinned   *chervilladder.Route
+	// inFlight is set while a command runs or a transaction is open.
+	inFlight bool
 	// lastUpstream is the member at which the last command was placed; empty if it
 	// was placed at none.
 	lastUpstream chervilladder.UpstreamID
@@ -32,6 +34,11 @@
 	// do runs a command within it. The command may end the transaction.
 	do(ctx context.Context, w *work) chervilladder.Result
 	state() chervilladder.TransactionState
+	// mayContinue reports whether another command can be answered before the VM has
+	// shut down.
+	mayContinue(kind chervilladder.CommandKind) bool
+	// fail rolls it back; the caller has to end it.
+	fail()
 	// abandon rolls it back for a caller that has disconnected.
 	abandon()
 }
@@ -65,8 +72,12 @@
 		session: s, command: c,
 		arrived: time.Now(), asOf: s.m.c.Clock(),
 	}
+	s.enter()
+	defer s.leave()
 	var r chervilladder.Result
 	switch {
+	case s.tx != nil && !s.tx.mayContinue(c.Kind) && c.Kind != chervilladder.CommandRollback:
+		r = s.endTransaction(c)
 	case s.tx != nil:
 		r = s.tx.do(ctx, w)
 	case c.Kind == chervilladder.CommandBegin || c.Kind == chervilladder.CommandBeginRead:
@@ -93,6 +104,7 @@
 	if s.tx != nil {
 		s.tx.abandon()
 		s.tx = nil
+		s.leave()
 	}
 }
 
@@ -129,6 +141,9 @@
 	if err != nil {
 		return failure(chervilladder.CodeNoDatabase, "no route to the database")
 	}
+	if err := s.checkTaken(allowance(route, w.command.Kind, chervilladder.AccessRead)); err != nil {
+		return w.refusal(err)
+	}
 	w.route = route
 	if w.runsElsewhere() {
 		s.tx = &remoteTransaction{session: s, route: route, begin: w.command}
--- a/internal/session/transaction.go
+++ b/internal/session/transaction.go
@@ -84,6 +84,10 @@
 	return true
 }
 
+func (t *transaction) mayContinue(kind chervilladder.CommandKind) bool {
+	return t.session.mayContinue(t.route, kind)
+}
+
 // fail rolls the transaction back; the state reports it to the caller.
 func (t *transaction) fail() {
 	t.failed = true
--- a/internal/session/work.go
+++ b/internal/session/work.go
@@ -12,9 +12,6 @@
 	"github.com/chervilladder/chervilladder/internal/link"
 )
 
-// defaultTimeout bounds a statement whose route names no timeout.
-const defaultTimeout = time.Second
-
 // work is one command while it is run.
 type work struct {
 	session *session
@@ -75,11 +72,7 @@
 func (w *work) setRoute(route chervilladder.Route) {
 	w.route = route
 	w.cluster = w.session.m.c.Board.Clusters.Get(route.Service)
-	timeout := route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	w.deadline = w.arrived.Add(timeout)
+	w.deadline = w.session.m.shutdownPlan().Bound(w.arrived.Add(route.StatementTimeout()))
 	w.values, w.minPosition, w.inTransaction = w.session.values, w.session.minPosition, w.session.tx != nil
 }
 
@@ -101,6 +94,9 @@
 	if !ok {
 		return failure(chervilladder.CodeNoStatement, w.command.Name)
 	}
+	if err := s.checkTaken(allowance(route, command.Kind, access)); err != nil {
+		return w.refusal(err)
+	}
 	w.toSend, w.access, w.statement = command, access, statement
 	w.setRoute(route)
 	ctx, cancel := context.WithDeadline(ctx, w.deadline)
--- a/routing.go
+++ b/routing.go
@@ -37,6 +37,20 @@
 	Attempts int
 }
 
+// defaultStatementTimeout bounds a statement whose route names no timeout.
+const defaultStatementTimeout = time.Second
+
+// StatementTimeout returns Timeout, or the default for a route without one.
+func (r Route) StatementTimeout() time.Duration {
+	if r.Timeout <= 0 {
+		return defaultStatementTimeout
+	}
+	return r.Timeout
+}
+
+// UsualTime returns the time within which a statement is usually answered.
+func (r Route) UsualTime() time.Duration { return min(r.Target, r.StatementTimeout()) }
+
 // ServiceLimits is the configuration of a replicated service.
 type ServiceLimits struct {
 	ID ServiceID
