caller: tell of statements that still run at the end of a drain

What callers saw on the PostgreSQL side: a statement that outlasts drain-timeout ends with a closed connection, without an error.

Cause: the drain closes the sessions that are left, whatever runs on them.

Change: such a session gets a FATAL error 08007, "outcome: unknown", before its connection is closed, unless a part of the answer is being written just then.

Nothing that deploy/system.toml starts changes.

--- a/internal/caller/idle.go
+++ b/internal/caller/idle.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"net"
 	"time"
+
+	"github.com/chervilladder/chervilladder"
 )
 
 // errDraining ends a session that is idle while the VM drains.
@@ -54,3 +57,14 @@
 		_ = s.conn.SetReadDeadline(pastDeadline)
 	}
 }
+
+// cutOff closes the connection of a session that has outlasted the drain. A caller whose
+// work is unanswered is told that its outcome is unknown, unless a part of the answer is
+// being written.
+func (s *session) cutOff(conn net.Conn) {
+	defer conn.Close()
+	if s.answering.Load() && s.writing.TryLock() {
+		defer s.writing.Unlock()
+		s.sendFatal(&chervilladder.UnknownError{Database: s.database, Err: errDraining})
+	}
+}
--- a/internal/caller/listener.go
+++ b/internal/caller/listener.go
@@ -136,7 +136,7 @@
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
 	sess := newSession(s, conn)
 	defer func() { sess.conn.Close() }()
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	stop := context.AfterFunc(ctx, func() { sess.cutOff(conn) })
 	defer stop()
 	if err := sess.start(); err != nil {
 		sess.sendFatal(err)
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -24,6 +24,8 @@
 // write sends bytes to the caller. It fails if the caller doesn't read them
 // within WriteTimeout, since the caller's work may occupy a slot meanwhile.
 func (s *session) write(p []byte) error {
+	s.writing.Lock()
+	defer s.writing.Unlock()
 	_ = s.conn.SetWriteDeadline(time.Now().Add(s.server.WriteTimeout))
 	if _, err := s.conn.Write(p); err != nil {
 		return &writeError{err}
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/chervilladder/chervilladder"
@@ -43,6 +44,11 @@
 	runningMu sync.Mutex
 	running   chervilladder.Exchange
 
+	// writing is held while a part of an answer is written, and answering is set
+	// while a batch is unanswered.
+	writing   sync.Mutex
+	answering atomic.Bool
+
 	idleMu   sync.Mutex // guards idle and draining
 	idle     bool
 	draining bool
@@ -130,6 +136,8 @@
 
 // answer runs a batch and sends the answer to the caller.
 func (s *session) answer(ctx context.Context, b *batch) error {
+	s.answering.Store(true)
+	defer s.answering.Store(false)
 	if b.failure != nil {
 		if b.failureSent {
 			return s.sendReady(nil)
