failover: a test of a holder that ends in the middle of a replacement

It passes on the code before as well. A trial counted replacements as work in flight, so that the VM waits; the case passed without it, so it was dropped.

--- a/internal/control/failover/leadership_test.go
+++ b/internal/control/failover/leadership_test.go
@@ -230,3 +230,30 @@
 		})
 	}
 }
+
+// The holder ends while it replaces a primary: the replicas are paused, and nothing is
+// ordered yet. Another VM takes the leadership over and completes the replacement.
+func TestReplacementOfAVMThatEndsIsCompleted(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 3}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		old, first := clustertest.MemberID(0), holderOf(w)
+		holder := w.VMs[first]
+		s := w.Open(t, (first+1)%3, clustertest.PrimaryDB)
+		is.Equal(write(w, s, "before").Code, chervilladder.CodeNone)
+		var ending atomic.Bool
+		holder.Linker.OnStatus(func(_ chervilladder.UpstreamID, c chervilladder.Command) {
+			if c.Kind == chervilladder.CommandPause && !ending.Swap(true) {
+				go func() {
+					close(holder.ResignLeadership)
+					holder.Stop()
+				}()
+			}
+		})
+		w.Cluster.Set(old, func(f *cluster.Faults) { f.Down = true })
+		_, took := awaitPrimary(t, w, old)
+		is.True(took < replacedWithin)
+		time.Sleep(time.Second)
+		is.Equal(len(w.Cluster.Promotions()), 1)
+		checkOrders(t, w)
+		checkKept(t, w, []string{"before"})
+	})
+}
