failover: resume replicas that a replacement before a restart has paused

What callers would see: a service without writes for good, after all VMs start again in the middle of a replacement whose primary was out of reach and is back.

Cause: since a VM that starts assumes departed replicas, the unconfirmed end of the primary's log keeps it from promoting the paused replicas, and they can't receive it while they are paused. The check before the attempt refused, so the attempt that would have resumed them was never made. Found by thinking through.

Change: an unfinished replacement is attempted without that check; if it can't promote it resumes the replicas, by the rule that holds for every failed attempt: once no order of a former holder can take effect, 10 s after this VM took the leadership.

The package's other tests pass.

--- a/internal/control/failover/departed_test.go
+++ b/internal/control/failover/departed_test.go
@@ -103,6 +103,42 @@
 	})
 }
 
+// All VMs end after they have paused the replicas and before the primary, out of reach then,
+// has stepped down. When they start, it is back, with commits at the end of its log that no
+// replica has received. A VM that starts can't tell them from confirmed ones, so it promotes
+// none of the replicas; it must not leave them paused either.
+func TestReplicasPausedBeforeARestartAreResumed(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 2}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		s := w.Open(t, 0, clustertest.PrimaryDB)
+		is.Equal(write(w, s, "before").Code, chervilladder.CodeNone)
+		replicas := []chervilladder.UpstreamID{clustertest.MemberID(1), clustertest.MemberID(2)}
+		for _, id := range replicas {
+			w.Cluster.Set(id, func(f *cluster.Faults) { f.NoReplication = true })
+		}
+		is.Equal(write(w, s, "unconfirmed").Code, chervilladder.CodeInDoubt)
+		for _, vm := range w.VMs {
+			vm.Stop()
+		}
+		for _, id := range replicas {
+			c, err := w.Cluster.Connect(id, clustertest.Service, "", nil)
+			is.NoErr(err)
+			_, err = c.Control(chervilladder.Command{Kind: chervilladder.CommandPause, Term: 2})
+			is.NoErr(err)
+			c.Close()
+			w.Cluster.Set(id, func(f *cluster.Faults) { f.NoReplication = false })
+		}
+		w.Restart(t, clustertest.Member(0), clustertest.Member(1), clustertest.Member(2))
+		began := time.Now()
+		again := w.Open(t, 1, clustertest.PrimaryDB)
+		served := func() bool { return write(w, again, fmt.Sprint("after", time.Since(began))).Code == chervilladder.CodeNone }
+		for !served() {
+			time.Sleep(100 * time.Millisecond)
+			is.True(time.Since(began) < 20*time.Second)
+		}
+		checkKept(t, w, []string{"before"})
+	})
+}
+
 // With four members, two replicas that lack commits answer when all VMs start; the primary
 // is down, and the replica that confirmed alone is gone. The primary comes back with its
 // log, so neither must be promoted. Known red: see KNOWN-RED.txt.
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -79,9 +79,11 @@
 	if err := r.refresh(ctx, r.lastAttempt); err != nil {
 		return err
 	}
-	if r.replacesPrimary() {
+	// Before any replica is paused in vain. For CauseUnfinished they are paused, and an
+	// attempt that fails resumes them once that is safe.
+	if r.replacesPrimary() && r.cause != lead.CauseUnfinished {
 		if err := r.checkFeasible(); err != nil {
-			return err // before any replica is paused in vain
+			return err
 		}
 	}
 	record, err := r.acquire(ctx)
