statuspoll: an outdated primary doesn't set the mark of departed replicas

Cause: the first primary that a VM sees sets DepartedMark. An outdated one may answer first; its mark is of an earlier term, which every log of the current term covers, and the current primary's log was then not asked for. Found by thinking through.

Change: a member whose first status is that of a primary makes the mark due again, so the status of the current primary sets it.

Test: TestOutdatedPrimaryDoesNotSetTheDepartedMark failed on (1/0 instead of 2/1) and passes now.

--- a/internal/blackboard/cluster.go
+++ b/internal/blackboard/cluster.go
@@ -140,12 +140,12 @@
 	LaggingSince, LastShed time.Time
 	Members                map[chervilladder.UpstreamID]MemberObservation
 	// DepartedMark is the end of the primary's log when a replica was last
-	// found to have left, or when this VM began to poll the cluster: replicas
-	// that it never knew may have left before. Such a replica may have been the
-	// one that confirmed the log up to there, so no member that lacks any of it
-	// may be promoted. DepartedSince is when the replica was found to have left
-	// or the VM began to poll. The first status of the primary that was
-	// requested since raises DepartedMark and sets DepartedSince to zero.
+	// found to have left, or when this VM began to poll the cluster or a member
+	// that was primary already: replicas that it never knew may have left
+	// before. Such a replica may have been the one that confirmed the log up to
+	// there, so no member that lacks any of it may be promoted. DepartedSince
+	// is the time of that; the first status of the primary that was requested
+	// since raises DepartedMark and sets DepartedSince to zero.
 	DepartedMark  chervilladder.Mark
 	DepartedSince time.Time
 	// Confirmations is how many replicas must have received a commit before
--- a/internal/control/failover/departed_test.go
+++ b/internal/control/failover/departed_test.go
@@ -130,7 +130,9 @@
 		w.Restart(t, clustertest.Member(0), clustertest.Member(1), clustertest.Member(2))
 		began := time.Now()
 		again := w.Open(t, 1, clustertest.PrimaryDB)
-		served := func() bool { return write(w, again, fmt.Sprint("after", time.Since(began))).Code == chervilladder.CodeNone }
+		served := func() bool {
+			return write(w, again, fmt.Sprint("after", time.Since(began))).Code == chervilladder.CodeNone
+		}
 		for !served() {
 			time.Sleep(100 * time.Millisecond)
 			is.True(time.Since(began) < 20*time.Second)
--- a/internal/control/statuspoll/prober.go
+++ b/internal/control/statuspoll/prober.go
@@ -209,6 +209,9 @@
 	recovered := false
 	p.k.update(p.service, func(v *blackboard.ClusterView) {
 		o := v.Members[p.upstream.ID]
+		if status.Primary && o.RequestedAt.IsZero() {
+			v.DepartedSince = requestedAt // its replicas before this VM polled it aren't known
+		}
 		recovered = o.Failures > 0
 		o.Status, o.RequestedAt = status, requestedAt
 		o.FailingSince, o.Failures = time.Time{}, 0
--- a/internal/control/statuspoll/statuspoll_test.go
+++ b/internal/control/statuspoll/statuspoll_test.go
@@ -202,6 +202,34 @@
 	})
 }
 
+// The first primary that a VM sees may be an outdated one. The mark must be of the log of
+// the primary that it sees then.
+func TestOutdatedPrimaryDoesNotSetTheDepartedMark(t *testing.T) {
+	bubble(t, clustertest.Config{}, func(t *testing.T, is *is.I, w *clustertest.World, view func() blackboard.ClusterView) {
+		outdated := clustertest.MemberID(0)
+		w.VMs[0].Linker.SetUnreachable(true, outdated)
+		w.Cluster.Set(outdated, func(f *cluster.Faults) { f.NoReplication = true })
+		time.Sleep(6 * time.Second)
+		current, term := w.Cluster.Primary()
+		is.True(current != outdated)
+		s := w.Open(t, 0, clustertest.PrimaryDB)
+		r := s.Do(context.Background(), chervilladder.Command{Kind: chervilladder.CommandWrite, ID: "w", Rest: "1a4 x"})
+		is.Equal(r.Code, chervilladder.CodeNone)
+		w.Restart(t, clustertest.Member(0), clustertest.Member(1), clustertest.Member(2))
+		w.VMs[0].Record.Unreachable.Store(true) // the outdated primary is not demoted
+		w.VMs[0].Linker.OnStatus(func(id chervilladder.UpstreamID, _ chervilladder.Command) {
+			if id == current {
+				time.Sleep(100 * time.Millisecond) // the outdated primary answers first
+			}
+		})
+		time.Sleep(50 * time.Millisecond)
+		is.Equal(view().Primary, outdated)
+		time.Sleep(time.Second)
+		is.Equal(view().Primary, current)
+		is.Equal(view().DepartedMark, chervilladder.Mark{Term: term, Position: r.Mark.Position})
+	})
+}
+
 // The same holds for a VM that hosts a service again after other VMs did.
 func TestVMThatHostsAgainAssumesDepartedReplicas(t *testing.T) {
 	bubble(t, clustertest.Config{VMs: 2}, func(t *testing.T, is *is.I, w *clustertest.World, view func() blackboard.ClusterView) {
