link: status answers are received like all others

Link.Status sent a command and read its answer by itself, so nothing on the connection could see all answers in order. A link now only sends, receives and decodes; link.Conn asks for the status, on pooled connections and on those that the failover controller opens for its orders. The stand-in serves status commands in order with the others, and gives each answer a signature of its own.

--- a/command.go
+++ b/command.go
@@ -40,6 +40,17 @@
 	CommandStepDown
 )
 
+// ReturnsStatus reports whether an upstream answers a command of this kind with its
+// status.
+func (k CommandKind) ReturnsStatus() bool {
+	switch k {
+	case CommandStatus, CommandPause, CommandResume, CommandStepDown:
+		return true
+	default:
+		return false
+	}
+}
+
 // Command is one statement of a session, independent of the caller's protocol.
 type Command struct {
 	ID   CommandID
--- a/internal/clustertest/record.go
+++ b/internal/clustertest/record.go
@@ -227,6 +227,8 @@
 	chervilladder.Link
 	linker *FaultyLinker
 	id     chervilladder.UpstreamID
+	// status is set while the last command sent was a status command.
+	status bool
 }
 
 // waitWhileUnreachable waits until the deadline and returns an error if the
@@ -239,11 +241,21 @@
 	return &chervilladder.UpstreamLostError{Upstream: l.id, Sent: true, Err: ErrSimulated}
 }
 
-// Send sends commands, which are lost if the member is unreachable.
+// Send sends commands, which are lost if the member is unreachable. A status command
+// fails if the member's connection limit is reached.
 func (l *faultyLink) Send(deadline time.Time, commands ...chervilladder.Command) error {
 	if !l.linker.process.runsBefore(deadline) || l.linker.isUnreachable(l.id) {
 		return nil // the bytes are lost on the network
 	}
+	for _, c := range commands {
+		if l.status = c.Kind.ReturnsStatus(); !l.status {
+			continue
+		}
+		if l.linker.isFull(l.id) {
+			return &chervilladder.UpstreamLostError{Upstream: l.id, Sent: true, Err: ErrSimulated}
+		}
+		l.linker.status(l.id, c)
+	}
 	return l.Link.Send(deadline, commands...)
 }
 
@@ -253,23 +265,12 @@
 		return chervilladder.Result{}, err
 	}
 	r, err := l.Link.Receive(deadline)
-	l.linker.received.call(l.id)
-	return r, err
-}
-
-// Status sends a status command. It times out if the member is unreachable, and
-// fails if the member's connection limit is reached.
-func (l *faultyLink) Status(deadline time.Time, c chervilladder.Command) (chervilladder.LinkStatus, error) {
-	if err := l.waitWhileUnreachable(deadline); err != nil {
-		return chervilladder.LinkStatus{}, err
+	if !l.status {
+		l.linker.received.call(l.id)
+		return r, err
 	}
-	if l.linker.isFull(l.id) {
-		return chervilladder.LinkStatus{}, &chervilladder.UpstreamLostError{Upstream: l.id, Sent: true, Err: ErrSimulated}
-	}
-	l.linker.status(l.id, c)
-	status, err := l.Link.Status(deadline, c)
 	if !l.linker.process.runs(context.Background()) {
-		return chervilladder.LinkStatus{}, &chervilladder.UpstreamLostError{Upstream: l.id, Sent: true, Err: ErrSimulated}
+		return chervilladder.Result{}, &chervilladder.UpstreamLostError{Upstream: l.id, Sent: true, Err: ErrSimulated}
 	}
-	return status, err
+	return r, err
 }
--- a/internal/control/failover/demote_internal_test.go
+++ b/internal/control/failover/demote_internal_test.go
@@ -25,7 +25,13 @@
 	status chervilladder.LinkStatus
 }
 
-func (l answeringLink) Status(time.Time, chervilladder.Command) (chervilladder.LinkStatus, error) {
+func (l answeringLink) Send(time.Time, ...chervilladder.Command) error { return nil }
+
+func (l answeringLink) Receive(time.Time) (chervilladder.Result, error) {
+	return chervilladder.Result{Rows: []string{"status"}, Signature: chervilladder.NoSignature}, nil
+}
+
+func (l answeringLink) DecodeStatus(chervilladder.Result) (chervilladder.LinkStatus, error) {
 	return l.status, nil
 }
 
--- a/internal/control/failover/orders.go
+++ b/internal/control/failover/orders.go
@@ -19,10 +19,9 @@
 // orderConn is a connection for orders to a member: one opened for this purpose, or one
 // of the pool that the member accepted earlier.
 type orderConn struct {
-	member    blackboard.MemberObservation
-	dedicated chervilladder.Link
-	pooled    *link.Conn
-	// broken is set while the last order on the pooled connection got no response.
+	member blackboard.MemberObservation
+	conn   *link.Conn
+	// broken is set while the last order got no response.
 	broken bool
 }
 
@@ -31,7 +30,7 @@
 func (r *replacement) connect(ctx context.Context, o blackboard.MemberObservation) (*orderConn, error) {
 	opened, err := r.k.c.Linker.Open(ctx, o.Registered)
 	if err == nil {
-		return &orderConn{member: o, dedicated: opened}, nil
+		return &orderConn{member: o, conn: link.Dedicated(opened)}, nil
 	}
 	var refused *chervilladder.LinkRefusedError
 	if !errors.As(err, &refused) || refused.Code != chervilladder.CodeConnectionLimit {
@@ -41,29 +40,23 @@
 	if err != nil {
 		return nil, errors.Join(refused, err)
 	}
-	return &orderConn{member: o, pooled: pooled}, nil
+	return &orderConn{member: o, conn: pooled}, nil
 }
 
 // send sends an order and returns the member's status after it.
 func (c *orderConn) send(deadline time.Time, order chervilladder.Command) (chervilladder.LinkStatus, error) {
-	if c.dedicated != nil {
-		return c.dedicated.Status(deadline, order)
-	}
-	status, err := c.pooled.Status(deadline, order)
+	status, err := c.conn.Status(deadline, order)
 	var refused *chervilladder.LinkRefusedError
 	c.broken = err != nil && !errors.As(err, &refused)
 	return status, err
 }
 
 func (c *orderConn) close() {
-	switch {
-	case c.dedicated != nil:
-		c.dedicated.Close()
-	case c.broken:
-		c.pooled.Discard()
-	default:
-		c.pooled.ReleaseAfterPoll()
+	if c.broken {
+		c.conn.Discard()
+		return
 	}
+	c.conn.ReleaseAfterPoll()
 }
 
 func closeAll(conns []*orderConn) {
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -32,11 +32,12 @@
 // maxPrepared is how many statements a connection keeps prepared before it is reset.
 const maxPrepared = 256
 
-// Conn is a pooled connection. It records the commands that SetupCommands returned as
-// done. If one of them is refused, ForgetSetup must be called; after any other failure the
-// connection must be discarded.
+// Conn is a connection to an upstream. It records the commands that SetupCommands returned
+// as done. If one of them is refused, ForgetSetup must be called; after any other failure
+// the connection must be discarded.
 type Conn struct {
-	chervilladder.Link
+	link chervilladder.Link
+	// pool is nil for a dedicated connection.
 	pool     *Pool
 	values   map[string]string
 	prepared map[string]Prepared
@@ -104,12 +105,24 @@
 // have no answer outstanding.
 func (c *Conn) Release() {
 	c.sessionUsedAt = time.Now()
-	c.pool.put(c)
+	c.ReleaseAfterPoll()
 }
 
 // ReleaseAfterPoll is Release for a connection that did no work for a session, such as
 // one that carried a status request.
-func (c *Conn) ReleaseAfterPoll() { c.pool.put(c) }
+func (c *Conn) ReleaseAfterPoll() {
+	if c.pool == nil {
+		c.Discard()
+		return
+	}
+	c.pool.put(c)
+}
 
 // Discard closes the connection. An open transaction on it is rolled back.
-func (c *Conn) Discard() { c.pool.discard(c) }
+func (c *Conn) Discard() {
+	if c.pool == nil {
+		c.link.Close()
+		return
+	}
+	c.pool.discard(c)
+}
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -56,9 +56,8 @@
 	nearLimit bool
 }
 
-func newPool(u chervilladder.Registered, linker chervilladder.Linker, limit int) *Pool {
-	return &Pool{upstream: u, linker: linker, limit: limit}
-}
+// Dedicated returns a connection that belongs to no pool; releasing it closes it.
+func Dedicated(l chervilladder.Link) *Conn { return &Conn{link: l} }
 
 // Get returns a connection, preferably an idle one with the given values. Its error is
 // ErrFull, ErrRetired, an *UpstreamLostError or a *LinkRefusedError; in all cases nothing
@@ -102,7 +101,7 @@
 		p.countClosed()
 		return nil, err
 	}
-	return &Conn{Link: l, pool: p}, nil
+	return &Conn{link: l, pool: p}, nil
 }
 
 // await waits until a connection is returned or another one may be opened, or until the
@@ -144,7 +143,7 @@
 	defer cancel()
 	l, err := p.linker.Open(ctx, p.upstream)
 	if err == nil {
-		return &Conn{Link: l, pool: p}, nil
+		return &Conn{link: l, pool: p}, nil
 	}
 	var refused *chervilladder.LinkRefusedError
 	full := errors.As(err, &refused) && refused.Code == chervilladder.CodeConnectionLimit
@@ -211,7 +210,7 @@
 }
 
 func (p *Pool) discard(c *Conn) {
-	c.Close()
+	c.link.Close()
 	p.countClosed()
 }
 
--- a/internal/link/pools.go
+++ b/internal/link/pools.go
@@ -39,7 +39,7 @@
 			return old
 		}
 		retired = old
-		return newPool(u, p.c.Linker, p.limit(u))
+		return &Pool{upstream: u, linker: p.c.Linker, limit: p.limit(u)}
 	})
 	if retired != nil {
 		retired.Retire()
--- a/internal/standin/cluster/conn.go
+++ b/internal/standin/cluster/conn.go
@@ -350,8 +350,10 @@
 	}
 }
 
+// signature returns a signature that no other answer has.
 func (c *Conn) signature(cmd chervilladder.Command) chervilladder.Signature {
-	return chervilladder.Signature(fmt.Sprintf("%s.%s", c.m.ID, cmd.ID))
+	c.cluster.serial++
+	return chervilladder.Signature(fmt.Sprintf("%s.%s.%d", c.m.ID, cmd.ID, c.cluster.serial))
 }
 
 // recordExecution records the execution of a statement.
--- a/internal/standin/cluster/linker.go
+++ b/internal/standin/cluster/linker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"time"
 
@@ -48,7 +49,7 @@
 	for {
 		select {
 		case c := <-l.commands:
-			r, err := l.conn.Do(c)
+			r, err := l.run(c)
 			l.answers <- answer{r, err}
 			if err != nil {
 				return
@@ -95,29 +96,26 @@
 	return chervilladder.Result{}, l.lost()
 }
 
-// Status runs a STATUS, PAUSE, RESUME or STEPDOWN command and returns the status.
-func (l *link) Status(deadline time.Time, c chervilladder.Command) (chervilladder.LinkStatus, error) {
-	type reply struct {
-		status chervilladder.LinkStatus
-		err    error
+// DecodeStatus returns the status in an answer to a status command.
+func (l *link) DecodeStatus(r chervilladder.Result) (chervilladder.LinkStatus, error) {
+	var s chervilladder.LinkStatus
+	if r.Code != chervilladder.CodeNone || len(r.Rows) != 1 {
+		return s, &chervilladder.LinkRefusedError{Upstream: l.upstream, Code: r.Code, Text: r.Text}
 	}
-	answered := make(chan reply, 1)
-	go func() {
-		s, err := l.conn.Control(c)
-		answered <- reply{s, err}
-	}()
-	t := time.NewTimer(time.Until(deadline))
-	defer t.Stop()
-	select {
-	case a := <-answered:
-		if a.err != nil {
-			return a.status, l.lost()
-		}
-		return a.status, nil
-	case <-t.C:
-		l.Close()
-		return chervilladder.LinkStatus{}, l.lost()
+	return s, json.Unmarshal([]byte(r.Rows[0]), &s)
+}
+
+// run runs a command of any kind. A status is encoded as a row.
+func (l *link) run(c chervilladder.Command) (chervilladder.Result, error) {
+	if !c.Kind.ReturnsStatus() {
+		return l.conn.Do(c)
+	}
+	s, err := l.conn.Control(c)
+	if err != nil {
+		return chervilladder.Result{}, err
 	}
+	row, err := json.Marshal(s)
+	return chervilladder.Result{Rows: []string{string(row)}, Signature: chervilladder.NoSignature}, err
 }
 
 // Close closes the link and rolls back its transaction.
--- a/link.go
+++ b/link.go
@@ -50,10 +50,10 @@
 	// Receive returns the complete answer to the next command. Its error
 	// is an *UpstreamLostError, after which the link is unusable.
 	Receive(deadline time.Time) (Result, error)
-	// Status sends a command that the upstream answers with its status:
-	// CommandStatus, CommandPause, CommandResume or CommandStepDown. The error
-	// is a *LinkRefusedError if the upstream answers otherwise.
-	Status(deadline time.Time, c Command) (LinkStatus, error)
+	// DecodeStatus returns the status in the answer to CommandStatus, CommandPause,
+	// CommandResume or CommandStepDown. The error is a *LinkRefusedError if the
+	// answer holds none.
+	DecodeStatus(r Result) (LinkStatus, error)
 	Close()
 }
 
