--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -89,7 +89,7 @@
 		return nil, err
 	}
 	linker := platform.Linker{Name: c.Settings.VM}
-	pools := link.NewPools(link.PoolsConfig{Board: board, Linker: linker})
+	pools := link.NewPools(link.PoolsConfig{Board: board, Linker: linker, Log: c.Log})
 	peers := peer.NewClient(board)
 	sessions, err := session.New(session.Config{
 		Board: board, Pools: pools, Log: c.Log, Clock: clock.SinceBoot, Remote: peers,
@@ -143,7 +143,7 @@
 		signals,
 		failovers,
 		platform.Readiness{Listener: readinessListener, Ready: func() bool { return canServe(board) && !board.ShutsDown() && !recovery.Failing() }},
-		platform.Metrics{Listener: metricsListener, Sets: []*metrics.Set{metricSet, recovery.Metrics, failover.Metrics}},
+		platform.Metrics{Listener: metricsListener, Sets: []*metrics.Set{metricSet, recovery.Metrics, failover.Metrics, link.Metrics}},
 	}, append(peering, controllers...)...), nil
 }
 
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/decide/repeat"
 )
 
 // Prepared is a prepared statement of a session.
@@ -32,13 +33,14 @@
 // maxPrepared is how many statements a connection keeps prepared before it is reset.
 const maxPrepared = 256
 
-// Conn is a connection to an upstream. It records the commands that SetupCommands returned
-// as done. If one of them is refused, ForgetSetup must be called; after any other failure
-// the connection must be discarded.
+// Conn is a connection that reports answers which the upstream has repeated. It records the commands that SetupCommands returned as done. If
+// one of them is refused, ForgetSetup must be called; after any other failure the
+// connection must be discarded.
 type Conn struct {
 	link chervilladder.Link
 	// pool is nil for a dedicated connection.
 	pool     *Pool
+	filter   repeat.Filter
 	values   map[string]string
 	prepared map[string]Prepared
 	// unknown is set while it isn't known what is set and prepared.
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -5,8 +5,11 @@
 	"errors"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/chervilladder/chervilladder"
 )
 
@@ -42,6 +45,10 @@
 type Pool struct {
 	upstream chervilladder.Registered
 	linker   chervilladder.Linker
+	log      *logrus.Logger
+	// repeatedAt is when the upstream last repeated an answer, in nanoseconds since
+	// 1970; zero if it never did.
+	repeatedAt atomic.Int64
 
 	mu   sync.Mutex
 	idle []*Conn
@@ -56,6 +63,16 @@
 	nearLimit bool
 }
 
+// waryFor is how long an upstream counts as one that repeats answers.
+const waryFor = time.Minute
+
+func (p *Pool) noteRepeat(now time.Time) { p.repeatedAt.Store(now.UnixNano()) }
+
+func (p *Pool) repeatsAnswers(now time.Time) bool {
+	at := p.repeatedAt.Load()
+	return at != 0 && now.Sub(time.Unix(0, at)) < waryFor
+}
+
 // Dedicated returns a connection that belongs to no pool; releasing it closes it.
 func Dedicated(l chervilladder.Link) *Conn { return &Conn{link: l} }
 
--- a/internal/link/pools.go
+++ b/internal/link/pools.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"github.com/sirupsen/logrus"
+
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 )
@@ -9,6 +11,8 @@
 type PoolsConfig struct {
 	Board  *blackboard.Board
 	Linker chervilladder.Linker
+	// Log receives a line for each answer that an upstream repeats; none if nil.
+	Log *logrus.Logger
 }
 
 // Pools holds the pool of each upstream.
@@ -39,7 +43,7 @@
 			return old
 		}
 		retired = old
-		return &Pool{upstream: u, linker: p.c.Linker, limit: p.limit(u)}
+		return &Pool{upstream: u, linker: p.c.Linker, log: p.c.Log, limit: p.limit(u)}
 	})
 	if retired != nil {
 		retired.Retire()
