standin/cluster: members that send an answer twice

The users' upstreams may answer a command a second time, late; no stand-in did. The fault Repeat chooses the answers, of every kind, and the delay of the second; in process it enters the link's queue of answers, over TCP it is written whole, at once. A status in process now goes through the same queue, as it does over TCP. The fault Refuse has a member refuse chosen commands, so that a test can place a refusal and its repetition.

--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -131,6 +131,10 @@
 	LoseAnswers int
 	// WorkTime replaces the cluster's unless it is zero.
 	WorkTime time.Duration
+	// Repeat, if set, decides which answers the member sends a second time.
+	Repeat Repeat
+	// Refuse, if set, decides which commands the member refuses.
+	Refuse Refuse
 }
 
 // Ack is the acknowledgement of a commit on the connection of its caller.
--- a/internal/standin/cluster/conn.go
+++ b/internal/standin/cluster/conn.go
@@ -174,6 +174,9 @@
 }
 
 func (c *Conn) run(cmd chervilladder.Command) (chervilladder.Result, error) {
+	if r, refused := c.refuse(cmd); refused {
+		return r, nil
+	}
 	switch cmd.Kind {
 	case chervilladder.CommandReset:
 		c.values, c.prepared = nil, nil
--- a/internal/standin/cluster/linker.go
+++ b/internal/standin/cluster/linker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"time"
 
@@ -48,8 +49,8 @@
 	for {
 		select {
 		case c := <-l.commands:
-			r, err := l.conn.Do(c)
-			l.answers <- answer{r, err}
+			r, err := l.run(c)
+			l.answer(c, answer{r, err})
 			if err != nil {
 				return
 			}
@@ -97,27 +98,33 @@
 
 // Status runs a STATUS, PAUSE, RESUME or STEPDOWN command and returns the status.
 func (l *link) Status(deadline time.Time, c chervilladder.Command) (chervilladder.LinkStatus, error) {
-	type reply struct {
-		status chervilladder.LinkStatus
-		err    error
+	var s chervilladder.LinkStatus
+	if err := l.Send(deadline, c); err != nil {
+		return s, err
 	}
-	answered := make(chan reply, 1)
-	go func() {
-		s, err := l.conn.Control(c)
-		answered <- reply{s, err}
-	}()
-	t := time.NewTimer(time.Until(deadline))
-	defer t.Stop()
-	select {
-	case a := <-answered:
-		if a.err != nil {
-			return a.status, l.lost()
-		}
-		return a.status, nil
-	case <-t.C:
-		l.Close()
-		return chervilladder.LinkStatus{}, l.lost()
+	r, err := l.Receive(deadline)
+	if err != nil {
+		return s, err
+	}
+	if r.Code != chervilladder.CodeNone || len(r.Rows) != 1 || json.Unmarshal([]byte(r.Rows[0]), &s) != nil {
+		return s, &chervilladder.LinkRefusedError{Upstream: l.upstream, Code: r.Code, Text: r.Text}
+	}
+	return s, nil
+}
+
+// run runs a command of any kind. A status is encoded as a row.
+func (l *link) run(c chervilladder.Command) (chervilladder.Result, error) {
+	switch c.Kind {
+	case chervilladder.CommandStatus, chervilladder.CommandPause, chervilladder.CommandResume, chervilladder.CommandStepDown:
+	default:
+		return l.conn.Do(c)
+	}
+	s, err := l.conn.Control(c)
+	if err != nil {
+		return chervilladder.Result{}, err
 	}
+	row, err := json.Marshal(s)
+	return chervilladder.Result{Rows: []string{string(row)}, Signature: chervilladder.NoSignature}, err
 }
 
 // Close closes the link and rolls back its transaction.
--- a/internal/standin/lineserver/lineserver.go
+++ b/internal/standin/lineserver/lineserver.go
@@ -112,6 +112,7 @@
 	return sess.write("READY I " + mark(conn.Mark()))
 }
 
+// write writes the lines at once, so that no other answer comes between them.
 func (sess *session) write(lines ...string) bool {
 	_, err := sess.net.Write([]byte(strings.Join(lines, "\r\n") + "\r\n"))
 	return err == nil
@@ -144,7 +145,7 @@
 			role = "primary"
 		}
 		row := fmt.Sprintf("ROW %s %d %s %d %d %d %d", role, s.Term, mark(s.Received), s.PauseTerm, s.Lag.Milliseconds(), s.Busy, s.Connections)
-		return sess.write(row, "COMPLETE -", "READY I "+mark(s.Received))
+		return sess.answer(c, chervilladder.CodeNone, row, "COMPLETE -", "READY I "+mark(s.Received))
 	}
 	r, err := sess.conn.Do(c)
 	if err != nil {
@@ -160,7 +161,16 @@
 		lines = append(lines, "ERROR "+errorWords[r.Code]+" "+r.Text)
 	}
 	state := map[chervilladder.TransactionState]string{chervilladder.StateIdle: "I", chervilladder.StateOpen: "T", chervilladder.StateFailed: "E"}
-	return sess.write(append(lines, "READY "+state[r.State]+" "+mark(r.Mark))...)
+	return sess.answer(c, r.Code, append(lines, "READY "+state[r.State]+" "+mark(r.Mark))...)
+}
+
+// answer writes the answer to a command, and again later if it is repeated.
+func (sess *session) answer(c chervilladder.Command, code chervilladder.Code, lines ...string) bool {
+	if !sess.write(lines...) {
+		return false
+	}
+	sess.conn.RepeatLater(c, code, func() { sess.write(lines...) })
+	return true
 }
 
 // parse parses the id and text of a QUERY.
