session: tests of answers that come twice, failing

An answer is matched to its command by order alone, so a late second one is taken for that of the next command on the connection, and all later ones are one off. The tests repeat one answer of each kind, while the connection is idle and while the next command runs, with work of the caller's VM, with a single connection, and with forwarded work.

--- /dev/null
+++ b/internal/session/repeated_answer_test.go
@@ -0,0 +1,355 @@
+package session_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/clustertest"
+	"github.com/chervilladder/chervilladder/internal/standin/cluster"
+)
+
+// The members take 5 ms for a statement, so that an answer that is repeated after
+// whileAwaited arrives while the next command runs, if that is sent at once. One that is
+// repeated after whileIdle is there before the next command, if that is sent after a pause.
+const (
+	whileAwaited = 3 * time.Millisecond
+	whileIdle    = time.Millisecond
+	idlePause    = 20 * time.Millisecond
+)
+
+// paths are the ways of work to the members: from the caller's VM, also with a single
+// connection that status requests use too, or through another VM.
+var paths = map[string]func(*testing.T, func(*testing.T, *clustertest.World, chervilladder.Session)){
+	"direct": func(t *testing.T, f func(*testing.T, *clustertest.World, chervilladder.Session)) {
+		bubble(t, clustertest.Config{}, func(_ *is.I, w *clustertest.World) { f(t, w, w.Open(t, 0, clustertest.PrimaryDB)) })
+	},
+	"one-connection": func(t *testing.T, f func(*testing.T, *clustertest.World, chervilladder.Session)) {
+		bubble(t, clustertest.Config{Connections: 1}, func(_ *is.I, w *clustertest.World) { f(t, w, w.Open(t, 0, clustertest.PrimaryDB)) })
+	},
+	"forwarded": func(t *testing.T, f func(*testing.T, *clustertest.World, chervilladder.Session)) {
+		forwarding(t, func(_ *is.I, w *clustertest.World) { f(t, w, w.Open(t, 2, clustertest.PrimaryDB)) })
+	},
+}
+
+// setFaults changes the faults of all members.
+func setFaults(w *clustertest.World, change func(*cluster.Faults)) {
+	for i := range 3 {
+		w.Cluster.Set(clustertest.MemberID(i), change)
+	}
+}
+
+// repeatOnce has the members repeat the next answer to a command of a kind.
+func repeatOnce(w *clustertest.World, kind chervilladder.CommandKind, delay time.Duration) {
+	var done atomic.Bool
+	setFaults(w, func(f *cluster.Faults) {
+		f.Repeat = func(c chervilladder.Command, _ chervilladder.Code) (time.Duration, bool) {
+			return delay, c.Kind == kind && !done.Swap(true)
+		}
+	})
+}
+
+// refuseOnce has the members refuse the next command of a kind, and repeat the refusal
+// after a delay unless that is negative.
+func refuseOnce(w *clustertest.World, kind chervilladder.CommandKind, code chervilladder.Code, delay time.Duration) {
+	var done atomic.Bool
+	setFaults(w, func(f *cluster.Faults) {
+		f.Refuse = func(c chervilladder.Command) chervilladder.Code {
+			if c.Kind != kind || done.Swap(true) {
+				return chervilladder.CodeNone
+			}
+			return code
+		}
+		if delay < 0 {
+			return
+		}
+		f.Repeat = func(c chervilladder.Command, got chervilladder.Code) (time.Duration, bool) {
+			return delay, c.Kind == kind && got == code
+		}
+	})
+}
+
+// answered records the answers to callers' statements, none of whose ids contains
+// another.
+type answered struct {
+	mu   sync.Mutex
+	list []answeredStatement
+}
+
+type answeredStatement struct {
+	command chervilladder.Command
+	result  chervilladder.Result
+	// transaction is set for a statement of a transaction.
+	transaction bool
+	// commit is the answer to the COMMIT, if one was sent.
+	commit *chervilladder.Result
+}
+
+func (a *answered) add(list ...answeredStatement) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.list = append(a.list, list...)
+}
+
+// statement runs a statement outside of a transaction and reports whether it was served.
+func (a *answered) statement(s chervilladder.Session, c chervilladder.Command) bool {
+	r := s.Do(context.Background(), c)
+	a.add(answeredStatement{command: c, result: r})
+	return r.Code == chervilladder.CodeNone
+}
+
+// transaction runs a transaction with a read and a write, and reports whether it was served.
+func (a *answered) transaction(s chervilladder.Session, id string) bool {
+	if s.Do(context.Background(), begin()).Code != chervilladder.CodeNone {
+		return false
+	}
+	var list []answeredStatement
+	for _, c := range []chervilladder.Command{write(id + "-tw"), read(id + "-tr")} {
+		r := s.Do(context.Background(), c)
+		list = append(list, answeredStatement{command: c, result: r, transaction: true})
+		if r.Code != chervilladder.CodeNone {
+			s.Do(context.Background(), rollback())
+			a.add(list...)
+			return false
+		}
+	}
+	r := s.Do(context.Background(), commit())
+	for i := range list {
+		list[i].commit = &r
+	}
+	a.add(list...)
+	return r.Code == chervilladder.CodeNone
+}
+
+// violations returns what callers were told that didn't happen: the answer to another
+// statement, a refusal of what ran, and a statement outside of its transaction.
+func (a *answered) violations(w *clustertest.World) []string {
+	var found []string
+	primary, _ := w.Cluster.Primary()
+	if primary == "" {
+		found = append(found, "no member is primary")
+	}
+	for _, s := range a.list {
+		id := string(s.command.ID)
+		for _, run := range runsOf(w.Cluster, id) {
+			if (run.Transaction != 0) != s.transaction {
+				found = append(found, fmt.Sprintf("%s ran in transaction %d", id, run.Transaction))
+			}
+		}
+		if s.result.Code == chervilladder.CodeNone && !ownAnswer(s) {
+			found = append(found, fmt.Sprintf("%s got the rows %q and the signature %q", id, s.result.Rows, s.result.Signature))
+		}
+		if s.command.Kind == chervilladder.CommandWrite && primary != "" {
+			found = append(found, s.checkWrite(logged(w.Cluster, primary, id))...)
+		}
+	}
+	return found
+}
+
+func ownAnswer(s answeredStatement) bool {
+	id := string(s.command.ID)
+	if !strings.Contains(string(s.result.Signature), id) {
+		return false
+	}
+	if s.command.Kind == chervilladder.CommandWrite {
+		return len(s.result.Rows) == 0
+	}
+	return len(s.result.Rows) == 1 && s.result.Rows[0] == id+s.command.Rest
+}
+
+// checkWrite compares the outcome of a write with how often it is in the log.
+func (s answeredStatement) checkWrite(times int) []string {
+	last := s.result
+	if s.transaction && s.commit != nil && last.Code == chervilladder.CodeNone {
+		last = *s.commit
+	}
+	acked := last.Code == chervilladder.CodeNone && (!s.transaction || s.commit != nil)
+	refused := last.Code.PromisesNothingKept() || s.transaction && s.commit == nil
+	switch {
+	case times > 1:
+		return []string{fmt.Sprintf("%s was committed %d times", s.command.ID, times)}
+	case acked && times == 0:
+		return []string{fmt.Sprintf("%s was acknowledged and isn't committed", s.command.ID)}
+	case refused && times > 0:
+		return []string{fmt.Sprintf("%s was answered with code %d and is committed", s.command.ID, last.Code)}
+	default:
+		return nil
+	}
+}
+
+func (a *answered) check(t *testing.T, w *clustertest.World) {
+	t.Helper()
+	time.Sleep(2 * time.Second) // what is left running ends
+	for range 20 {
+		if primary, _ := w.Cluster.Primary(); primary != "" {
+			break
+		}
+		time.Sleep(time.Second)
+	}
+	found := a.violations(w)
+	for _, v := range found[:min(len(found), 5)] {
+		t.Error(v)
+	}
+	if len(found) > 0 {
+		t.Errorf("%d violations in %d statements", len(found), len(a.list))
+	}
+}
+
+// kinds are the statements of callers. Each has a function that runs one and reports
+// whether it was served, and the kind of the command whose answer is repeated.
+var kinds = map[string]struct {
+	run  func(*answered, chervilladder.Session, string) bool
+	kind chervilladder.CommandKind
+}{
+	"read":    {func(a *answered, s chervilladder.Session, id string) bool { return a.statement(s, read(id)) }, chervilladder.CommandRead},
+	"write":   {func(a *answered, s chervilladder.Session, id string) bool { return a.statement(s, write(id)) }, chervilladder.CommandWrite},
+	"execute": {execute, chervilladder.CommandExecute},
+	"set-up":  {execute, chervilladder.CommandPrepare},
+	"begin":   {(*answered).transaction, chervilladder.CommandBegin},
+	"commit":  {(*answered).transaction, chervilladder.CommandCommit},
+}
+
+// execute runs a prepared statement.
+func execute(a *answered, s chervilladder.Session, id string) bool {
+	prepared := s.Do(context.Background(), chervilladder.Command{Kind: chervilladder.CommandPrepare, ID: "p", Name: "s1", Access: chervilladder.AccessRead, Rest: "q2c"})
+	return prepared.Code == chervilladder.CodeNone && a.statement(s, chervilladder.Command{Kind: chervilladder.CommandExecute, ID: chervilladder.CommandID(id), Name: "s1", Rest: "1a4"})
+}
+
+// A late second answer must not become that of the next statement on the connection.
+func TestRepeatedAnswerIsNotThatOfTheNextStatement(t *testing.T) {
+	for path, enter := range paths {
+		for before, repeated := range kinds {
+			for after, next := range kinds {
+				t.Run(path+"/"+before+"/"+after, func(t *testing.T) {
+					for _, delay := range []time.Duration{whileIdle, whileAwaited, idlePause / 2} {
+						enter(t, func(t *testing.T, w *clustertest.World, s chervilladder.Session) {
+							var a answered
+							repeatOnce(w, repeated.kind, delay)
+							repeated.run(&a, s, "first")
+							if delay != whileAwaited {
+								time.Sleep(idlePause)
+							}
+							for i := range 3 {
+								next.run(&a, s, fmt.Sprintf("next%d", i))
+							}
+							a.check(t, w)
+						})
+					}
+				})
+			}
+		}
+	}
+}
+
+// A write that ran must not be reported as refused, or run again, for the late second
+// refusal of an earlier attempt.
+func TestRepeatedRefusalIsNotThatOfAWriteThatRan(t *testing.T) {
+	for path, enter := range paths {
+		for name, code := range map[string]chervilladder.Code{"busy": chervilladder.CodeBusy, "lagging": chervilladder.CodeLagging, "read-only": chervilladder.CodeReadOnly} {
+			t.Run(path+"/"+name, func(t *testing.T) {
+				for _, delay := range []time.Duration{whileIdle, whileAwaited, idlePause, 2 * idlePause} {
+					enter(t, func(t *testing.T, w *clustertest.World, s chervilladder.Session) {
+						var a answered
+						refuseOnce(w, chervilladder.CommandWrite, code, delay)
+						for i := range 4 {
+							a.statement(s, write(fmt.Sprintf("w%d", i)))
+						}
+						a.check(t, w)
+					})
+				}
+			})
+		}
+	}
+}
+
+// The statements of a transaction must not run outside of it because the late second
+// answer to an earlier BEGIN was taken for that to a BEGIN that was refused.
+func TestRepeatedBeginIsNotTheAnswerToARefusedBegin(t *testing.T) {
+	for path, enter := range paths {
+		for name, code := range map[string]chervilladder.Code{"busy": chervilladder.CodeBusy, "lagging": chervilladder.CodeLagging, "read-only": chervilladder.CodeReadOnly} {
+			t.Run(path+"/"+name, func(t *testing.T) {
+				enter(t, func(t *testing.T, w *clustertest.World, s chervilladder.Session) {
+					var a answered
+					const afterCommit = 18 * time.Millisecond // a write, a read and a COMMIT take 15
+					repeatOnce(w, chervilladder.CommandBegin, afterCommit)
+					a.transaction(s, "first")
+					time.Sleep(idlePause)
+					refuseOnce(w, chervilladder.CommandBegin, code, -1)
+					a.transaction(s, "after")
+					a.check(t, w)
+				})
+			})
+		}
+	}
+}
+
+// One repeated answer must not leave a connection one answer off.
+func TestConnectionIsNotLeftOffByOneRepeatedAnswer(t *testing.T) {
+	const further = 100
+	for path, enter := range paths {
+		for before, repeated := range kinds {
+			t.Run(path+"/"+before, func(t *testing.T) {
+				enter(t, func(t *testing.T, w *clustertest.World, s chervilladder.Session) {
+					var a answered
+					repeatOnce(w, repeated.kind, whileIdle)
+					repeated.run(&a, s, "first")
+					time.Sleep(idlePause)
+					served := 0
+					for i := range further {
+						if kinds[[]string{"read", "write", "execute", "begin"}[i%4]].run(&a, s, fmt.Sprintf("next%02d", i)) {
+							served++
+						}
+					}
+					a.check(t, w)
+					is.New(t).Equal(served, further)
+				})
+			})
+		}
+	}
+}
+
+// Members that repeat one answer in twelve must neither mix up answers nor keep most of
+// the statements from being served.
+func TestRepeatedAnswersLeaveFourInFiveServed(t *testing.T) {
+	const sessions, each = 6, 100
+	for path, vm := range map[string]int{"direct": 0, "forwarded": 2} {
+		t.Run(path, func(t *testing.T) {
+			run := func(is *is.I, w *clustertest.World) {
+				setFaults(w, func(f *cluster.Faults) {
+					f.Repeat = cluster.RandomRepeats(cluster.RandomRepeatsConfig{Seed: 32, Share: 1.0 / 12, MaxDelay: 200 * time.Millisecond})
+				})
+				var a answered
+				var served atomic.Int64
+				var callers sync.WaitGroup
+				for n := range sessions {
+					s := w.Open(t, vm, clustertest.PrimaryDB)
+					callers.Go(func() {
+						for i := range each {
+							if kinds[[]string{"read", "write", "execute", "begin"}[i%4]].run(&a, s, fmt.Sprintf("s%d-%03d", n, i)) {
+								served.Add(1)
+							}
+							time.Sleep(time.Duration(i%7) * time.Millisecond)
+						}
+					})
+				}
+				callers.Wait()
+				t.Logf("%d of %d served", served.Load(), sessions*each)
+				setFaults(w, func(f *cluster.Faults) { f.Repeat = nil })
+				a.check(t, w)
+				is.True(served.Load()*5 >= sessions*each*4)
+			}
+			if path == "forwarded" {
+				forwarding(t, run)
+			} else {
+				bubble(t, clustertest.Config{}, run)
+			}
+		})
+	}
+}
