--- a/internal/standin/cluster/linker.go
+++ b/internal/standin/cluster/linker.go
@@ -50,7 +50,7 @@
 		select {
 		case c := <-l.commands:
 			r, err := l.run(c)
-			l.answers <- answer{r, err}
+			l.answer(c, answer{r, err})
 			if err != nil {
 				return
 			}
