link, session: an answer is given to the command that it belongs to

Cause: an answer was matched to its command by order alone.

Now each answer is judged against the earlier ones of its connection. Answers without a signature, which can be equal by chance, are asked for again behind a command whose answer differs: a rollback for BEGIN, a reset for a status; a reset also shows whether an error was the command's own. What fits nothing closes the connection, and leaves a write in doubt.

--- a/internal/control/statuspoll/prober.go
+++ b/internal/control/statuspoll/prober.go
@@ -99,6 +99,9 @@
 		p.recordBusy()
 		return false
 	}
+	if answeredOther(err) {
+		return false
+	}
 	p.failing++
 	if p.k.c.Clock().Sub(requestedAt) > statusTimeout+overrun {
 		return false
@@ -158,6 +161,13 @@
 	return errors.Is(err, link.ErrFull)
 }
 
+// answeredOther reports whether a status request received the answer to another command.
+// That shows neither the member's status nor that it is down.
+func answeredOther(err error) bool {
+	var unmatched *link.UnmatchedAnswerError
+	return errors.As(err, &unmatched)
+}
+
 // requestStatus sends one status request, on a connection from get.
 func (p *prober) requestStatus(ctx context.Context, get func(context.Context) (*link.Conn, error)) (chervilladder.LinkStatus, error) {
 	deadline := time.Now().Add(statusTimeout)
@@ -171,7 +181,9 @@
 	var refused *chervilladder.LinkRefusedError
 	if err != nil && !errors.As(err, &refused) {
 		conn.Discard()
-		p.k.c.Pools.For(p.upstream).DiscardOlder(deadline.Add(-statusTimeout))
+		if !answeredOther(err) {
+			p.k.c.Pools.For(p.upstream).DiscardOlder(deadline.Add(-statusTimeout))
+		}
 		return status, err
 	}
 	conn.ReleaseAfterPoll()
--- a/internal/decide/repeat/memory.go
+++ b/internal/decide/repeat/memory.go
@@ -1,7 +1,7 @@
 package repeat
 
 import (
-	"strconv"
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,19 +24,18 @@
 }
 
 func remember(r chervilladder.Result, now time.Time) answer {
-	d := xxhash.New()
-	field := func(s string) {
-		// A length before each field keeps its border.
-		_, _ = d.WriteString(strconv.Itoa(len(s)) + " ")
-		_, _ = d.WriteString(s) // never fails
-	}
+	var d digest
+	d.Reset()
+	d.number(uint64(len(r.Rows)))
 	for _, row := range r.Rows {
-		field(row)
+		d.text(row)
 	}
-	field(string(r.Signature))
-	field(r.Text)
-	field(r.Mark.String())
-	field(strconv.Itoa(len(r.Rows)) + "/" + strconv.Itoa(int(r.Code)) + "/" + strconv.Itoa(int(r.State)))
+	d.text(string(r.Signature))
+	d.number(uint64(r.Code))
+	d.text(r.Text)
+	d.number(uint64(r.State))
+	d.number(uint64(r.Mark.Term))
+	d.number(uint64(r.Mark.Position))
 	a := answer{whole: fingerprint(d.Sum64()), at: now}
 	a.key = a.whole
 	if r.Code == chervilladder.CodeNone && Signed.fits(r) {
@@ -45,6 +44,20 @@
 	return a
 }
 
+// digest hashes fields so that a text can't run into the next one.
+type digest struct{ xxhash.Digest }
+
+func (d *digest) number(n uint64) {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], n)
+	_, _ = d.Write(b[:]) // never fails
+}
+
+func (d *digest) text(s string) {
+	d.number(uint64(len(s)))
+	_, _ = d.WriteString(s) // never fails
+}
+
 // memory holds the latest answers, oldest first. Equal ones are held once.
 type memory struct{ answers []answer }
 
--- a/internal/decide/repeat/repeat.go
+++ b/internal/decide/repeat/repeat.go
@@ -4,6 +4,7 @@
 package repeat
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chervilladder/chervilladder"
@@ -17,7 +18,10 @@
 	Signed Expected = iota
 	// Begun is the answer to a command that opens a transaction.
 	Begun
-	// Unsigned is the answer to a rollback or to a command that sets up a connection.
+	// Idle is the answer to a command after which no transaction is open: a rollback, or
+	// a reset outside of a transaction.
+	Idle
+	// Unsigned is the answer to any other command that sets up a connection.
 	Unsigned
 	// Status is an upstream's status.
 	Status
@@ -30,6 +34,8 @@
 		return "signed"
 	case Begun:
 		return "begun"
+	case Idle:
+		return "idle"
 	case Status:
 		return "status"
 	default:
@@ -47,6 +53,8 @@
 		return Begun
 	case chervilladder.CommandRead, chervilladder.CommandWrite, chervilladder.CommandExecute, chervilladder.CommandCommit:
 		return Signed
+	case chervilladder.CommandRollback, chervilladder.CommandReset:
+		return Idle
 	default:
 		return Unsigned
 	}
@@ -60,6 +68,8 @@
 		return signed
 	case Begun:
 		return !signed && len(r.Rows) == 0 && r.State == chervilladder.StateOpen
+	case Idle:
+		return !signed && len(r.Rows) == 0 && r.State == chervilladder.StateIdle
 	case Status:
 		return !signed && len(r.Rows) == 1
 	default:
@@ -102,19 +112,20 @@
 	// are many more of the latter.
 	signed   memory
 	unsigned memory
-	// shifted counts the unsigned answers that were accepted although they equal an
-	// earlier one. If one of them was a repeat, an answer of the same kind is still to
-	// come.
+	// shifted counts the unsigned answers that were taken although they equal an earlier
+	// one. If one of them was a repeat, a command's own answer is still to come.
 	shifted int
 }
 
+// Unanswered reports whether a command is unanswered.
+func (f *Filter) Unanswered() bool { return len(f.due) > 0 }
+
 // Sent records that a command was sent.
 func (f *Filter) Sent(kind chervilladder.CommandKind) { f.due = append(f.due, ExpectedOf(kind)) }
 
-// Judge judges the next answer. If wary is set, the upstream is known to repeat answers:
-// then an answer to BEGIN or a status that equals an earlier one is ambiguous; otherwise
-// only an error is.
-func (f *Filter) Judge(r chervilladder.Result, now time.Time, wary bool) Judgement {
+// Judge judges the next answer. An answer to a command that sets up a connection is
+// accepted even if it equals an earlier one: it says nothing that a caller receives.
+func (f *Filter) Judge(r chervilladder.Result, now time.Time) Judgement {
 	if len(f.due) == 0 {
 		return Judgement{Verdict: Reject}
 	}
@@ -128,9 +139,9 @@
 	if known {
 		j.Age = now.Sub(earlier.at)
 	}
-	j.Verdict = f.verdict(j.Expected, r, earlier.whole == a.whole && known, known, wary)
+	j.Verdict = f.verdict(j.Expected, r, earlier.whole == a.whole && known, known)
 	if j.Verdict == Accept || j.Verdict == Ambiguous {
-		f.due = f.due[1:]
+		f.due = slices.Delete(f.due, 0, 1) // keeps the slice's memory
 		memory.add(a)
 	}
 	return j
@@ -138,7 +149,7 @@
 
 // verdict judges an answer. Known is set if an earlier one had the same signature, and
 // equal if one was the same as a whole; without a signature both are the same.
-func (f *Filter) verdict(e Expected, r chervilladder.Result, equal, known, wary bool) Verdict {
+func (f *Filter) verdict(e Expected, r chervilladder.Result, equal, known bool) Verdict {
 	switch {
 	case r.Code != chervilladder.CodeNone && equal:
 		return Ambiguous
@@ -153,14 +164,14 @@
 	case e == Signed:
 		f.shifted = 0 // what was still to come would have come before
 		return Accept
-	case equal && wary && e != Unsigned:
-		return Ambiguous
-	case equal:
-		f.shifted++
-		return Accept
-	default:
+	case !equal:
 		return Accept
 	}
+	f.shifted++
+	if e == Begun || e == Status {
+		return Ambiguous
+	}
+	return Accept
 }
 
 // unfit judges an answer that doesn't have the expected form.
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -33,14 +33,18 @@
 // maxPrepared is how many statements a connection keeps prepared before it is reset.
 const maxPrepared = 256
 
-// Conn is a connection that reports answers which the upstream has repeated. It records the commands that SetupCommands returned as done. If
+// Conn is a connection that matches answers to commands: it passes over answers that the
+// upstream has repeated. It records the commands that SetupCommands returned as done. If
 // one of them is refused, ForgetSetup must be called; after any other failure the
 // connection must be discarded.
 type Conn struct {
 	link chervilladder.Link
 	// pool is nil for a dedicated connection.
-	pool     *Pool
+	pool *Pool
+	// filter judges the answers. inDoubt is set once one of them may belong to another
+	// command: then the connection isn't reused.
 	filter   repeat.Filter
+	inDoubt  bool
 	values   map[string]string
 	prepared map[string]Prepared
 	// unknown is set while it isn't known what is set and prepared.
@@ -113,7 +117,7 @@
 // ReleaseAfterPoll is Release for a connection that did no work for a session, such as
 // one that carried a status request.
 func (c *Conn) ReleaseAfterPoll() {
-	if c.pool == nil {
+	if c.pool == nil || c.inDoubt {
 		c.Discard()
 		return
 	}
--- a/internal/session/transaction.go
+++ b/internal/session/transaction.go
@@ -174,7 +174,7 @@
 	}
 	r, err := t.exchange(ctx, w)
 	if err != nil {
-		w.handleLost(t.placement, t.conn)
+		w.handleLost(t.placement, t.conn, err)
 		t.conn = nil
 		t.failed = true
 		return failure(chervilladder.CodeAborted, err.Error())
@@ -317,7 +317,11 @@
 		begin.Kind = chervilladder.CommandBeginRead
 	}
 	list := append(conn.SetupCommands(t.session.values, w.statement), begin)
-	if err := w.runSetupCommands(conn, list); err != nil {
+	err = w.runSetupCommands(conn, list)
+	if link.MayBeRepeat(err) {
+		err = conn.BeginAgain(w.deadline, begin)
+	}
+	if err != nil {
 		return err
 	}
 	opened = true
@@ -336,7 +340,7 @@
 	defer func() { t.session.tx = nil }()
 	r, err := t.exchange(ctx, w)
 	if err != nil {
-		w.handleLost(t.placement, t.conn)
+		w.handleLost(t.placement, t.conn, err)
 		t.conn = nil
 		return failure(answer.CommitLost(t.wrote), err.Error())
 	}
--- a/internal/session/work.go
+++ b/internal/session/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -179,8 +180,12 @@
 	defer slow.Stop()
 	r, err := w.exchange(conn, c)
 	ended = true
+	if err != nil && w.refusedRead(r, err) {
+		r.Mark = chervilladder.Mark{} // it may be older than the command
+		err = nil
+	}
 	if err != nil {
-		w.handleLost(p, conn)
+		w.handleLost(p, conn, err)
 		next, code := answer.AutocommitLost(w.access)
 		return failure(code, err.Error()), next
 	}
@@ -193,6 +198,13 @@
 	return w.evaluate(ctx, p, r)
 }
 
+// refusedRead reports whether a read may be treated as refused although the refusal may
+// be that of an earlier command: a read can be repeated.
+func (w *work) refusedRead(r chervilladder.Result, err error) bool {
+	var unmatched *link.UnmatchedAnswerError
+	return w.access == chervilladder.AccessRead && errors.As(err, &unmatched) && r.Code != chervilladder.CodeNone
+}
+
 // evaluate records an answer to a single-statement transaction and decides what
 // follows.
 func (w *work) evaluate(ctx context.Context, p *placement, r chervilladder.Result) (chervilladder.Result, answer.Next) {
@@ -261,7 +273,7 @@
 	var refusal error
 	for range list {
 		r, err := conn.Receive(w.deadline)
-		if err != nil {
+		if err != nil && (refusal == nil || !link.MayBeRepeat(err)) {
 			return err
 		}
 		if r.Code != chervilladder.CodeNone && refusal == nil {
@@ -272,11 +284,16 @@
 }
 
 // handleLost closes a connection that failed, and the idle ones that may have failed
-// with it. It excludes the member from further attempts and has the statuses polled.
-func (w *work) handleLost(p *placement, conn *link.Conn) {
+// with it, unless it received an answer of another command. It excludes the member from
+// further attempts and has the statuses polled.
+func (w *work) handleLost(p *placement, conn *link.Conn, err error) {
 	conn.Discard()
-	p.pool.DiscardOlder(w.sentAt)
 	w.exclude(p.member.ID)
+	var unmatched *link.UnmatchedAnswerError
+	if errors.As(err, &unmatched) {
+		return
+	}
+	p.pool.DiscardOlder(w.sentAt)
 	w.cluster.PollTrigger.Ask()
 }
 
