session: repeat the answers to SET, RESET and ROLLBACK, and refusals of reads

The tests of answers that come twice covered reads, writes, EXECUTE, PARSE, BEGIN and COMMIT, and refusals of writes.

--- a/internal/session/repeated_answer_test.go
+++ b/internal/session/repeated_answer_test.go
@@ -39,6 +39,9 @@
 	},
 }
 
+// callersVM is the VM of the callers on each path.
+var callersVM = map[string]int{"direct": 0, "one-connection": 0, "forwarded": 2}
+
 // setFaults changes the faults of all members.
 func setFaults(w *clustertest.World, change func(*cluster.Faults)) {
 	for i := range 3 {
@@ -79,6 +82,9 @@
 // answered records the answers to callers' statements, none of whose ids contains
 // another.
 type answered struct {
+	// other is a session beside that of the statements.
+	other chervilladder.Session
+
 	mu   sync.Mutex
 	list []answeredStatement
 }
@@ -208,12 +214,38 @@
 	run  func(*answered, chervilladder.Session, string) bool
 	kind chervilladder.CommandKind
 }{
-	"read":    {func(a *answered, s chervilladder.Session, id string) bool { return a.statement(s, read(id)) }, chervilladder.CommandRead},
-	"write":   {func(a *answered, s chervilladder.Session, id string) bool { return a.statement(s, write(id)) }, chervilladder.CommandWrite},
-	"execute": {execute, chervilladder.CommandExecute},
-	"set-up":  {execute, chervilladder.CommandPrepare},
-	"begin":   {(*answered).transaction, chervilladder.CommandBegin},
-	"commit":  {(*answered).transaction, chervilladder.CommandCommit},
+	"read":     {func(a *answered, s chervilladder.Session, id string) bool { return a.statement(s, read(id)) }, chervilladder.CommandRead},
+	"write":    {func(a *answered, s chervilladder.Session, id string) bool { return a.statement(s, write(id)) }, chervilladder.CommandWrite},
+	"execute":  {execute, chervilladder.CommandExecute},
+	"set-up":   {execute, chervilladder.CommandPrepare},
+	"begin":    {(*answered).transaction, chervilladder.CommandBegin},
+	"commit":   {(*answered).transaction, chervilladder.CommandCommit},
+	"set":      {set, chervilladder.CommandSet},
+	"reset":    {reset, chervilladder.CommandReset},
+	"rollback": {rolledBack, chervilladder.CommandRollback},
+}
+
+// set changes a session variable and reads.
+func set(a *answered, s chervilladder.Session, id string) bool {
+	r := s.Do(context.Background(), chervilladder.Command{Kind: chervilladder.CommandSet, ID: "s", Name: "lang", Rest: id})
+	return r.Code == chervilladder.CodeNone && a.statement(s, read(id))
+}
+
+// reset has another session set a variable that this one lacks, so that the connection is
+// reset before the read.
+func reset(a *answered, s chervilladder.Session, id string) bool {
+	return set(a, a.other, id+"-other") && a.statement(s, read(id+"-own"))
+}
+
+// rolledBack runs a transaction that is rolled back.
+func rolledBack(a *answered, s chervilladder.Session, id string) bool {
+	if s.Do(context.Background(), begin()).Code != chervilladder.CodeNone {
+		return false
+	}
+	r := s.Do(context.Background(), read(id))
+	a.add(answeredStatement{command: read(id), result: r, transaction: true})
+	s.Do(context.Background(), rollback())
+	return r.Code == chervilladder.CodeNone
 }
 
 // execute runs a prepared statement.
@@ -230,7 +262,7 @@
 				t.Run(path+"/"+before+"/"+after, func(t *testing.T) {
 					for _, delay := range []time.Duration{whileIdle, whileAwaited, idlePause / 2} {
 						enter(t, func(t *testing.T, w *clustertest.World, s chervilladder.Session) {
-							var a answered
+							a := answered{other: w.Open(t, callersVM[path], clustertest.PrimaryDB)}
 							repeatOnce(w, repeated.kind, delay)
 							repeated.run(&a, s, "first")
 							if delay != whileAwaited {
@@ -249,22 +281,26 @@
 }
 
 // A write that ran must not be reported as refused, or run again, for the late second
-// refusal of an earlier attempt.
+// refusal of an earlier statement or attempt.
 func TestRepeatedRefusalIsNotThatOfAWriteThatRan(t *testing.T) {
+	codes := map[string]chervilladder.Code{"busy": chervilladder.CodeBusy, "lagging": chervilladder.CodeLagging, "read-only": chervilladder.CodeReadOnly}
 	for path, enter := range paths {
-		for name, code := range map[string]chervilladder.Code{"busy": chervilladder.CodeBusy, "lagging": chervilladder.CodeLagging, "read-only": chervilladder.CodeReadOnly} {
-			t.Run(path+"/"+name, func(t *testing.T) {
-				for _, delay := range []time.Duration{whileIdle, whileAwaited, idlePause, 2 * idlePause} {
-					enter(t, func(t *testing.T, w *clustertest.World, s chervilladder.Session) {
-						var a answered
-						refuseOnce(w, chervilladder.CommandWrite, code, delay)
-						for i := range 4 {
-							a.statement(s, write(fmt.Sprintf("w%d", i)))
-						}
-						a.check(t, w)
-					})
-				}
-			})
+		for _, refused := range []string{"read", "write", "begin"} {
+			for name, code := range codes {
+				t.Run(path+"/"+refused+"/"+name, func(t *testing.T) {
+					for _, delay := range []time.Duration{whileIdle, whileAwaited, idlePause, 2 * idlePause} {
+						enter(t, func(t *testing.T, w *clustertest.World, s chervilladder.Session) {
+							var a answered
+							refuseOnce(w, kinds[refused].kind, code, delay)
+							kinds[refused].run(&a, s, "first")
+							for i := range 8 {
+								a.statement(s, write(fmt.Sprintf("w%d", i)))
+							}
+							a.check(t, w)
+						})
+					}
+				})
+			}
 		}
 	}
 }
@@ -297,7 +333,7 @@
 		for before, repeated := range kinds {
 			t.Run(path+"/"+before, func(t *testing.T) {
 				enter(t, func(t *testing.T, w *clustertest.World, s chervilladder.Session) {
-					var a answered
+					a := answered{other: w.Open(t, callersVM[path], clustertest.PrimaryDB)}
 					repeatOnce(w, repeated.kind, whileIdle)
 					repeated.run(&a, s, "first")
 					time.Sleep(idlePause)
