--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -32,14 +32,20 @@
 	// commitSent is set once a COMMIT or an autocommit write was sent.
 	commitSent bool
 	mark       chervilladder.Mark
-	// reads holds the signature and the row of each read that succeeded.
-	reads map[string][2]string
+	// answers are those to its statements that succeeded, by the statements' ids.
+	answers map[string]statementAnswer
 	// preparedText is the text of the prepared statement, if one was executed.
 	preparedText string
 	// who is the value of the session variable "who".
 	who string
 }
 
+// statementAnswer is the answer to a statement that succeeded.
+type statementAnswer struct {
+	text, signature string
+	rows            []string
+}
+
 // notCommitted are the codes which guarantee that nothing was committed.
 var notCommitted = map[string]bool{"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "WRONGNODE": true, "CONNLIMIT": true}
 
@@ -172,7 +178,7 @@
 func (c *caller) attempt() attempt {
 	a := attempt{
 		database: c.database, service: c.service, sent: time.Now(), lastWrite: c.lastWrite, code: "ok", who: c.who,
-		writes: make(map[string]bool), reads: make(map[string][2]string),
+		writes: make(map[string]bool), answers: make(map[string]statementAnswer),
 	}
 	switch n := c.rng.IntN(10); {
 	case n < 4:
@@ -207,9 +213,7 @@
 		a.code = "lost"
 	default:
 		a.mark = r.mark
-		if len(r.rows) == 1 {
-			a.reads[id] = [2]string{r.signature, r.rows[0]}
-		}
+		a.answers[id] = statementAnswer{text: text, signature: r.signature, rows: r.rows}
 	}
 	if a.code != "ok" && a.code != "lost" && r.state != "I" {
 		if _, r, err := c.query("ROLLBACK"); err != nil || r.state != "I" {
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -52,6 +52,7 @@
 	}
 	for _, a := range attempts {
 		checkWrites(a, committed, fail)
+		checkAnswers(a, fail)
 		checkReads(a, runs, commits, fail)
 		checkTransactions(a, runs, fail)
 	}
@@ -78,19 +79,47 @@
 	}
 }
 
-// checkReads checks that answers belong to the caller's own statements, that the
-// statements ran with the caller's session state, and that the member's log was fresh
-// enough. The signature of an answer is "MEMBER.ID": the member that ran the statement
-// and the statement's id.
+// checkAnswers checks that answers belong to the caller's own statements. A statement that
+// a member ran has that member's signature, BEGIN none, and a read returns its id and its
+// argument.
+func checkAnswers(a attempt, fail failFunc) {
+	for id, got := range a.answers {
+		if !got.belongsTo(id) {
+			fail("MIXED: %s (%s) was answered %q by %q", id, got.text, got.rows, got.signature)
+		}
+	}
+}
+
+func (s statementAnswer) belongsTo(id string) bool {
+	word, _, _ := strings.Cut(s.text, " ")
+	if word == "BEGIN" {
+		return s.signature == string(chervilladder.NoSignature) && len(s.rows) == 0
+	}
+	if _, signed := signedBy(s.signature); signed != id {
+		return false
+	}
+	if word != "READ" && word != "EXECUTE" {
+		return len(s.rows) == 0
+	}
+	return len(s.rows) == 1 && s.rows[0] == id+"1a4"
+}
+
+// signedBy returns the first two parts of a signature, "MEMBER.ID": the member that ran a
+// statement and the statement's id.
+func signedBy(signature string) (chervilladder.UpstreamID, string) {
+	parts := append(strings.Split(signature, "."), "")
+	return chervilladder.UpstreamID(parts[0]), parts[1]
+}
+
+// checkReads checks that reads ran with the caller's session state, and that the member's
+// log was fresh enough.
 func checkReads(a attempt, runs map[string][]cluster.Execution, commits []acked, fail failFunc) {
-	for id, got := range a.reads {
-		signature, row := got[0], got[1]
-		member, answeredID, _ := strings.Cut(signature, ".")
-		if answeredID != id || !strings.HasPrefix(row, id) {
-			fail("MIXED: %s was answered %q by %q", id, row, signature)
+	for id, got := range a.answers {
+		if len(got.rows) != 1 || !got.belongsTo(id) {
 			continue
 		}
-		run, ok := lastRun(runs[id], chervilladder.UpstreamID(member))
+		member, _ := signedBy(got.signature)
+		run, ok := lastRun(runs[id], member)
 		if !ok {
 			fail("MIXED: %s was answered by %s, which did not run it", id, member)
 			continue
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -80,6 +80,9 @@
 	services, spares int
 	// inject injects the faults of one round; nil is world.inject.
 	inject func(*world)
+	// minServed is the least share of the callers' operations that must succeed; zero is
+	// none.
+	minServed float64
 }
 
 // ampleConnections lets each VM hold connections to each member.
@@ -161,6 +164,7 @@
 		}
 	}
 	violations := w.check(attempts)
+	violations = append(violations, checkServed(t, attempts, s.minServed)...)
 	report(t, w, attempts, violations)
 	promotions := 0
 	for _, k := range w.clusters {
