repeat: remember answers by time

A repeat behind 256 other answers of a connection was taken for a new answer, 1.3 s after the first at 200 statements a second; and an error that came hours ago on a quiet connection still counted as equal. Answers are remembered for 10 s, at least 64 of them and at most 4,096, in a map in place of a scan.

--- a/internal/decide/repeat/memory.go
+++ b/internal/decide/repeat/memory.go
@@ -9,9 +9,13 @@
 	"github.com/chervilladder/chervilladder"
 )
 
-// maxRemembered is how many answers a memory holds. A repeat that comes later than so many
-// other answers isn't recognised.
-const maxRemembered = 256
+// rememberFor is how long an answer is remembered, and minRemembered and maxRemembered how
+// many are at least and at most. A repeat that comes later isn't recognised.
+const (
+	rememberFor   = 10 * time.Second
+	minRemembered = 64
+	maxRemembered = 4096
+)
 
 // fingerprint is a hash of an answer or of a part of it.
 type fingerprint uint64
@@ -58,34 +62,35 @@
 	_, _ = d.WriteString(s) // never fails
 }
 
-// memory holds the latest answers, oldest first. Equal ones are held once.
-type memory struct{ answers []answer }
+// memory holds the latest answers. Equal ones are held once.
+type memory struct {
+	byKey map[fingerprint]answer
+	// order holds the answers as they came. An equal answer that came later replaces
+	// the one in byKey.
+	order []answer
+}
 
 // find returns the remembered answer with the same key.
 func (m *memory) find(a answer) (answer, bool) {
-	if i := m.index(a); i >= 0 {
-		return m.answers[i], true
-	}
-	return answer{}, false
+	earlier, ok := m.byKey[a.key]
+	return earlier, ok
 }
 
-func (m *memory) index(a answer) int {
-	for i := len(m.answers) - 1; i >= 0; i-- {
-		if m.answers[i].key == a.key {
-			return i
-		}
+func (m *memory) add(a answer) {
+	if m.byKey == nil {
+		m.byKey = make(map[fingerprint]answer)
+	}
+	m.byKey[a.key] = a
+	m.order = append(m.order, a)
+	for len(m.order) > maxRemembered || len(m.order) > minRemembered && a.at.Sub(m.order[0].at) > rememberFor {
+		m.forgetOldest()
 	}
-	return -1
 }
 
-func (m *memory) add(a answer) {
-	oldest := 0
-	if i := m.index(a); i >= 0 {
-		oldest = i
-	} else if len(m.answers) < maxRemembered {
-		m.answers = append(m.answers, a)
-		return
+func (m *memory) forgetOldest() {
+	oldest := m.order[0]
+	m.order = m.order[1:]
+	if m.byKey[oldest.key].at.Equal(oldest.at) {
+		delete(m.byKey, oldest.key)
 	}
-	copy(m.answers[oldest:], m.answers[oldest+1:])
-	m.answers[len(m.answers)-1] = a
 }
