link: repeats don't confirm each other

TestRepeatedBeginIsNotTheAnswerToBeginAgain is replaced by TestRepeatedBeginDoesNotConfirmARefusedBegin, as there is no second BEGIN to repeat: the same refusal behind two repeats must not open a transaction.

--- a/internal/decide/repeat/repeat.go
+++ b/internal/decide/repeat/repeat.go
@@ -86,8 +86,9 @@
 	// Skip means that the answer repeats an earlier one, or belongs to an earlier
 	// command in whose place a repeat was accepted. The next answer is read instead.
 	Skip
-	// Ambiguous means that the answer equals an earlier one letter for letter, which
-	// it may repeat.
+	// Ambiguous means that the answer fits, but may be another command's: it equals an
+	// earlier one letter for letter, or it is an error that may be the answer to an
+	// earlier command.
 	Ambiguous
 	// Reject means that the answer belongs to no command, as far as is known.
 	Reject
@@ -98,9 +99,9 @@
 	Verdict Verdict
 	// Expected is the form of the answer that was due.
 	Expected Expected
-	// Age is the time since the earlier answer that this one equals; zero if there is
-	// none.
-	Age time.Duration
+	// Equal is set if the connection has received an equal answer before, Age ago.
+	Equal bool
+	Age   time.Duration
 }
 
 // Filter judges the answers on one connection. The zero Filter is that of a connection on
@@ -112,9 +113,9 @@
 	// are many more of the latter.
 	signed   memory
 	unsigned memory
-	// shifted counts the unsigned answers that were taken although they equal an earlier
-	// one. If one of them was a repeat, a command's own answer is still to come.
-	shifted int
+	// displaced counts the unsigned answers that were taken although they equal an
+	// earlier one. If one of them was a repeat, a command's own answer is still to come.
+	displaced int
 }
 
 // Unanswered reports whether a command is unanswered.
@@ -136,10 +137,10 @@
 		memory = &f.signed
 	}
 	earlier, known := memory.find(a)
-	if known {
-		j.Age = now.Sub(earlier.at)
+	if known && earlier.whole == a.whole {
+		j.Equal, j.Age = true, now.Sub(earlier.at)
 	}
-	j.Verdict = f.verdict(j.Expected, r, earlier.whole == a.whole && known, known)
+	j.Verdict = f.verdict(j.Expected, r, j.Equal, known)
 	if j.Verdict == Accept || j.Verdict == Ambiguous {
 		f.due = slices.Delete(f.due, 0, 1) // keeps the slice's memory
 		memory.add(a)
@@ -151,7 +152,7 @@
 // equal if one was the same as a whole; without a signature both are the same.
 func (f *Filter) verdict(e Expected, r chervilladder.Result, equal, known bool) Verdict {
 	switch {
-	case r.Code != chervilladder.CodeNone && equal:
+	case r.Code != chervilladder.CodeNone && (equal || f.displaced > 0):
 		return Ambiguous
 	case r.Code != chervilladder.CodeNone:
 		return Accept
@@ -162,12 +163,12 @@
 	case e == Signed && known:
 		return Reject // parts of two answers
 	case e == Signed:
-		f.shifted = 0 // what was still to come would have come before
+		f.displaced = 0 // what was still to come would have come before
 		return Accept
 	case !equal:
 		return Accept
 	}
-	f.shifted++
+	f.displaced++
 	if e == Begun || e == Status {
 		return Ambiguous
 	}
@@ -179,8 +180,8 @@
 	switch {
 	case equal:
 		return Skip
-	case f.shifted > 0 && !Signed.fits(r):
-		f.shifted--
+	case f.displaced > 0 && !Signed.fits(r):
+		f.displaced--
 		return Skip
 	default:
 		return Reject
--- a/internal/link/answer.go
+++ b/internal/link/answer.go
@@ -52,8 +52,14 @@
 // too, and the connection won't be reused.
 func (c *Conn) Receive(deadline time.Time) (chervilladder.Result, error) {
 	r, err := c.receive(deadline)
-	if equalsEarlier(err) && r.Code != chervilladder.CodeNone && c.mayReset(r) && c.reset(deadline) {
-		return r, nil // the error was the command's own
+	var unmatched *UnmatchedAnswerError
+	if !errors.As(err, &unmatched) || unmatched.Code == chervilladder.CodeNone || unmatched.Equal {
+		return r, err
+	}
+	// An error that may be that of an earlier command. If it is, the answer to this
+	// command comes before that to a reset.
+	if r.State == chervilladder.StateIdle && !c.filter.Unanswered() && c.reset(deadline) {
+		return r, nil
 	}
 	return r, err
 }
@@ -74,7 +80,7 @@
 		case repeat.Ambiguous:
 			ambiguousAnswers.Inc()
 			c.inDoubt = true
-			return r, &UnmatchedAnswerError{Code: r.Code, Equal: true, Age: j.Age}
+			return r, &UnmatchedAnswerError{Code: r.Code, Equal: j.Equal, Age: j.Age}
 		default:
 			unmatchedAnswers.Inc()
 			c.inDoubt = true
@@ -84,18 +90,16 @@
 	}
 }
 
-// mayReset reports whether a reset can show that an answer in doubt was the command's own:
-// then the reset's answer comes next. An upstream that is known to repeat answers may
-// repeat that of an earlier reset.
-func (c *Conn) mayReset(r chervilladder.Result) bool {
-	return r.State == chervilladder.StateIdle && !c.filter.Unanswered() && !c.wary()
-}
-
 // reset clears the variables and prepared statements of a connection whose last answer is
 // in doubt, and reports whether the next answer was that to the reset. Then the connection
 // is no longer in doubt.
 func (c *Conn) reset(deadline time.Time) bool {
-	r, err := c.request(deadline, chervilladder.Command{Kind: chervilladder.CommandReset})
+	return c.Send(deadline, resetCommand) == nil && c.receiveReset(deadline)
+}
+
+// receiveReset receives the answer to a reset.
+func (c *Conn) receiveReset(deadline time.Time) bool {
+	r, err := c.receive(deadline)
 	if err != nil || r.Code != chervilladder.CodeNone {
 		return false
 	}
@@ -103,30 +107,37 @@
 	return true
 }
 
+var resetCommand = chervilladder.Command{Kind: chervilladder.CommandReset}
+
 // Status sends a command that the upstream answers with its status: CommandStatus,
 // CommandPause, CommandResume or CommandStepDown. If the answer equals an earlier one, the
-// status is requested again behind a reset, whose answer separates the two.
+// command is sent again behind a reset, whose answer separates the two.
 func (c *Conn) Status(deadline time.Time, command chervilladder.Command) (chervilladder.LinkStatus, error) {
-	r, err := c.request(deadline, command)
+	if err := c.Send(deadline, command); err != nil {
+		return chervilladder.LinkStatus{}, err
+	}
+	r, err := c.Receive(deadline)
 	if MayBeRepeat(err) {
-		r, err = c.statusAgain(deadline)
+		r, err = c.statusAgain(deadline, command)
 	}
-	if err != nil && !equalsEarlier(err) {
+	var unmatched *UnmatchedAnswerError
+	if errors.As(err, &unmatched) && unmatched.Equal && unmatched.Code != chervilladder.CodeNone {
+		err = nil // refused, now or before
+	}
+	if err != nil {
 		return chervilladder.LinkStatus{}, err
 	}
 	return c.link.DecodeStatus(r)
 }
 
-// statusAgain requests the status of a member whose last status is in doubt.
-func (c *Conn) statusAgain(deadline time.Time) (chervilladder.Result, error) {
+// statusAgain repeats a command whose answer is in doubt.
+func (c *Conn) statusAgain(deadline time.Time, command chervilladder.Command) (chervilladder.Result, error) {
 	wary := c.wary()
-	reset, status := chervilladder.Command{Kind: chervilladder.CommandReset}, chervilladder.Command{Kind: chervilladder.CommandStatus}
-	if err := c.Send(deadline, reset, status); err != nil {
+	if err := c.Send(deadline, resetCommand, command); err != nil {
 		return chervilladder.Result{}, err
 	}
-	c.values, c.prepared, c.unknown = nil, nil, false
-	if r, err := c.receive(deadline); err != nil {
-		return r, err
+	if !c.receiveReset(deadline) {
+		return chervilladder.Result{}, &UnmatchedAnswerError{}
 	}
 	r, err := c.receive(deadline)
 	if MayBeRepeat(err) {
@@ -136,34 +147,34 @@
 	return r, err
 }
 
-// BeginAgain opens a transaction on a connection whose answer to BEGIN is in doubt: it
-// rolls back, and begins again. The answer to the rollback separates the two.
-func (c *Conn) BeginAgain(deadline time.Time, begin chervilladder.Command) error {
-	if err := c.Send(deadline, chervilladder.Command{Kind: chervilladder.CommandRollback}, begin); err != nil {
+// ConfirmBegin makes certain that a transaction is open on a connection whose answer to
+// BEGIN is in doubt. The answer to another command shows it, unless that may be a repeat
+// too.
+func (c *Conn) ConfirmBegin(deadline time.Time) error {
+	if c.wary() {
+		return &UnmatchedAnswerError{}
+	}
+	c.prepare(&confirmation)
+	command := chervilladder.Command{
+		Kind: chervilladder.CommandPrepare, Name: confirmation.Name(), Access: confirmation.Access, Rest: confirmation.Shape,
+	}
+	if err := c.Send(deadline, command); err != nil {
 		return err
 	}
 	r, err := c.receive(deadline)
 	if err != nil {
 		return err
 	}
-	if r.Code != chervilladder.CodeNone {
+	if r.Code != chervilladder.CodeNone || r.State != chervilladder.StateOpen || c.wary() {
 		return &UnmatchedAnswerError{Code: r.Code}
 	}
-	r, err = c.receive(deadline)
-	if err != nil && !MayBeRepeat(err) {
-		return err
-	}
-	if r.Code != chervilladder.CodeNone {
-		return &chervilladder.LinkRefusedError{Code: r.Code, Text: r.Text}
-	}
-	c.inDoubt = c.wary()
+	c.inDoubt = false
 	return nil
 }
 
-func equalsEarlier(err error) bool {
-	var unmatched *UnmatchedAnswerError
-	return errors.As(err, &unmatched) && unmatched.Equal
-}
+// confirmation is a statement that is prepared, and never run, to see the state of a
+// transaction.
+var confirmation = Prepared{Shape: "confirmation", Access: chervilladder.AccessRead}
 
 // MayBeRepeat reports whether an error is that of an answer that reports success and equals
 // an earlier one.
@@ -172,13 +183,6 @@
 	return errors.As(err, &unmatched) && unmatched.Equal && unmatched.Code == chervilladder.CodeNone
 }
 
-func (c *Conn) request(deadline time.Time, command chervilladder.Command) (chervilladder.Result, error) {
-	if err := c.Send(deadline, command); err != nil {
-		return chervilladder.Result{}, err
-	}
-	return c.receive(deadline)
-}
-
 // wary reports whether the upstream has repeated an answer lately.
 func (c *Conn) wary() bool {
 	return c.pool == nil || c.pool.repeatsAnswers(time.Now())
--- a/internal/link/answer_test.go
+++ b/internal/link/answer_test.go
@@ -108,38 +108,41 @@
 	is.Equal(s.closed, 1) // the answer to the second write may be on its way
 }
 
-// Refusals are often equal by chance; a connection was lost, and a write in doubt, for each.
-func TestEqualRefusalIsReliedOnOnceAResetIsAnswered(t *testing.T) {
+// A refusal that comes behind set-up commands with equal answers may be that of one of
+// them; the answer to a reset shows that it isn't.
+func TestRefusalBehindEqualAnswersIsReliedOnOnceAResetIsAnswered(t *testing.T) {
 	is := is.New(t)
 	busy := chervilladder.Result{Code: chervilladder.CodeBusy, Text: "u"}
-	s := &scripted{answers: []chervilladder.Result{busy, busy, idleAnswer}}
+	s := &scripted{answers: []chervilladder.Result{idleAnswer, idleAnswer, busy, idleAnswer}}
 	c := open(t, s)
 	for range 2 {
-		r, err := ask(t, c, chervilladder.CommandWrite)
+		_, err := ask(t, c, chervilladder.CommandSet)
 		is.NoErr(err)
-		is.Equal(r, busy)
 	}
+	r, err := ask(t, c, chervilladder.CommandWrite)
+	is.NoErr(err)
+	is.Equal(r, busy)
 	c.Release()
 	is.Equal(s.closed, 0)
 }
 
 // A transaction's statements ran outside of it when its BEGIN was refused and an earlier
 // one was answered twice.
-func TestBeginInDoubtIsBegunAgain(t *testing.T) {
+func TestBeginInDoubtIsConfirmed(t *testing.T) {
 	opened := chervilladder.Result{Signature: chervilladder.NoSignature, State: chervilladder.StateOpen}
 	refused := chervilladder.Result{Code: chervilladder.CodeReadOnly, Text: "u"}
 	for _, c := range []struct {
 		name string
-		// answers are those to the rollback and the second BEGIN, after the answer to
-		// the first BEGIN if that was a repeat.
+		// answers are those to the PREPARE, after the answer to the second BEGIN if that
+		// was taken from the first one.
 		answers []chervilladder.Result
 		opens   bool
 	}{
-		{"equal by chance", []chervilladder.Result{idleAnswer, opened}, true},
-		{"repeat of an earlier one", []chervilladder.Result{opened, idleAnswer, opened}, true},
-		{"repeat before a refusal", []chervilladder.Result{refused, idleAnswer, opened}, false},
-		{"repeat before two refusals", []chervilladder.Result{refused, idleAnswer, refused}, false},
-		{"refused the second time", []chervilladder.Result{idleAnswer, refused}, false},
+		{"equal by chance", []chervilladder.Result{opened}, true},
+		{"equal by chance and repeated", []chervilladder.Result{opened, opened}, true},
+		{"repeat before its own", []chervilladder.Result{opened, opened}, true},
+		{"repeat before a refusal", []chervilladder.Result{refused, idleAnswer}, false},
+		{"repeat before a refusal that is lost", []chervilladder.Result{idleAnswer}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -149,8 +152,7 @@
 			is.NoErr(err)
 			_, err = ask(t, conn, chervilladder.CommandBegin)
 			is.True(link.MayBeRepeat(err))
-			err = conn.BeginAgain(time.Time{}, chervilladder.Command{Kind: chervilladder.CommandBegin})
-			is.Equal(err == nil, c.opens)
+			is.Equal(conn.ConfirmBegin(time.Time{}) == nil, c.opens)
 		})
 	}
 }
--- a/internal/link/repeated_pair_test.go
+++ b/internal/link/repeated_pair_test.go
@@ -43,19 +43,21 @@
 	is.True(errors.As(err, &unmatched))
 }
 
-// A transaction's statements ran outside of it when its second BEGIN was refused behind
-// the second answer to the first one.
-func TestRepeatedBeginIsNotTheAnswerToBeginAgain(t *testing.T) {
+// A transaction's statements ran outside of it when its BEGIN was refused behind two late
+// answers to the one before, from an upstream that is known to repeat answers.
+func TestRepeatedBeginDoesNotConfirmARefusedBegin(t *testing.T) {
 	is := is.New(t)
 	opened := chervilladder.Result{Signature: chervilladder.NoSignature, State: chervilladder.StateOpen}
 	refused := chervilladder.Result{Code: chervilladder.CodeBusy, Text: "u"}
-	s := &scripted{answers: []chervilladder.Result{opened, opened, idleAnswer, opened, refused}}
+	s := &scripted{answers: []chervilladder.Result{signedAnswer("1"), signedAnswer("1"), opened, opened, opened, refused, idleAnswer}}
 	c := open(t, s)
-	_, err := ask(t, c, chervilladder.CommandBegin)
+	_, err := ask(t, c, chervilladder.CommandRead)
+	is.NoErr(err)
+	_, err = ask(t, c, chervilladder.CommandBegin)
 	is.NoErr(err)
 	_, err = ask(t, c, chervilladder.CommandBegin)
 	is.True(link.MayBeRepeat(err))
-	is.True(c.BeginAgain(time.Time{}, chervilladder.Command{Kind: chervilladder.CommandBegin}) != nil)
+	is.True(c.ConfirmBegin(time.Time{}) != nil)
 }
 
 // The status of a member that leads no longer was taken for a newer one when the answers
--- a/internal/session/transaction.go
+++ b/internal/session/transaction.go
@@ -319,7 +319,7 @@
 	list := append(conn.SetupCommands(t.session.values, w.statement), begin)
 	err = w.runSetupCommands(conn, list)
 	if link.MayBeRepeat(err) {
-		err = conn.BeginAgain(w.deadline, begin)
+		err = conn.ConfirmBegin(w.deadline)
 	}
 	if err != nil {
 		return err
