upstream: match each answer to its request by a number

Callers of a PostgreSQL upstream could get the answer to another statement: an answer was matched to its request by order alone, so an answer that the upstream sends a second time, late, was taken for that of the next request on the connection, and each later one was off by one too. The same held for settings, claims, probes, transaction ids and status polls.

Each request now begins, in the same write, with the description of an empty statement whose only parameter has the request's number as its type. The upstream returns the number at the beginning of its answer. Anything else there, or a number or an Authentication message later in an answer, closes the connection: a read is retried, a write is resolved by its transaction's id or unknown.

TestStatusPreparedOnce also expects the marker of each request.

--- a/internal/upstream/batch.go
+++ b/internal/upstream/batch.go
@@ -40,7 +40,7 @@
 // send writes a batch to the upstream, preceded by the prepared statements it needs.
 func (c *Conn) send(b chervilladder.Batch) error {
 	c.parsing = c.parsing[:0]
-	out := c.scratch[:0]
+	out := c.appendMarker(c.scratch[:0])
 	var err error
 	for _, s := range b.Needs {
 		if out, err = c.prepare(out, s); err != nil {
@@ -78,7 +78,7 @@
 func (c *Conn) next(failed bool) (chunk, error) {
 	k := chunk{failed: failed}
 	for {
-		m, err := c.readMessage(c.readBuffer[:0])
+		m, err := c.readAnswer(c.readBuffer[:0])
 		if err != nil {
 			return chunk{}, c.lost(true, err)
 		}
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -15,6 +15,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/decide/answer"
 )
 
 const readBufferBytes = 16 << 10
@@ -43,6 +44,11 @@
 	process  uint32
 	secret   []byte
 
+	requests answer.Sequence
+	// markerLeft lists the types of the messages that are still to come of the answer to
+	// the last request's marker.
+	markerLeft string
+
 	claim    chervilladder.Claim
 	prepared map[string]bool
 	settings []chervilladder.Setting
--- a/internal/upstream/member.go
+++ b/internal/upstream/member.go
@@ -73,7 +73,7 @@
 			&pgproto3.Describe{ObjectType: 'S', Name: statusStatement},
 		}, request...)
 	}
-	out := m.conn.scratch[:0]
+	out := m.conn.appendMarker(m.conn.scratch[:0])
 	for _, message := range request {
 		var err error
 		if out, err = message.Encode(out); err != nil {
--- a/internal/upstream/member_test.go
+++ b/internal/upstream/member_test.go
@@ -12,7 +12,7 @@
 )
 
 // scriptedMember answers status requests as the test says, and records the types of the
-// messages in each request.
+// messages in each request; M stands for a marker.
 type scriptedMember struct {
 	backend  *pgproto3.Backend
 	requests []string
@@ -21,19 +21,30 @@
 // serve answers one request.
 func (m *scriptedMember) serve(columns []string, values []string, failure *pgproto3.ErrorResponse) error {
 	kinds := ""
+	var marker []uint32
 	for {
 		message, err := m.backend.Receive()
 		if err != nil {
 			return err
 		}
-		switch message.(type) {
+		switch message := message.(type) {
 		case *pgproto3.Close:
 			kinds += "C"
 			m.backend.Send(&pgproto3.CloseComplete{})
 		case *pgproto3.Parse:
-			kinds += "P"
 			m.backend.Send(&pgproto3.ParseComplete{})
+			if message.Name == "" {
+				marker = message.ParameterOIDs
+				continue
+			}
+			kinds += "P"
 		case *pgproto3.Describe:
+			if message.Name == "" {
+				kinds += "M"
+				m.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: marker})
+				m.backend.Send(&pgproto3.NoData{})
+				continue
+			}
 			kinds += "D"
 			m.backend.Send(&pgproto3.ParameterDescription{})
 			m.backend.Send(description(columns))
@@ -113,5 +124,5 @@
 	is.NoErr(err)
 	is.Equal(got, chervilladder.MemberStatus{Upstream: "u", Role: chervilladder.RoleReplica, Term: 3})
 	is.NoErr(<-done)
-	is.Equal(script.requests, []string{"CPDBES", "BES", "BES", "CPDBES"})
+	is.Equal(script.requests, []string{"MCPDBES", "MBES", "MBES", "MCPDBES"})
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -131,7 +131,7 @@
 	if c.idleSince.IsZero() || time.Since(c.idleSince) < probeAfter {
 		return nil
 	}
-	out, err := (&pgproto3.Sync{}).Encode(nil)
+	out, err := (&pgproto3.Sync{}).Encode(c.appendMarker(nil))
 	if err != nil {
 		return err
 	}
@@ -139,7 +139,7 @@
 		return c.lost(false, err)
 	}
 	for {
-		m, err := c.readMessage(nil)
+		m, err := c.readAnswer(nil)
 		if err != nil {
 			return c.lost(false, err)
 		}
--- a/internal/upstream/repeat_test.go
+++ b/internal/upstream/repeat_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,122 +19,6 @@
 	"github.com/chervilladder/chervilladder"
 )
 
-// repeater is an upstream that can send its last answer a second time. The answer to each
-// statement holds the number of the statement.
-type repeater struct {
-	conn       net.Conn
-	backend    *pgproto3.Backend
-	statements int
-	status     byte
-	// parameters are the parameter types of the unnamed statement.
-	parameters []uint32
-	// answer holds the messages that haven't been sent yet, last those that were sent for
-	// the last request.
-	answer, last [][]byte
-	// early is how many messages of the next answer are sent before the repeated one;
-	// less than none if nothing is repeated.
-	early int
-}
-
-const repeatNothing = -1
-
-// requestTimeout bounds a request of the test.
-const requestTimeout = 2 * time.Second
-
-func newRepeater(conn net.Conn) *repeater {
-	return &repeater{conn: conn, backend: pgproto3.NewBackend(conn, conn), status: 'I', early: repeatNothing}
-}
-
-func (r *repeater) serve() {
-	for {
-		m, err := r.backend.Receive()
-		if err != nil {
-			return
-		}
-		r.handle(m)
-	}
-}
-
-func (r *repeater) handle(m pgproto3.FrontendMessage) {
-	switch m := m.(type) {
-	case *pgproto3.Parse:
-		if m.Name == "" {
-			r.parameters = append([]uint32(nil), m.ParameterOIDs...)
-		}
-		r.add(&pgproto3.ParseComplete{})
-	case *pgproto3.Describe:
-		r.describe(m)
-	case *pgproto3.Bind:
-		r.add(&pgproto3.BindComplete{})
-	case *pgproto3.Close:
-		r.add(&pgproto3.CloseComplete{})
-	case *pgproto3.Execute:
-		r.run()
-	case *pgproto3.Query:
-		r.add(description([]string{"n"}))
-		r.run()
-		r.add(&pgproto3.ReadyForQuery{TxStatus: r.status})
-		r.flush()
-	case *pgproto3.Flush:
-		r.flush()
-	case *pgproto3.Sync:
-		r.add(&pgproto3.ReadyForQuery{TxStatus: r.status})
-		r.flush()
-	}
-}
-
-func (r *repeater) describe(m *pgproto3.Describe) {
-	if m.Name != "" {
-		r.add(&pgproto3.ParameterDescription{})
-		r.add(description([]string{"n"}))
-		return
-	}
-	r.add(&pgproto3.ParameterDescription{ParameterOIDs: r.parameters})
-	r.add(&pgproto3.NoData{})
-}
-
-// run answers a statement with its number. In a failed transaction block, it answers with
-// an error.
-func (r *repeater) run() {
-	if r.status == 'E' {
-		r.add(&pgproto3.ErrorResponse{Severity: "ERROR", Code: "25P02", Message: "current transaction is aborted"})
-		return
-	}
-	r.statements++
-	r.add(&pgproto3.DataRow{Values: [][]byte{fmt.Append(nil, r.statements)}})
-	r.add(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
-}
-
-func (r *repeater) add(m pgproto3.BackendMessage) {
-	out, err := m.Encode(nil)
-	if err != nil {
-		panic(err)
-	}
-	r.answer = append(r.answer, out)
-}
-
-func (r *repeater) flush() {
-	answer := r.answer
-	r.answer = nil
-	if r.early >= 0 {
-		early := min(r.early, len(answer)-1)
-		r.write(answer[:early])
-		r.write(r.last)
-		r.write(answer[early:])
-	} else {
-		r.write(answer)
-	}
-	r.last = answer
-}
-
-func (r *repeater) write(messages [][]byte) {
-	var out []byte
-	for _, m := range messages {
-		out = append(out, m...)
-	}
-	_, _ = r.conn.Write(out)
-}
-
 // runBatch runs a batch and returns the error with which its answer ends.
 func runBatch(c *Conn, messages ...pgproto3.FrontendMessage) error {
 	var b chervilladder.Batch
@@ -191,7 +79,6 @@
 			return err
 		}},
 	}
-	const inTheMiddle = 4
 	for name, request := range requests {
 		for _, early := range []int{0, inTheMiddle} {
 			t.Run(fmt.Sprintf("%s/%d messages early", name, early), func(t *testing.T) {
@@ -218,3 +105,122 @@
 		}
 	}
 }
+
+// The answer to a connection's start must not be taken for a part of a later one either.
+func TestRepeatedStartIsNotTakenForAnAnswer(t *testing.T) {
+	for _, early := range []int{0, inTheMiddle} {
+		t.Run(fmt.Sprintf("%d messages early", early), func(t *testing.T) {
+			is := is.New(t)
+			near, far := net.Pipe()
+			c := newConn(chervilladder.Upstream{ID: "u"}, near)
+			defer c.Close()
+			c.setDeadline(time.Now().Add(requestTimeout))
+			server := newRepeater(far)
+			server.addStart()
+			server.last, server.answer, server.early = server.answer, nil, early
+			go server.serve()
+			var lost *chervilladder.UpstreamLostError
+			is.True(errors.As(runBatch(c, &pgproto3.Query{String: "SELECT 1"}), &lost))
+		})
+	}
+}
+
+// listenRepeating starts an upstream that sends some answers again, and returns a pool of
+// connections to it.
+func listenRepeating(t *testing.T, seed uint64) *Pool {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for n := uint64(0); ; n++ {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			r := newRepeater(conn)
+			r.random = rand.New(rand.NewPCG(seed, n))
+			go r.startAndServe()
+		}
+	}()
+	return NewPool(chervilladder.Upstream{ID: "u", Address: chervilladder.Address(l.Addr().String())})
+}
+
+// queryText runs a simple query and returns the text in the last row of its answer.
+func queryText(ctx context.Context, p *Pool, sql string) (string, error) {
+	c, err := p.Get(ctx, 0)
+	if err != nil {
+		return "", err
+	}
+	c.setDeadline(time.Now().Add(requestTimeout))
+	out, err := (&pgproto3.Query{String: sql}).Encode(nil)
+	if err == nil {
+		err = c.send(chervilladder.Batch{Payload: out})
+	}
+	var answer []byte
+	for last := false; err == nil && !last; {
+		var k chunk
+		k, err = c.next(false)
+		answer, last = append(answer, k.payload...), k.last
+	}
+	if err != nil {
+		c.Close()
+		return "", err
+	}
+	p.Put(c)
+	return lastText(answer)
+}
+
+// lastText returns the second column of the last row of an answer.
+func lastText(answer []byte) (string, error) {
+	text := ""
+	for len(answer) > 0 {
+		size := 1 + int(binary.BigEndian.Uint32(answer[1:]))
+		if answer[0] == 'D' {
+			var d pgproto3.DataRow
+			if err := d.Decode(answer[headerBytes:size]); err != nil {
+				return "", err
+			}
+			text = string(d.Values[1])
+		}
+		answer = answer[size:]
+	}
+	return text, nil
+}
+
+// While an upstream sends one answer in twelve again, up to 200 ms late, each query that
+// succeeds must have its own answer.
+func TestLateRepeatsReachNoOtherQuery(t *testing.T) {
+	const workers, queries = 8, 150
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			is := is.New(t)
+			pool := listenRepeating(t, seed)
+			t.Cleanup(pool.CloseIdle)
+			var right, wrong, failed atomic.Int64
+			var all sync.WaitGroup
+			for w := range workers {
+				all.Go(func() {
+					for q := range queries {
+						sql := fmt.Sprintf("query %d of worker %d", q, w)
+						switch text, err := queryText(t.Context(), pool, sql); {
+						case err != nil:
+							failed.Add(1)
+						case text != sql:
+							wrong.Add(1)
+						default:
+							right.Add(1)
+						}
+						time.Sleep(time.Millisecond)
+					}
+				})
+			}
+			all.Wait()
+			t.Logf("%d right, %d wrong, %d failed", right.Load(), wrong.Load(), failed.Load())
+			is.Equal(wrong.Load(), int64(0))
+			is.True(right.Load() > workers*queries/2)
+		})
+	}
+}
--- a/internal/upstream/row.go
+++ b/internal/upstream/row.go
@@ -33,14 +33,14 @@
 
 // queryRow runs a statement by the simple query protocol and returns its last row.
 func (c *Conn) queryRow(ctx context.Context, sql string) (row, error) {
-	out, err := (&pgproto3.Query{String: sql}).Encode(c.scratch[:0])
+	out, err := (&pgproto3.Query{String: sql}).Encode(c.appendMarker(c.scratch[:0]))
 	if err != nil {
 		return row{}, fmt.Errorf("encode query: %w", err)
 	}
 	return c.requestRow(ctx, out, nil)
 }
 
-// requestRow sends messages and returns the last row of the answer. The given columns are
+// requestRow sends messages, which begin with a marker, and returns the last row of the answer. The given columns are
 // used if the answer doesn't describe its own.
 func (c *Conn) requestRow(ctx context.Context, out []byte, columns []string) (row, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
@@ -60,7 +60,7 @@
 	last := row{columns: columns}
 	var failure error
 	for {
-		m, err := c.readMessage(nil)
+		m, err := c.readAnswer(nil)
 		if err != nil {
 			return row{}, c.lost(true, err)
 		}
--- a/internal/upstream/transaction.go
+++ b/internal/upstream/transaction.go
@@ -29,7 +29,7 @@
 		return c.lost(false, err)
 	}
 	for {
-		m, err := c.readMessage(nil)
+		m, err := c.readAnswer(nil)
 		if err != nil {
 			return c.lost(false, err)
 		}
@@ -48,10 +48,10 @@
 // message that ends its answer.
 func (c *Conn) transactionQuery(mode chervilladder.TransactionIDQuery) (out []byte, last byte, err error) {
 	if mode == chervilladder.TransactionIDBefore {
-		out, err = (&pgproto3.Query{String: "SELECT pg_current_xact_id_if_assigned()"}).Encode(nil)
+		out, err = (&pgproto3.Query{String: "SELECT pg_current_xact_id_if_assigned()"}).Encode(c.appendMarker(nil))
 		return out, 'Z', err
 	}
-	if out, err = c.prepare(nil, transactionIDStatement); err != nil {
+	if out, err = c.prepare(c.appendMarker(nil), transactionIDStatement); err != nil {
 		return nil, 0, err
 	}
 	messages := []pgproto3.FrontendMessage{
