upstream: test the outcome of work that gets another request's answer

A read is retried, a write is unknown, and a transaction that did not commit is rolled back with its connection.

--- a/internal/upstream/repeat_test.go
+++ b/internal/upstream/repeat_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
 )
 
 // runBatch runs a batch and returns the error with which its answer ends.
@@ -224,3 +225,53 @@
 		})
 	}
 }
+
+// After an answer that belongs to another request, a read is retried. A write isn't, and
+// is reported as unknown or, within a transaction, as rolled back.
+func TestOutcomeAfterARepeatedAnswer(t *testing.T) {
+	lost := func(t *testing.T, x *exchange) error {
+		near, far := net.Pipe()
+		c := newConn(chervilladder.Upstream{ID: "u"}, near)
+		c.setDeadline(time.Now().Add(requestTimeout))
+		server := newRepeater(far)
+		go server.serve()
+		if err := runExtended(t.Context(), c); err != nil {
+			t.Fatal(err)
+		}
+		server.early = 0
+		x.ctx, x.conn, x.state, x.class = t.Context(), c, new(blackboard.Database), &chervilladder.Class{}
+		x.work.Deadline = time.Now().Add(requestTimeout)
+		x.sent = true
+		out, err := (&pgproto3.Query{String: "SELECT 1"}).Encode(nil)
+		if err == nil {
+			err = c.send(chervilladder.Batch{Payload: out})
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = x.next()
+		return err
+	}
+	t.Run("read", func(t *testing.T) {
+		is := is.New(t)
+		x := &exchange{work: chervilladder.Work{Access: chervilladder.AccessRead}}
+		is.True(x.safeToRetry(lost(t, x)))
+	})
+	t.Run("write", func(t *testing.T) {
+		is := is.New(t)
+		x := &exchange{}
+		err := lost(t, x)
+		is.True(!x.safeToRetry(err))
+		var unknown *chervilladder.UnknownError
+		is.True(errors.As(x.fail(err), &unknown))
+	})
+	t.Run("in a transaction", func(t *testing.T) {
+		is := is.New(t)
+		x := &exchange{open: true}
+		err := lost(t, x)
+		is.True(!x.safeToRetry(err))
+		var notRun *chervilladder.NotRunError
+		is.True(errors.As(x.fail(err), &notRun))
+		is.Equal(notRun.Reason, chervilladder.ReasonRolledBack)
+	})
+}
