upstream: serve PostgreSQL upstreams that return no request number

The number of a request is the type of a parameter that its empty statement doesn't use. The published protocol has an upstream describe the parameters that a statement needs, so one may leave it out: then every connection was closed at its first request. A new connection now asks once and, without the number in the answer, sends requests without one, as before. One round trip more for each new connection.

TestUpstreamThatReturnsNoNumberIsServed failed before.

--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -45,6 +45,9 @@
 	secret   []byte
 
 	requests answer.Sequence
+	// unnumbered is set if the upstream doesn't return the number of a marker. Its
+	// requests have none then.
+	unnumbered bool
 	// markerLeft lists the types of the messages that are still to come of the answer to
 	// the last request's marker.
 	markerLeft string
@@ -94,7 +97,11 @@
 	c := newConn(u, nc)
 	stop := context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	if err := c.startUp(user); err != nil {
+	err = c.startUp(user)
+	if err == nil {
+		err = c.detectNumbering()
+	}
+	if err != nil {
 		nc.Close()
 		return nil, err
 	}
--- a/internal/upstream/marker.go
+++ b/internal/upstream/marker.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"fmt"
 
+	"github.com/jackc/pgx/v5/pgproto3"
+
 	"github.com/chervilladder/chervilladder/internal/decide/answer"
 )
 
@@ -20,6 +22,8 @@
 	// markerAnswer lists the types of the messages that answer a marker: ParseComplete,
 	// ParameterDescription and NoData.
 	markerAnswer = "1tn"
+	// refusedMarkerAnswer is the answer of an upstream that refuses a marker.
+	refusedMarkerAnswer = "E"
 	// markerBase is added to a request's number. The sum isn't the id of a type that a
 	// caller's statement can have: upstreams assign those in ascending order.
 	markerBase = 3 << 30
@@ -33,8 +37,46 @@
 	return fmt.Sprintf("message %q is not part of the answer to the last request", e.kind)
 }
 
+// detectNumbering finds out whether the upstream returns the number of a marker: the
+// protocol doesn't oblige it to describe a parameter that the statement doesn't use.
+func (c *Conn) detectNumbering() error {
+	out, err := (&pgproto3.Sync{}).Encode(c.appendMarker(nil))
+	if err != nil {
+		return fmt.Errorf("encode marker: %w", err)
+	}
+	if _, err := c.conn.Write(out); err != nil {
+		return c.lost(false, err)
+	}
+	c.markerLeft = ""
+	types, returned := "", false
+	for {
+		m, err := c.readMessage(nil)
+		if err != nil {
+			return c.lost(false, err)
+		}
+		if isAsynchronous(m) {
+			continue
+		}
+		if m[0] == 'Z' {
+			break
+		}
+		types += string(m[:1])
+		if number, numbered := markerNumber(m); numbered {
+			returned = c.requests.Accept(number)
+		}
+	}
+	if types != markerAnswer && types != refusedMarkerAnswer {
+		return c.lost(false, fmt.Errorf("unexpected messages %q answer a marker", types))
+	}
+	c.unnumbered = !returned
+	return nil
+}
+
 // appendMarker begins a request with its marker.
 func (c *Conn) appendMarker(out []byte) []byte {
+	if c.unnumbered {
+		return out
+	}
 	c.markerLeft = markerAnswer
 	out = append(out, markerParse...)
 	out = binary.BigEndian.AppendUint32(out, markerBase+uint32(c.requests.Next()))
--- a/internal/upstream/repeat_test.go
+++ b/internal/upstream/repeat_test.go
@@ -126,9 +126,34 @@
 	}
 }
 
+// An upstream that doesn't describe parameters which a statement doesn't use must be served
+// too.
+func TestUpstreamThatReturnsNoNumberIsServed(t *testing.T) {
+	is := is.New(t)
+	pool := listen(t, func(r *repeater) { r.unnumbered = true })
+	t.Cleanup(pool.CloseIdle)
+	for n := range 3 {
+		sql := fmt.Sprint("query ", n)
+		text, err := queryText(t.Context(), pool, sql)
+		is.NoErr(err)
+		is.Equal(text, sql)
+	}
+}
+
 // listenRepeating starts an upstream that sends some answers again, and returns a pool of
 // connections to it.
 func listenRepeating(t *testing.T, seed uint64) *Pool {
+	t.Helper()
+	n := uint64(0)
+	return listen(t, func(r *repeater) {
+		r.random = rand.New(rand.NewPCG(seed, n))
+		n++
+	})
+}
+
+// listen starts an upstream, each connection of which is set up by a function, and returns
+// a pool of connections to it.
+func listen(t *testing.T, setUp func(*repeater)) *Pool {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -136,13 +161,13 @@
 	}
 	t.Cleanup(func() { l.Close() })
 	go func() {
-		for n := uint64(0); ; n++ {
+		for {
 			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
 			r := newRepeater(conn)
-			r.random = rand.New(rand.NewPCG(seed, n))
+			setUp(r)
 			go r.startAndServe()
 		}
 	}()
--- a/internal/upstream/repeater_test.go
+++ b/internal/upstream/repeater_test.go
@@ -23,6 +23,8 @@
 	// answer holds the messages that haven't been sent yet, last those that were sent for
 	// the last request.
 	answer, last [][]byte
+	// unnumbered is set if parameters that a statement doesn't use aren't described.
+	unnumbered bool
 	// text is that of the last simple query.
 	text string
 	// random chooses the answers that are sent again after a delay; nil if none is.
@@ -89,6 +91,9 @@
 		r.add(description([]string{"n"}))
 		return
 	}
+	if r.unnumbered {
+		r.parameters = nil
+	}
 	r.add(&pgproto3.ParameterDescription{ParameterOIDs: r.parameters})
 	r.add(&pgproto3.NoData{})
 }
--- a/internal/upstream/row.go
+++ b/internal/upstream/row.go
@@ -40,8 +40,8 @@
 	return c.requestRow(ctx, out, nil)
 }
 
-// requestRow sends messages, which begin with a marker, and returns the last row of the answer. The given columns are
-// used if the answer doesn't describe its own.
+// requestRow sends messages, which begin with a marker, and returns the last row of the
+// answer. The given columns are used if the answer doesn't describe its own.
 func (c *Conn) requestRow(ctx context.Context, out []byte, columns []string) (row, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
