--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -15,6 +15,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/decide/answer"
 )
 
 const readBufferBytes = 16 << 10
@@ -43,6 +44,14 @@
 	process  uint32
 	secret   []byte
 
+	requests answer.Sequence
+	// unnumbered is set if the upstream doesn't return the number of a marker. Its
+	// requests have none then.
+	unnumbered bool
+	// markerLeft lists the types of the messages that are still to come of the answer to
+	// the last request's marker.
+	markerLeft string
+
 	claim    chervilladder.Claim
 	prepared map[string]bool
 	settings []chervilladder.Setting
@@ -88,7 +97,11 @@
 	c := newConn(u, nc)
 	stop := context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	if err := c.startUp(user); err != nil {
+	err = c.startUp(user)
+	if err == nil {
+		err = c.detectNumbering()
+	}
+	if err != nil {
 		nc.Close()
 		return nil, err
 	}
