link, repeat: names and comments that stopped a newcomer

AnswerInDoubtError for an answer that can't be told from another command's, MayRepeatSuccess for what it asks, relyOnRefusal for the three lines of an attempt, and one place that says what a separator is.

--- a/internal/control/statuspoll/prober.go
+++ b/internal/control/statuspoll/prober.go
@@ -164,8 +164,8 @@
 // answeredOther reports whether a status request received the answer to another command.
 // That shows neither the member's status nor that it is down.
 func answeredOther(err error) bool {
-	var unmatched *link.UnmatchedAnswerError
-	return errors.As(err, &unmatched)
+	var inDoubt *link.AnswerInDoubtError
+	return errors.As(err, &inDoubt)
 }
 
 // requestStatus sends one status request, on a connection from get.
--- a/internal/decide/repeat/repeat.go
+++ b/internal/decide/repeat/repeat.go
@@ -132,25 +132,28 @@
 	}
 	j := Judgement{Expected: f.due[0]}
 	a := remember(r, now)
-	memory := &f.unsigned
+	remembered := &f.unsigned
 	if r.Code == chervilladder.CodeNone && Signed.fits(r) {
-		memory = &f.signed
+		remembered = &f.signed
 	}
-	earlier, known := memory.find(a)
-	if known && earlier.whole == a.whole {
+	earlier, sameKey := remembered.find(a)
+	if sameKey && earlier.whole == a.whole {
 		j.Equal, j.Age = true, now.Sub(earlier.at)
 	}
-	j.Verdict = f.verdict(j.Expected, r, j.Equal, known)
+	if sameKey && !j.Equal {
+		j.Verdict = Reject // it has the signature of an earlier one and other rows
+		return j
+	}
+	j.Verdict = f.verdict(j.Expected, r, j.Equal)
 	if j.Verdict == Accept || j.Verdict == Ambiguous {
 		f.due = slices.Delete(f.due, 0, 1) // keeps the slice's memory
-		memory.add(a)
+		remembered.add(a)
 	}
 	return j
 }
 
-// verdict judges an answer. Known is set if an earlier one had the same signature, and
-// equal if one was the same as a whole; without a signature both are the same.
-func (f *Filter) verdict(e Expected, r chervilladder.Result, equal, known bool) Verdict {
+// verdict judges an answer, which may equal an earlier one.
+func (f *Filter) verdict(e Expected, r chervilladder.Result, equal bool) Verdict {
 	switch {
 	case r.Code != chervilladder.CodeNone && (equal || f.displaced > 0):
 		return Ambiguous
@@ -160,8 +163,6 @@
 		return f.unfit(r, equal)
 	case e == Signed && equal:
 		return Skip
-	case e == Signed && known:
-		return Reject // parts of two answers
 	case e == Signed:
 		f.displaced = 0 // what was still to come would have come before
 		return Accept
--- a/internal/link/answer.go
+++ b/internal/link/answer.go
@@ -21,9 +21,12 @@
 	unmatchedAnswers = Metrics.NewCounter("chervilladder_upstream_unmatched_answers_total")
 )
 
-// UnmatchedAnswerError reports an answer that may belong to another command of its
-// connection. Whether the command ran is unknown, and the connection isn't reused.
-type UnmatchedAnswerError struct {
+// AnswerInDoubtError reports an answer that may belong to another command of its
+// connection, or that fits none. Whether the command ran is unknown, and the connection
+// isn't reused. Two answers that are equal by chance can't be told from a repeat; a
+// separator can show which it is: a further command whose answer has another form, so that
+// what comes before it belongs to the commands before.
+type AnswerInDoubtError struct {
 	// Code is the answer's; CodeNone if it reports success.
 	Code chervilladder.Code
 	// Equal is set if the connection has received an equal answer before, Age ago.
@@ -32,7 +35,7 @@
 }
 
 // Error says what is known of the answer.
-func (e *UnmatchedAnswerError) Error() string {
+func (e *AnswerInDoubtError) Error() string {
 	if e.Equal {
 		return fmt.Sprintf("the answer may repeat an equal one that the connection received %s earlier", e.Age)
 	}
@@ -48,12 +51,12 @@
 }
 
 // Receive returns the complete answer to the next command. Its error is an
-// *UpstreamLostError or an *UnmatchedAnswerError; with the latter it returns the answer
+// *UpstreamLostError or an *AnswerInDoubtError; with the latter it returns the answer
 // too, and the connection won't be reused.
 func (c *Conn) Receive(deadline time.Time) (chervilladder.Result, error) {
 	r, err := c.receive(deadline)
-	var unmatched *UnmatchedAnswerError
-	if !errors.As(err, &unmatched) || unmatched.Code == chervilladder.CodeNone || unmatched.Equal {
+	var inDoubt *AnswerInDoubtError
+	if !errors.As(err, &inDoubt) || inDoubt.Code == chervilladder.CodeNone || inDoubt.Equal {
 		return r, err
 	}
 	// An error that may be that of an earlier command. If it is, the answer to this
@@ -80,12 +83,12 @@
 		case repeat.Ambiguous:
 			ambiguousAnswers.Inc()
 			c.inDoubt = true
-			return r, &UnmatchedAnswerError{Code: r.Code, Equal: j.Equal, Age: j.Age}
+			return r, &AnswerInDoubtError{Code: r.Code, Equal: j.Equal, Age: j.Age}
 		default:
 			unmatchedAnswers.Inc()
 			c.inDoubt = true
 			c.noteRepeat("link: the answer belongs to no command that is unanswered", j, r)
-			return r, &UnmatchedAnswerError{Code: r.Code}
+			return r, &AnswerInDoubtError{Code: r.Code}
 		}
 	}
 }
@@ -117,11 +120,11 @@
 		return chervilladder.LinkStatus{}, err
 	}
 	r, err := c.Receive(deadline)
-	if MayBeRepeat(err) {
+	if MayRepeatSuccess(err) {
 		r, err = c.statusAgain(deadline, command)
 	}
-	var unmatched *UnmatchedAnswerError
-	if errors.As(err, &unmatched) && unmatched.Equal && unmatched.Code != chervilladder.CodeNone {
+	var inDoubt *AnswerInDoubtError
+	if errors.As(err, &inDoubt) && inDoubt.Equal && inDoubt.Code != chervilladder.CodeNone {
 		err = nil // refused, now or before
 	}
 	if err != nil {
@@ -137,10 +140,10 @@
 		return chervilladder.Result{}, err
 	}
 	if !c.receiveReset(deadline) {
-		return chervilladder.Result{}, &UnmatchedAnswerError{}
+		return chervilladder.Result{}, &AnswerInDoubtError{}
 	}
 	r, err := c.receive(deadline)
-	if MayBeRepeat(err) {
+	if MayRepeatSuccess(err) {
 		err = nil // the answer to the reset came before it
 	}
 	c.inDoubt = wary || c.wary() || err != nil
@@ -152,7 +155,7 @@
 // too.
 func (c *Conn) ConfirmBegin(deadline time.Time) error {
 	if c.wary() {
-		return &UnmatchedAnswerError{}
+		return &AnswerInDoubtError{}
 	}
 	c.prepare(&confirmation)
 	command := chervilladder.Command{
@@ -166,7 +169,7 @@
 		return err
 	}
 	if r.Code != chervilladder.CodeNone || r.State != chervilladder.StateOpen || c.wary() {
-		return &UnmatchedAnswerError{Code: r.Code}
+		return &AnswerInDoubtError{Code: r.Code}
 	}
 	c.inDoubt = false
 	return nil
@@ -176,11 +179,11 @@
 // transaction.
 var confirmation = Prepared{Shape: "confirmation", Access: chervilladder.AccessRead}
 
-// MayBeRepeat reports whether an error is that of an answer that reports success and equals
-// an earlier one.
-func MayBeRepeat(err error) bool {
-	var unmatched *UnmatchedAnswerError
-	return errors.As(err, &unmatched) && unmatched.Equal && unmatched.Code == chervilladder.CodeNone
+// MayRepeatSuccess reports whether an error is that of an answer that reports success and
+// equals an earlier one.
+func MayRepeatSuccess(err error) bool {
+	var inDoubt *AnswerInDoubtError
+	return errors.As(err, &inDoubt) && inDoubt.Equal && inDoubt.Code == chervilladder.CodeNone
 }
 
 // wary reports whether the upstream has repeated an answer lately.
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -34,9 +34,10 @@
 const maxPrepared = 256
 
 // Conn is a connection that matches answers to commands: it passes over answers that the
-// upstream has repeated. It records the commands that SetupCommands returned as done. If
-// one of them is refused, ForgetSetup must be called; after any other failure the
-// connection must be discarded.
+// upstream has repeated.
+//
+// It records the commands that SetupCommands returned as done. If one of them is refused,
+// ForgetSetup must be called; after any other failure the connection must be discarded.
 type Conn struct {
 	link chervilladder.Link
 	// pool is nil for a dedicated connection.
--- a/internal/session/transaction.go
+++ b/internal/session/transaction.go
@@ -318,7 +318,7 @@
 	}
 	list := append(conn.SetupCommands(t.session.values, w.statement), begin)
 	err = w.runSetupCommands(conn, list)
-	if link.MayBeRepeat(err) {
+	if link.MayRepeatSuccess(err) {
 		err = conn.ConfirmBegin(w.deadline)
 	}
 	if err != nil {
--- a/internal/session/work.go
+++ b/internal/session/work.go
@@ -180,10 +180,7 @@
 	defer slow.Stop()
 	r, err := w.exchange(conn, c)
 	ended = true
-	if err != nil && w.refusedRead(r, err) {
-		r.Mark = chervilladder.Mark{} // it may be older than the command
-		err = nil
-	}
+	r, err = w.relyOnRefusal(r, err)
 	if err != nil {
 		w.handleLost(p, conn, err)
 		next, code := answer.AutocommitLost(w.access)
@@ -198,11 +195,15 @@
 	return w.evaluate(ctx, p, r)
 }
 
-// refusedRead reports whether a read may be treated as refused although the refusal may
-// be that of an earlier command: a read can be repeated.
-func (w *work) refusedRead(r chervilladder.Result, err error) bool {
-	var unmatched *link.UnmatchedAnswerError
-	return w.access == chervilladder.AccessRead && errors.As(err, &unmatched) && r.Code != chervilladder.CodeNone
+// relyOnRefusal treats a read as refused although the refusal may be that of an earlier
+// command: a read can be repeated.
+func (w *work) relyOnRefusal(r chervilladder.Result, err error) (chervilladder.Result, error) {
+	var inDoubt *link.AnswerInDoubtError
+	if w.access != chervilladder.AccessRead || r.Code == chervilladder.CodeNone || !errors.As(err, &inDoubt) {
+		return r, err
+	}
+	r.Mark = chervilladder.Mark{} // it may be older than the command
+	return r, nil
 }
 
 // evaluate records an answer to a single-statement transaction and decides what
@@ -273,8 +274,8 @@
 	var refusal error
 	for range list {
 		r, err := conn.Receive(w.deadline)
-		if err != nil && (refusal == nil || !link.MayBeRepeat(err)) {
-			return err
+		if err != nil && (refusal == nil || !link.MayRepeatSuccess(err)) {
+			return err // behind a refusal, a success in doubt makes no difference
 		}
 		if r.Code != chervilladder.CodeNone && refusal == nil {
 			refusal = &chervilladder.LinkRefusedError{Code: r.Code, Text: r.Text}
@@ -289,8 +290,8 @@
 func (w *work) handleLost(p *placement, conn *link.Conn, err error) {
 	conn.Discard()
 	w.exclude(p.member.ID)
-	var unmatched *link.UnmatchedAnswerError
-	if errors.As(err, &unmatched) {
+	var inDoubt *link.AnswerInDoubtError
+	if errors.As(err, &inDoubt) {
 		return
 	}
 	p.pool.DiscardOlder(w.sentAt)
