lineserver: end messages at CR LF only

The stand-in of an upstream ended a message at LF alone and took a CR before it as optional, as the product does. No test with it could see a text that the product had cut at a line feed. PROTOCOL.md, The wire: a line is terminated by CR LF, and the last field extends to its end.

--- a/internal/standin/lineserver/lineserver.go
+++ b/internal/standin/lineserver/lineserver.go
@@ -5,9 +5,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -17,9 +19,11 @@
 	"github.com/chervilladder/chervilladder/internal/standin/cluster"
 )
 
-// maxLineBytes is the longest message.
+// maxLineBytes is the longest message, without the CR LF that ends it.
 const maxLineBytes = 1 << 20
 
+const crlf = "\r\n"
+
 // Serve answers connections to one member until the context ends.
 func Serve(ctx context.Context, l net.Listener, k *cluster.Cluster, id chervilladder.UpstreamID) error {
 	var connections sync.WaitGroup
@@ -50,8 +54,7 @@
 func serve(ctx context.Context, c net.Conn, k *cluster.Cluster, id chervilladder.UpstreamID) {
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
-	sess := &session{net: c, in: bufio.NewScanner(c)}
-	sess.in.Buffer(nil, maxLineBytes)
+	sess := &session{net: c, in: newScanner(c)}
 	if !sess.connect(ctx, k, id) {
 		return
 	}
@@ -62,13 +65,33 @@
 		c.Close()
 	}()
 	for line := range sess.lines() {
-		word, rest, _ := strings.Cut(strings.TrimSuffix(line, "\r"), " ")
+		word, rest, _ := strings.Cut(line, " ")
 		if word != "QUERY" || !sess.query(rest) {
 			return
 		}
 	}
 }
 
+// newScanner returns a scanner of messages.
+func newScanner(r io.Reader) *bufio.Scanner {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLineBytes+len(crlf))
+	s.Split(splitMessage)
+	return s
+}
+
+// splitMessage is a bufio.SplitFunc. Only CR LF ends a message: its last field may hold
+// either byte alone.
+func splitMessage(data []byte, atEOF bool) (advance int, message []byte, err error) {
+	if end := bytes.Index(data, []byte(crlf)); end >= 0 {
+		return end + len(crlf), data[:end], nil
+	}
+	if atEOF {
+		return len(data), nil, nil // an unfinished message is ignored
+	}
+	return 0, nil, nil
+}
+
 // lines returns the received messages. A goroutine reads them even while a statement
 // runs, so that the statement stops waiting once its caller has closed the connection.
 func (sess *session) lines() <-chan string {
@@ -113,7 +136,7 @@
 }
 
 func (sess *session) write(lines ...string) bool {
-	_, err := sess.net.Write([]byte(strings.Join(lines, "\r\n") + "\r\n"))
+	_, err := sess.net.Write([]byte(strings.Join(lines, crlf) + crlf))
 	return err == nil
 }
 
