--- a/command.go
+++ b/command.go
@@ -1,5 +1,7 @@
 package chervilladder
 
+import "strings"
+
 // CommandID is the id that a caller gave to a command. Commands that the proxy
 // itself sends have none.
 type CommandID string
@@ -58,6 +60,27 @@
 	Term Term
 }
 
+// lineEnd ends a message to an upstream, and fieldSeparator a field that isn't the last.
+const (
+	lineEnd        = "\r\n"
+	fieldSeparator = " "
+)
+
+// Validate returns an *InvalidFieldError if a text of the command would end its field or
+// its message at an upstream, which would take the remainder for something else.
+func (c Command) Validate() error {
+	switch {
+	case strings.Contains(string(c.ID), lineEnd) || strings.Contains(string(c.ID), fieldSeparator):
+		return &InvalidFieldError{Field: "id", Value: string(c.ID)}
+	case strings.Contains(c.Name, lineEnd) || c.Kind != CommandDeallocate && strings.Contains(c.Name, fieldSeparator):
+		return &InvalidFieldError{Field: "name", Value: c.Name}
+	case strings.Contains(c.Rest, lineEnd):
+		return &InvalidFieldError{Field: "text", Value: c.Rest}
+	default:
+		return nil
+	}
+}
+
 // TransactionState is the transaction state of a session after a command.
 type TransactionState uint8
 
--- a/errors.go
+++ b/errors.go
@@ -95,6 +95,18 @@
 // Unwrap returns the cause.
 func (e *UpstreamLostError) Unwrap() error { return e.Err }
 
+// InvalidFieldError reports a text that can't be sent to an upstream as one field of a
+// message. Nothing was sent.
+type InvalidFieldError struct {
+	Field string
+	Value string
+}
+
+// Error names the field. It leaves out the value, which may be long.
+func (e *InvalidFieldError) Error() string {
+	return fmt.Sprintf("the %s holds a line end or a separator of fields", e.Field)
+}
+
 // TermRefusedError reports a ballot that a member refused because it has
 // accepted another one.
 type TermRefusedError struct {
--- a/link.go
+++ b/link.go
@@ -45,7 +45,8 @@
 // Link is one connection to an upstream. It is used by one goroutine at a time;
 // any goroutine may call Close.
 type Link interface {
-	// Send writes commands in one batch. They are answered in order.
+	// Send writes commands in one batch. They are answered in order. If a
+	// command isn't valid, it sends none and returns an *InvalidFieldError.
 	Send(deadline time.Time, commands ...Command) error
 	// Receive returns the complete answer to the next command. Its error
 	// is an *UpstreamLostError, after which the link is unusable.
