session: reject commands with a line end before any work

A link sends no command with a CR LF in a field, but a session would take its error for a lost upstream, and tell the caller of a write that its outcome is unknown. A session now answers such a command with MALFORMED, and its open transaction goes on. A forwarded request is rejected whole if a command, a variable or a prepared statement in it can't be sent: nothing of it runs.

TestCommandWithALineEndIsNotSent and TestForwardedRequestWithALineEndIsRejected failed before.

--- a/internal/session/forwarding.go
+++ b/internal/session/forwarding.go
@@ -27,10 +27,37 @@
 
 func encode(v any) ([]byte, error) { return msgpack.Marshal(v) }
 
+// decodeForwardRequest decodes a request. It returns an *InvalidFieldError if upstreams
+// can't be sent what the request needs.
 func decodeForwardRequest(b []byte) (forwardRequest, error) {
 	var p forwardRequest
-	err := msgpack.Unmarshal(b, &p)
-	return p, err
+	if err := msgpack.Unmarshal(b, &p); err != nil {
+		return p, err
+	}
+	return p, p.validate()
+}
+
+// validate checks the commands, and those that set the variables and prepare the
+// statements.
+func (p *forwardRequest) validate() error {
+	for _, c := range p.Commands {
+		if err := c.Validate(); err != nil {
+			return err
+		}
+	}
+	for name, value := range p.Values {
+		set := chervilladder.Command{Kind: chervilladder.CommandSet, Name: name, Rest: value}
+		if err := set.Validate(); err != nil {
+			return err
+		}
+	}
+	for _, s := range p.Prepared {
+		prepare := chervilladder.Command{Kind: chervilladder.CommandPrepare, Name: s.Name(), Rest: s.Shape}
+		if err := prepare.Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func decodeForwardResponse(b []byte) (forwardResponse, error) {
--- a/internal/session/forwarding_test.go
+++ b/internal/session/forwarding_test.go
@@ -1,13 +1,35 @@
 package session
 
 import (
+	"errors"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/link"
 )
 
+// A VM must not send an upstream what a CR LF in another VM's request would make of it.
+func TestForwardedRequestWithALineEndIsRejected(t *testing.T) {
+	is := is.New(t)
+	const smuggled = "x\r\nQUERY e0 WRITE 2b7 y"
+	for _, p := range []forwardRequest{
+		{Values: map[string]string{"who": smuggled}},
+		{Values: map[string]string{smuggled: "ana"}},
+		{Prepared: map[string]link.Prepared{"s1": {Shape: smuggled}}},
+		{Commands: []chervilladder.Command{{ID: "1", Kind: chervilladder.CommandWrite, Rest: smuggled}}},
+		{Commands: []chervilladder.Command{{ID: smuggled, Kind: chervilladder.CommandCommit}}},
+	} {
+		b, err := encode(p)
+		is.NoErr(err)
+		_, err = decodeForwardRequest(b)
+		var invalid *chervilladder.InvalidFieldError
+		is.True(errors.As(err, &invalid))
+	}
+}
+
 // A forwarded request decodes to what was encoded, and decoding malformed input
 // doesn't panic.
 func FuzzForwarded(f *testing.F) {
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -75,7 +75,9 @@
 	s.enter()
 	defer s.leave()
 	var r chervilladder.Result
-	switch {
+	switch err := c.Validate(); {
+	case err != nil:
+		r = failure(chervilladder.CodeMalformed, err.Error())
 	case s.tx != nil && !s.tx.mayContinue(c.Kind) && c.Kind != chervilladder.CommandRollback:
 		r = s.endTransaction(c)
 	case s.tx != nil:
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -370,6 +370,26 @@
 	})
 }
 
+// A text with a CR LF would run its remainder as a statement. The protocol of callers can't
+// carry one, but this VM must not rely on that.
+func TestCommandWithALineEndIsNotSent(t *testing.T) {
+	bubble(t, clustertest.Config{}, func(is *is.I, w *clustertest.World) {
+		s := w.Open(t, 0, clustertest.PrimaryDB)
+		smuggled := command(chervilladder.CommandWrite, "w", "1a4 x\r\nQUERY e0 WRITE 2b7 y")
+		is.Equal(s.Do(context.Background(), smuggled).Code, chervilladder.CodeMalformed)
+		value := chervilladder.Command{ID: "s", Kind: chervilladder.CommandSet, Name: "a", Rest: "b\r\nTERM"}
+		is.Equal(s.Do(context.Background(), value).Code, chervilladder.CodeMalformed)
+		do(t, s, begin())
+		do(t, s, write("w1"))
+		r := s.Do(context.Background(), smuggled)
+		is.Equal(r.Code, chervilladder.CodeMalformed)
+		is.Equal(r.State, chervilladder.StateOpen)
+		do(t, s, commit())
+		is.Equal(len(runsOf(w.Cluster, "w")), 0)
+		is.Equal(len(runOf(t, w.Cluster, "w1").Values), 0)
+	})
+}
+
 func TestInvalidCommands(t *testing.T) {
 	bubble(t, clustertest.Config{}, func(is *is.I, w *clustertest.World) {
 		s := w.Open(t, 0, clustertest.PrimaryDB)
