peer: forward work of callers whose names aren't UTF-8

A caller whose name in CONNECT isn't valid UTF-8 was served by a VM that hosts its service, and never by one that forwards: a Work message can't be encoded with such a name, so each exchange failed to open. Invalid bytes are replaced now; the name only spreads callers over VMs and flows. The caller's texts travel as bytes and were not affected.

TestWorkOfACallerWhoseNameIsNotUTF8 failed before: "string field contains invalid UTF-8".

--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/chervilladder/chervilladder"
@@ -25,7 +26,7 @@
 		Service:  string(w.Service),
 		Class:    string(w.Class),
 		Session:  string(w.Session),
-		Caller:   w.Caller,
+		Caller:   strings.ToValidUTF8(w.Caller, "\uFFFD"),
 		Access:   uint32(w.Access),
 		Seen:     encodeMark(w.Seen),
 		BudgetUs: uint64(max(0, time.Until(w.Deadline)/time.Microsecond)),
--- a/internal/peer/convert_test.go
+++ b/internal/peer/convert_test.go
@@ -28,6 +28,17 @@
 	is.Equal(decodeReply(encodeReply(reply).GetReply()), reply)
 }
 
+// The work of a caller whose name isn't valid UTF-8 used to fail at each VM that it was
+// forwarded to.
+func TestWorkOfACallerWhoseNameIsNotUTF8(t *testing.T) {
+	is := is.New(t)
+	b, err := proto.Marshal(encodeWork(chervilladder.Work{Database: "d", Caller: "u\xff3"}))
+	is.NoErr(err)
+	var w peerpb.Work
+	is.NoErr(proto.Unmarshal(b, &w))
+	is.Equal(decodeWork(&w).Caller, "u\uFFFD3")
+}
+
 func TestFailureRoundTrip(t *testing.T) {
 	is := is.New(t)
 	notRun := &chervilladder.NotRunError{Database: "d", Reason: chervilladder.ReasonOverload, RetryAfter: time.Second}
