--- a/internal/session/repeated_answer_test.go
+++ b/internal/session/repeated_answer_test.go
@@ -79,6 +79,11 @@
 	})
 }
 
+// refusals are the codes that promise that a command didn't run.
+var refusals = map[string]chervilladder.Code{
+	"busy": chervilladder.CodeBusy, "lagging": chervilladder.CodeLagging, "read-only": chervilladder.CodeReadOnly,
+}
+
 // answered records the answers to callers' statements, none of whose ids contains
 // another.
 type answered struct {
@@ -283,10 +288,9 @@
 // A write that ran must not be reported as refused, or run again, for the late second
 // refusal of an earlier statement or attempt.
 func TestRepeatedRefusalIsNotThatOfAWriteThatRan(t *testing.T) {
-	codes := map[string]chervilladder.Code{"busy": chervilladder.CodeBusy, "lagging": chervilladder.CodeLagging, "read-only": chervilladder.CodeReadOnly}
 	for path, enter := range paths {
 		for _, refused := range []string{"read", "write", "begin"} {
-			for name, code := range codes {
+			for name, code := range refusals {
 				t.Run(path+"/"+refused+"/"+name, func(t *testing.T) {
 					for _, delay := range []time.Duration{whileIdle, whileAwaited, idlePause, 2 * idlePause} {
 						enter(t, func(t *testing.T, w *clustertest.World, s chervilladder.Session) {
@@ -309,7 +313,7 @@
 // answer to an earlier BEGIN was taken for that to a BEGIN that was refused.
 func TestRepeatedBeginIsNotTheAnswerToARefusedBegin(t *testing.T) {
 	for path, enter := range paths {
-		for name, code := range map[string]chervilladder.Code{"busy": chervilladder.CodeBusy, "lagging": chervilladder.CodeLagging, "read-only": chervilladder.CodeReadOnly} {
+		for name, code := range refusals {
 			t.Run(path+"/"+name, func(t *testing.T) {
 				enter(t, func(t *testing.T, w *clustertest.World, s chervilladder.Session) {
 					var a answered
@@ -326,6 +330,40 @@
 	}
 }
 
+// A write must not be reported as refused, or run again, because the late second answer to
+// an earlier SET or RESET was taken for that to one that was refused: then the refusal is
+// received as the answer to the write.
+func TestRepeatedSetUpIsNotTheAnswerToARefusedOne(t *testing.T) {
+	for path, enter := range paths {
+		for _, kind := range []string{"set", "reset"} {
+			for name, code := range refusals {
+				t.Run(path+"/"+kind+"/"+name, func(t *testing.T) {
+					enter(t, func(t *testing.T, w *clustertest.World, s chervilladder.Session) {
+						a := answered{other: w.Open(t, callersVM[path], clustertest.PrimaryDB)}
+						const afterRead = 8 * time.Millisecond // a read takes 5
+						repeatOnce(w, kinds[kind].kind, afterRead)
+						kinds[kind].run(&a, s, "first")
+						time.Sleep(idlePause)
+						refuseOnce(w, kinds[kind].kind, code, -1)
+						setter := s
+						if kind == "reset" {
+							setter = a.other
+						}
+						setter.Do(context.Background(), chervilladder.Command{Kind: chervilladder.CommandSet, ID: "s", Name: "lang", Rest: "second"})
+						if kind == "reset" {
+							a.statement(setter, read("between"))
+						}
+						for i := range 3 {
+							a.statement(s, write(fmt.Sprintf("w%d", i)))
+						}
+						a.check(t, w)
+					})
+				})
+			}
+		}
+	}
+}
+
 // One repeated answer must not leave a connection one answer off.
 func TestConnectionIsNotLeftOffByOneRepeatedAnswer(t *testing.T) {
 	const further = 100
