--- a/internal/standin/cluster/repeat.go
+++ b/internal/standin/cluster/repeat.go
@@ -74,14 +74,22 @@
 
 // answer passes an answer to the reader of the link, and again later if it is repeated.
 func (l *link) answer(c chervilladder.Command, a answer) {
-	l.answers <- a
-	if a.err != nil {
+	l.pass(a)
+	if a.err == nil {
+		l.conn.RepeatLater(c, a.result.Code, func() { l.pass(a) })
+	}
+}
+
+// pass passes an answer to the reader of the link. While too many are unread it waits, until
+// the connection is closed.
+func (l *link) pass(a answer) {
+	select {
+	case l.answers <- a:
 		return
+	default:
+	}
+	select {
+	case l.answers <- a:
+	case <-l.conn.Broken():
 	}
-	l.conn.RepeatLater(c, a.result.Code, func() {
-		select {
-		case l.answers <- a:
-		case <-l.conn.Broken():
-		}
-	})
 }
