session: repeated answers among refusals, and the session's values, failing

Ten seeds on three paths: a quarter of the answers repeated and a tenth of the commands refused, in random order.

--- a/internal/session/repeated_answer_test.go
+++ b/internal/session/repeated_answer_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -92,6 +95,8 @@
 
 	mu   sync.Mutex
 	list []answeredStatement
+	// lang is the value of the variable that a session has set.
+	lang map[chervilladder.Session]string
 }
 
 type answeredStatement struct {
@@ -99,20 +104,25 @@
 	result  chervilladder.Result
 	// transaction is set for a statement of a transaction.
 	transaction bool
+	// lang is the value of its session's variable.
+	lang string
 	// commit is the answer to the COMMIT, if one was sent.
 	commit *chervilladder.Result
 }
 
-func (a *answered) add(list ...answeredStatement) {
+func (a *answered) add(s chervilladder.Session, list ...answeredStatement) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.list = append(a.list, list...)
+	for _, statement := range list {
+		statement.lang = a.lang[s]
+		a.list = append(a.list, statement)
+	}
 }
 
 // statement runs a statement outside of a transaction and reports whether it was served.
 func (a *answered) statement(s chervilladder.Session, c chervilladder.Command) bool {
 	r := s.Do(context.Background(), c)
-	a.add(answeredStatement{command: c, result: r})
+	a.add(s, answeredStatement{command: c, result: r})
 	return r.Code == chervilladder.CodeNone
 }
 
@@ -127,7 +137,7 @@
 		list = append(list, answeredStatement{command: c, result: r, transaction: true})
 		if r.Code != chervilladder.CodeNone {
 			s.Do(context.Background(), rollback())
-			a.add(list...)
+			a.add(s, list...)
 			return false
 		}
 	}
@@ -135,7 +145,7 @@
 	for i := range list {
 		list[i].commit = &r
 	}
-	a.add(list...)
+	a.add(s, list...)
 	return r.Code == chervilladder.CodeNone
 }
 
@@ -157,6 +167,9 @@
 		if s.result.Code == chervilladder.CodeNone && !ownAnswer(s) {
 			found = append(found, fmt.Sprintf("%s got the rows %q and the signature %q", id, s.result.Rows, s.result.Signature))
 		}
+		if s.result.Code == chervilladder.CodeNone && !s.ranWithItsValue(runsOf(w.Cluster, id)) {
+			found = append(found, fmt.Sprintf("%s ran without the value %q of its session", id, s.lang))
+		}
 		if s.command.Kind == chervilladder.CommandWrite && primary != "" {
 			found = append(found, s.checkWrite(logged(w.Cluster, primary, id))...)
 		}
@@ -164,6 +177,11 @@
 	return found
 }
 
+// ranWithItsValue reports whether one of the runs of a statement had its session's value.
+func (s answeredStatement) ranWithItsValue(runs []cluster.Execution) bool {
+	return slices.ContainsFunc(runs, func(r cluster.Execution) bool { return r.Values["lang"] == s.lang })
+}
+
 func ownAnswer(s answeredStatement) bool {
 	id := string(s.command.ID)
 	if !strings.Contains(string(s.result.Signature), id) {
@@ -233,6 +251,12 @@
 // set changes a session variable and reads.
 func set(a *answered, s chervilladder.Session, id string) bool {
 	r := s.Do(context.Background(), chervilladder.Command{Kind: chervilladder.CommandSet, ID: "s", Name: "lang", Rest: id})
+	a.mu.Lock()
+	if a.lang == nil {
+		a.lang = make(map[chervilladder.Session]string)
+	}
+	a.lang[s] = id
+	a.mu.Unlock()
 	return r.Code == chervilladder.CodeNone && a.statement(s, read(id))
 }
 
@@ -248,7 +272,7 @@
 		return false
 	}
 	r := s.Do(context.Background(), read(id))
-	a.add(answeredStatement{command: read(id), result: r, transaction: true})
+	a.add(s, answeredStatement{command: read(id), result: r, transaction: true})
 	s.Do(context.Background(), rollback())
 	return r.Code == chervilladder.CodeNone
 }
@@ -349,10 +373,7 @@
 						if kind == "reset" {
 							setter = a.other
 						}
-						setter.Do(context.Background(), chervilladder.Command{Kind: chervilladder.CommandSet, ID: "s", Name: "lang", Rest: "second"})
-						if kind == "reset" {
-							a.statement(setter, read("between"))
-						}
+						set(&a, setter, "second")
 						for i := range 3 {
 							a.statement(s, write(fmt.Sprintf("w%d", i)))
 						}
@@ -433,3 +454,45 @@
 	a.check(t, w)
 	is.NewRelaxed(t).True(served.Load()*5 >= sessions*each*4)
 }
+
+// While many answers are repeated and commands of all kinds are refused, whatever a caller
+// is told must be true.
+func TestRepeatedAnswersAndRefusalsAreNotMixedUp(t *testing.T) {
+	const seeds = 10
+	for seed := range uint64(seeds) {
+		for _, path := range []string{"direct", "one-connection", "forwarded"} {
+			t.Run(fmt.Sprintf("%s/seed-%d", path, seed), func(t *testing.T) {
+				paths[path](t, func(t *testing.T, w *clustertest.World, s chervilladder.Session) {
+					setFaults(w, func(f *cluster.Faults) {
+						f.Repeat = cluster.RandomRepeats(cluster.RandomRepeatsConfig{Seed: seed, Share: 0.25, MaxDelay: 60 * time.Millisecond})
+						f.Refuse = refuseAtRandom(seed)
+					})
+					a := answered{other: w.Open(t, callersVM[path], clustertest.PrimaryDB)}
+					rng := rand.New(rand.NewPCG(seed, 3))
+					names := slices.Sorted(maps.Keys(kinds))
+					for i := range 200 {
+						kinds[names[rng.IntN(len(names))]].run(&a, s, fmt.Sprintf("n%03d", i))
+						time.Sleep(time.Duration(rng.IntN(30)) * time.Millisecond)
+					}
+					setFaults(w, func(f *cluster.Faults) { f.Repeat, f.Refuse = nil, nil })
+					a.check(t, w)
+				})
+			})
+		}
+	}
+}
+
+// refuseAtRandom refuses one command in ten of those that callers' work consists of.
+func refuseAtRandom(seed uint64) cluster.Refuse {
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(seed, 2))
+	codes := []chervilladder.Code{chervilladder.CodeBusy, chervilladder.CodeLagging, chervilladder.CodeReadOnly}
+	return func(c chervilladder.Command) chervilladder.Code {
+		mu.Lock()
+		defer mu.Unlock()
+		if c.Kind == chervilladder.CommandRollback || rng.IntN(10) > 0 {
+			return chervilladder.CodeNone
+		}
+		return codes[rng.IntN(len(codes))]
+	}
+}
