--- a/internal/session/repeated_answer_test.go
+++ b/internal/session/repeated_answer_test.go
@@ -95,7 +95,7 @@
 
 	mu   sync.Mutex
 	list []answeredStatement
-	// lang is the value of the variable that a session has set.
+	// lang is the value of the variable of a session, for those that use set or reset.
 	lang map[chervilladder.Session]string
 }
 
@@ -104,8 +104,8 @@
 	result  chervilladder.Result
 	// transaction is set for a statement of a transaction.
 	transaction bool
-	// lang is the value of its session's variable.
-	lang string
+	// lang is the value of its session's variable; nil if that isn't known.
+	lang *string
 	// commit is the answer to the COMMIT, if one was sent.
 	commit *chervilladder.Result
 }
@@ -114,7 +114,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, statement := range list {
-		statement.lang = a.lang[s]
+		if lang, known := a.lang[s]; known {
+			statement.lang = &lang
+		}
 		a.list = append(a.list, statement)
 	}
 }
@@ -168,7 +170,7 @@
 			found = append(found, fmt.Sprintf("%s got the rows %q and the signature %q", id, s.result.Rows, s.result.Signature))
 		}
 		if s.result.Code == chervilladder.CodeNone && !s.ranWithItsValue(runsOf(w.Cluster, id)) {
-			found = append(found, fmt.Sprintf("%s ran without the value %q of its session", id, s.lang))
+			found = append(found, fmt.Sprintf("%s ran without the value %q of its session", id, *s.lang))
 		}
 		if s.command.Kind == chervilladder.CommandWrite && primary != "" {
 			found = append(found, s.checkWrite(logged(w.Cluster, primary, id))...)
@@ -179,7 +181,7 @@
 
 // ranWithItsValue reports whether one of the runs of a statement had its session's value.
 func (s answeredStatement) ranWithItsValue(runs []cluster.Execution) bool {
-	return slices.ContainsFunc(runs, func(r cluster.Execution) bool { return r.Values["lang"] == s.lang })
+	return s.lang == nil || slices.ContainsFunc(runs, func(r cluster.Execution) bool { return r.Values["lang"] == *s.lang })
 }
 
 func ownAnswer(s answeredStatement) bool {
@@ -248,21 +250,29 @@
 	"rollback": {rolledBack, chervilladder.CommandRollback},
 }
 
-// set changes a session variable and reads.
-func set(a *answered, s chervilladder.Session, id string) bool {
-	r := s.Do(context.Background(), chervilladder.Command{Kind: chervilladder.CommandSet, ID: "s", Name: "lang", Rest: id})
+// noteLang records the value of a session's variable.
+func (a *answered) noteLang(s chervilladder.Session, value string) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	if a.lang == nil {
 		a.lang = make(map[chervilladder.Session]string)
 	}
-	a.lang[s] = id
-	a.mu.Unlock()
+	a.lang[s] = value
+}
+
+// set changes a session variable and reads.
+func set(a *answered, s chervilladder.Session, id string) bool {
+	r := s.Do(context.Background(), chervilladder.Command{Kind: chervilladder.CommandSet, ID: "s", Name: "lang", Rest: id})
+	a.noteLang(s, id)
 	return r.Code == chervilladder.CodeNone && a.statement(s, read(id))
 }
 
 // reset has another session set a variable that this one lacks, so that the connection is
 // reset before the read.
 func reset(a *answered, s chervilladder.Session, id string) bool {
+	if _, known := a.lang[s]; !known {
+		a.noteLang(s, "")
+	}
 	return set(a, a.other, id+"-other") && a.statement(s, read(id+"-own"))
 }
 
