--- a/internal/session/repeated_answer_test.go
+++ b/internal/session/repeated_answer_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -79,6 +82,11 @@
 	})
 }
 
+// refusals are the codes that promise that a command didn't run.
+var refusals = map[string]chervilladder.Code{
+	"busy": chervilladder.CodeBusy, "lagging": chervilladder.CodeLagging, "read-only": chervilladder.CodeReadOnly,
+}
+
 // answered records the answers to callers' statements, none of whose ids contains
 // another.
 type answered struct {
@@ -87,6 +95,8 @@
 
 	mu   sync.Mutex
 	list []answeredStatement
+	// lang is the value of the variable of a session, for those that use set or reset.
+	lang map[chervilladder.Session]string
 }
 
 type answeredStatement struct {
@@ -94,20 +104,27 @@
 	result  chervilladder.Result
 	// transaction is set for a statement of a transaction.
 	transaction bool
+	// lang is the value of its session's variable; nil if that isn't known.
+	lang *string
 	// commit is the answer to the COMMIT, if one was sent.
 	commit *chervilladder.Result
 }
 
-func (a *answered) add(list ...answeredStatement) {
+func (a *answered) add(s chervilladder.Session, list ...answeredStatement) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.list = append(a.list, list...)
+	for _, statement := range list {
+		if lang, known := a.lang[s]; known {
+			statement.lang = &lang
+		}
+		a.list = append(a.list, statement)
+	}
 }
 
 // statement runs a statement outside of a transaction and reports whether it was served.
 func (a *answered) statement(s chervilladder.Session, c chervilladder.Command) bool {
 	r := s.Do(context.Background(), c)
-	a.add(answeredStatement{command: c, result: r})
+	a.add(s, answeredStatement{command: c, result: r})
 	return r.Code == chervilladder.CodeNone
 }
 
@@ -122,7 +139,7 @@
 		list = append(list, answeredStatement{command: c, result: r, transaction: true})
 		if r.Code != chervilladder.CodeNone {
 			s.Do(context.Background(), rollback())
-			a.add(list...)
+			a.add(s, list...)
 			return false
 		}
 	}
@@ -130,7 +147,7 @@
 	for i := range list {
 		list[i].commit = &r
 	}
-	a.add(list...)
+	a.add(s, list...)
 	return r.Code == chervilladder.CodeNone
 }
 
@@ -152,6 +169,9 @@
 		if s.result.Code == chervilladder.CodeNone && !ownAnswer(s) {
 			found = append(found, fmt.Sprintf("%s got the rows %q and the signature %q", id, s.result.Rows, s.result.Signature))
 		}
+		if s.result.Code == chervilladder.CodeNone && !s.ranWithItsValue(runsOf(w.Cluster, id)) {
+			found = append(found, fmt.Sprintf("%s ran without the value %q of its session", id, *s.lang))
+		}
 		if s.command.Kind == chervilladder.CommandWrite && primary != "" {
 			found = append(found, s.checkWrite(logged(w.Cluster, primary, id))...)
 		}
@@ -159,6 +179,11 @@
 	return found
 }
 
+// ranWithItsValue reports whether one of the runs of a statement had its session's value.
+func (s answeredStatement) ranWithItsValue(runs []cluster.Execution) bool {
+	return s.lang == nil || slices.ContainsFunc(runs, func(r cluster.Execution) bool { return r.Values["lang"] == *s.lang })
+}
+
 func ownAnswer(s answeredStatement) bool {
 	id := string(s.command.ID)
 	if !strings.Contains(string(s.result.Signature), id) {
@@ -225,15 +250,29 @@
 	"rollback": {rolledBack, chervilladder.CommandRollback},
 }
 
+// noteLang records the value of a session's variable.
+func (a *answered) noteLang(s chervilladder.Session, value string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.lang == nil {
+		a.lang = make(map[chervilladder.Session]string)
+	}
+	a.lang[s] = value
+}
+
 // set changes a session variable and reads.
 func set(a *answered, s chervilladder.Session, id string) bool {
 	r := s.Do(context.Background(), chervilladder.Command{Kind: chervilladder.CommandSet, ID: "s", Name: "lang", Rest: id})
+	a.noteLang(s, id)
 	return r.Code == chervilladder.CodeNone && a.statement(s, read(id))
 }
 
 // reset has another session set a variable that this one lacks, so that the connection is
 // reset before the read.
 func reset(a *answered, s chervilladder.Session, id string) bool {
+	if _, known := a.lang[s]; !known {
+		a.noteLang(s, "")
+	}
 	return set(a, a.other, id+"-other") && a.statement(s, read(id+"-own"))
 }
 
@@ -243,7 +282,7 @@
 		return false
 	}
 	r := s.Do(context.Background(), read(id))
-	a.add(answeredStatement{command: read(id), result: r, transaction: true})
+	a.add(s, answeredStatement{command: read(id), result: r, transaction: true})
 	s.Do(context.Background(), rollback())
 	return r.Code == chervilladder.CodeNone
 }
@@ -283,10 +322,9 @@
 // A write that ran must not be reported as refused, or run again, for the late second
 // refusal of an earlier statement or attempt.
 func TestRepeatedRefusalIsNotThatOfAWriteThatRan(t *testing.T) {
-	codes := map[string]chervilladder.Code{"busy": chervilladder.CodeBusy, "lagging": chervilladder.CodeLagging, "read-only": chervilladder.CodeReadOnly}
 	for path, enter := range paths {
 		for _, refused := range []string{"read", "write", "begin"} {
-			for name, code := range codes {
+			for name, code := range refusals {
 				t.Run(path+"/"+refused+"/"+name, func(t *testing.T) {
 					for _, delay := range []time.Duration{whileIdle, whileAwaited, idlePause, 2 * idlePause} {
 						enter(t, func(t *testing.T, w *clustertest.World, s chervilladder.Session) {
@@ -309,7 +347,7 @@
 // answer to an earlier BEGIN was taken for that to a BEGIN that was refused.
 func TestRepeatedBeginIsNotTheAnswerToARefusedBegin(t *testing.T) {
 	for path, enter := range paths {
-		for name, code := range map[string]chervilladder.Code{"busy": chervilladder.CodeBusy, "lagging": chervilladder.CodeLagging, "read-only": chervilladder.CodeReadOnly} {
+		for name, code := range refusals {
 			t.Run(path+"/"+name, func(t *testing.T) {
 				enter(t, func(t *testing.T, w *clustertest.World, s chervilladder.Session) {
 					var a answered
@@ -326,6 +364,37 @@
 	}
 }
 
+// A write must not be reported as refused, or run again, because the late second answer to
+// an earlier SET or RESET was taken for that to one that was refused: then the refusal is
+// received as the answer to the write.
+func TestRepeatedSetUpIsNotTheAnswerToARefusedOne(t *testing.T) {
+	for path, enter := range paths {
+		for _, kind := range []string{"set", "reset"} {
+			for name, code := range refusals {
+				t.Run(path+"/"+kind+"/"+name, func(t *testing.T) {
+					enter(t, func(t *testing.T, w *clustertest.World, s chervilladder.Session) {
+						a := answered{other: w.Open(t, callersVM[path], clustertest.PrimaryDB)}
+						const afterRead = 8 * time.Millisecond // a read takes 5
+						repeatOnce(w, kinds[kind].kind, afterRead)
+						kinds[kind].run(&a, s, "first")
+						time.Sleep(idlePause)
+						refuseOnce(w, kinds[kind].kind, code, -1)
+						setter := s
+						if kind == "reset" {
+							setter = a.other
+						}
+						set(&a, setter, "second")
+						for i := range 3 {
+							a.statement(s, write(fmt.Sprintf("w%d", i)))
+						}
+						a.check(t, w)
+					})
+				})
+			}
+		}
+	}
+}
+
 // One repeated answer must not leave a connection one answer off.
 func TestConnectionIsNotLeftOffByOneRepeatedAnswer(t *testing.T) {
 	const further = 100
@@ -395,3 +464,45 @@
 	a.check(t, w)
 	is.NewRelaxed(t).True(served.Load()*5 >= sessions*each*4)
 }
+
+// While many answers are repeated and commands of all kinds are refused, whatever a caller
+// is told must be true.
+func TestRepeatedAnswersAndRefusalsAreNotMixedUp(t *testing.T) {
+	const seeds = 10
+	for seed := range uint64(seeds) {
+		for _, path := range []string{"direct", "one-connection", "forwarded"} {
+			t.Run(fmt.Sprintf("%s/seed-%d", path, seed), func(t *testing.T) {
+				paths[path](t, func(t *testing.T, w *clustertest.World, s chervilladder.Session) {
+					setFaults(w, func(f *cluster.Faults) {
+						f.Repeat = cluster.RandomRepeats(cluster.RandomRepeatsConfig{Seed: seed, Share: 0.25, MaxDelay: 60 * time.Millisecond})
+						f.Refuse = refuseAtRandom(seed)
+					})
+					a := answered{other: w.Open(t, callersVM[path], clustertest.PrimaryDB)}
+					rng := rand.New(rand.NewPCG(seed, 3))
+					names := slices.Sorted(maps.Keys(kinds))
+					for i := range 200 {
+						kinds[names[rng.IntN(len(names))]].run(&a, s, fmt.Sprintf("n%03d", i))
+						time.Sleep(time.Duration(rng.IntN(30)) * time.Millisecond)
+					}
+					setFaults(w, func(f *cluster.Faults) { f.Repeat, f.Refuse = nil, nil })
+					a.check(t, w)
+				})
+			})
+		}
+	}
+}
+
+// refuseAtRandom refuses one command in ten of those that callers' work consists of.
+func refuseAtRandom(seed uint64) cluster.Refuse {
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(seed, 2))
+	codes := []chervilladder.Code{chervilladder.CodeBusy, chervilladder.CodeLagging, chervilladder.CodeReadOnly}
+	return func(c chervilladder.Command) chervilladder.Code {
+		mu.Lock()
+		defer mu.Unlock()
+		if c.Kind == chervilladder.CommandRollback || rng.IntN(10) > 0 {
+			return chervilladder.CodeNone
+		}
+		return codes[rng.IntN(len(codes))]
+	}
+}
