session: writes carry no minimum position

Once a session had a position, its writes outside of a transaction reached the upstream as "SINCE 1.2 WRITE ...".

The position kept a write from a primary of an older term than its session had observed. The VM itself does that now: it waits until its own view has reached that term. Within one term the primary holds what the session has seen.

--- a/internal/session/place.go
+++ b/internal/session/place.go
@@ -164,6 +164,12 @@
 		// this primary was promoted. Its log is now the authoritative one.
 		p.minMark = chervilladder.Mark{}
 	}
+	if w.access == chervilladder.AccessWrite && required.mark.Term > view.Term {
+		// This VM hasn't seen the primary of the term that the session has observed. A
+		// write bears no position by which an outdated one would refuse it.
+		w.cluster.PollTrigger.Ask()
+		return nil, errPrimaryChanged
+	}
 	if p.primary && w.needsProof(p) {
 		if err := w.awaitProof(ctx, id); err != nil {
 			return nil, err
--- a/internal/session/reach_test.go
+++ b/internal/session/reach_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/clustertest"
 	"github.com/chervilladder/chervilladder/internal/standin/cluster"
 )
@@ -171,3 +172,23 @@
 		is.Equal(len(w.Cluster.Promotions()), 0)
 	})
 }
+
+// A VM that hasn't seen the primary of the term that a session has observed must not send
+// the session's write to an older one.
+func TestWriteWaitsForThePrimaryOfItsSessionsTerm(t *testing.T) {
+	bubble(t, clustertest.Config{}, func(is *is.I, w *clustertest.World) {
+		s := w.Open(t, 0, clustertest.PrimaryDB)
+		do(t, s, write("first"))
+		view := &w.VMs[0].Board.Clusters.Get(clustertest.Service).View
+		view.Update(func(v blackboard.ClusterView) blackboard.ClusterView {
+			v.Term = 0
+			return v
+		})
+		outdated := time.Now()
+		do(t, s, write("second"))
+		runs := runsOf(w.Cluster, "second")
+		is.Equal(len(runs), 1)
+		is.True(runs[0].At.After(outdated)) // not at once: the view was corrected by a poll first
+		is.Equal(view.Load().Term, chervilladder.Term(1))
+	})
+}
--- a/internal/session/work.go
+++ b/internal/session/work.go
@@ -164,7 +164,9 @@
 		return failure(code, err.Error()), answer.Retry
 	}
 	c := w.toSend
-	c.Since = p.minMark
+	if w.access == chervilladder.AccessRead {
+		c.Since = p.minMark
+	}
 	// A late answer may be lost: its slot is given to other work, and the member's
 	// status is polled, as the member may be down.
 	ended := false
