--- a/internal/session/repeated_answer_test.go
+++ b/internal/session/repeated_answer_test.go
@@ -468,7 +468,7 @@
 // While many answers are repeated and commands of all kinds are refused, whatever a caller
 // is told must be true.
 func TestRepeatedAnswersAndRefusalsAreNotMixedUp(t *testing.T) {
-	const seeds = 10
+	const seeds = 25
 	for seed := range uint64(seeds) {
 		for _, path := range []string{"direct", "one-connection", "forwarded"} {
 			t.Run(fmt.Sprintf("%s/seed-%d", path, seed), func(t *testing.T) {
