--- a/internal/decide/repeat/repeat.go
+++ b/internal/decide/repeat/repeat.go
@@ -145,9 +145,12 @@
 		return j
 	}
 	j.Verdict = f.verdict(j.Expected, r, j.Equal)
-	if j.Verdict == Accept || j.Verdict == Ambiguous {
+	switch j.Verdict {
+	case Accept, Ambiguous:
 		f.due = slices.Delete(f.due, 0, 1) // keeps the slice's memory
 		remembered.add(a)
+	case Skip:
+		remembered.add(a) // a displaced answer may be repeated too
 	}
 	return j
 }
