Client accounts and quotas: types, interfaces and messages

Cause: two customers identify their callers by keys and limit each client account over all VMs; nothing of that exists.

Sessions.Open takes a Key. Nothing uses accounts yet: without them a key only tells callers apart, as the text before it did.

--- /dev/null
+++ b/account.go
@@ -0,0 +1,83 @@
+package chervilladder
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+)
+
+// AccountID names a client account: the callers that share its keys and its quota.
+type AccountID string
+
+// Key is the secret by which a caller proves its client account. Where the
+// configuration names no client accounts, it is any word that tells callers apart. It
+// must not be logged or sent to peers or upstreams; formatting it hides its content.
+type Key string
+
+// String hides the key.
+func (Key) String() string { return "[key]" }
+
+// GoString hides the key from %#v.
+func (Key) GoString() string { return "[key]" }
+
+// KeySalt is the random value with which a VM digests the keys of a configuration that
+// it has read.
+type KeySalt []byte
+
+// KeyDigest identifies a key without revealing it. It depends on a KeySalt.
+type KeyDigest string
+
+// saltBytes and digestBytes are the sizes of a salt and of a digest before its encoding.
+const (
+	saltBytes   = 16
+	digestBytes = 16
+)
+
+// NewKeySalt returns a random salt.
+func NewKeySalt() KeySalt {
+	salt := make(KeySalt, saltBytes)
+	rand.Read(salt) // never fails
+	return salt
+}
+
+// Digest returns the digest of a key.
+func (s KeySalt) Digest(k Key) KeyDigest {
+	mac := hmac.New(sha256.New, s)
+	mac.Write([]byte(k))
+	return KeyDigest(base64.RawStdEncoding.EncodeToString(mac.Sum(nil)[:digestBytes]))
+}
+
+// Accounts holds the client accounts of a configuration. It is immutable. Peers receive
+// it with the salt, so that they can look up keys that they have never seen.
+type Accounts struct {
+	Salt   KeySalt
+	Keys   map[KeyDigest]AccountID
+	Quotas map[AccountID]Quota
+}
+
+// Holder returns the client account that holds a key. The time that a look-up takes
+// depends on the digest only, which a caller can't predict without the salt.
+func (a *Accounts) Holder(k Key) (AccountID, bool) {
+	if a == nil {
+		return "", false
+	}
+	id, ok := a.Keys[a.Salt.Digest(k)]
+	return id, ok
+}
+
+// Identity is whose a caller is.
+type Identity struct {
+	// Account is empty if the configuration names no client accounts, or if the route
+	// admits callers without one.
+	Account AccountID
+	// Name tells callers apart for fair queueing and in logs. It reveals no key.
+	Name string
+}
+
+// Authenticator says whose callers are.
+type Authenticator interface {
+	// Authenticate returns the identity of a caller that presents a key at a
+	// database. Its error is a *DeniedError.
+	Authenticate(r Route, k Key) (Identity, error)
+}
--- a/bounds.go
+++ b/bounds.go
@@ -15,6 +15,12 @@
 	// ConfigInForce is the time within which a configuration must be in force
 	// after the operator's write of it was accepted; zero means no limit.
 	ConfigInForce time.Duration
+	// AccountsRequired is set if the deployment serves only callers of client accounts,
+	// also while the configuration names none.
+	AccountsRequired bool
+	// QuotaWindow is the span of time over which quotas must hold; zero if the
+	// deployment sets none.
+	QuotaWindow time.Duration
 	// MemoryBytes is the memory that the process may use; zero means no
 	// limit.
 	MemoryBytes int64
--- a/command.go
+++ b/command.go
@@ -148,6 +148,8 @@
 	CodeMalformed
 	// CodeNoDatabase means that there is no route to the database.
 	CodeNoDatabase
+	// CodeDenied means that no client account holds the caller's key: nothing ran.
+	CodeDenied
 	// CodeOther stands for any code that is not in this list.
 	CodeOther
 )
@@ -161,7 +163,7 @@
 // command.
 func (c Code) NotRun() bool {
 	switch c {
-	case CodeBusy, CodeLagging, CodeReadOnly, CodeNoStatement, CodeWrongUpstream, CodeConnectionLimit:
+	case CodeBusy, CodeLagging, CodeReadOnly, CodeNoStatement, CodeWrongUpstream, CodeConnectionLimit, CodeDenied:
 		return true
 	default:
 		return false
--- a/errors.go
+++ b/errors.go
@@ -20,6 +20,7 @@
 	ReasonUnknownDB  Reason = "unknown-database"
 	ReasonRolledBack Reason = "rolled-back"
 	ReasonCancelled  Reason = "cancelled"
+	ReasonQuota      Reason = "quota"
 )
 
 // NotRunError reports work that had no effect and will have none: it did not run,
@@ -95,6 +96,17 @@
 // Unwrap returns the cause.
 func (e *UpstreamLostError) Unwrap() error { return e.Err }
 
+// DeniedError reports a caller whose key no client account of the configuration holds.
+// Nothing was sent anywhere.
+type DeniedError struct {
+	Database DatabaseID
+}
+
+// Error names the database. It leaves out the key.
+func (e *DeniedError) Error() string {
+	return fmt.Sprintf("database %s: denied: no client account holds the caller's key", e.Database)
+}
+
 // InvalidFieldError reports a text that can't be sent to an upstream as one field of a
 // message. Nothing was sent.
 type InvalidFieldError struct {
--- a/internal/observe/names.go
+++ b/internal/observe/names.go
@@ -31,6 +31,8 @@
 		return "malformed"
 	case chervilladder.CodeNoDatabase:
 		return "no-database"
+	case chervilladder.CodeDenied:
+		return "denied"
 	default:
 		return "other"
 	}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -29,6 +29,7 @@
 		Caller:   strings.ToValidUTF8(w.Caller, "\uFFFD"),
 		Access:   uint32(w.Access),
 		Seen:     encodeMark(w.Seen),
+		Account:  string(w.Account),
 		BudgetUs: uint64(max(0, time.Until(w.Deadline)/time.Microsecond)),
 	}
 	for _, s := range w.Settings {
@@ -45,6 +46,7 @@
 		Class:    chervilladder.ClassID(w.GetClass()),
 		Session:  chervilladder.SessionID(w.GetSession()),
 		Caller:   w.GetCaller(),
+		Account:  chervilladder.AccountID(w.GetAccount()),
 		Access:   chervilladder.Access(w.GetAccess()),
 		Seen:     decodeMark(w.GetSeen()),
 		Arrived:  now,
--- a/internal/session/manager.go
+++ b/internal/session/manager.go
@@ -84,12 +84,12 @@
 }
 
 // Open begins a session.
-func (m *Manager) Open(db chervilladder.DatabaseID, caller string) (chervilladder.Session, error) {
+func (m *Manager) Open(db chervilladder.DatabaseID, key chervilladder.Key) (chervilladder.Session, error) {
 	route, err := m.route(db)
 	if err != nil {
 		return nil, err
 	}
-	s := &session{m: m, db: db, caller: caller}
+	s := &session{m: m, db: db, caller: string(key)}
 	if err := s.checkTaken(route.UsualTime()); err != nil {
 		return nil, err
 	}
--- a/routing.go
+++ b/routing.go
@@ -35,6 +35,8 @@
 	MaxAge time.Duration
 	// Attempts bounds how often a read is attempted.
 	Attempts int
+	// Open is set if callers need no key of a client account.
+	Open bool `json:",omitempty" msgpack:",omitempty"`
 }
 
 // defaultStatementTimeout bounds a statement whose route names no timeout.
@@ -68,6 +70,8 @@
 	Revision Revision
 	Routes   map[DatabaseID]Route
 	Services map[ServiceID]ServiceLimits
+	// Accounts holds the client accounts; nil if the configuration names none.
+	Accounts *Accounts `json:",omitempty"`
 	// TransactionIdle is how long an open transaction may be idle.
 	TransactionIdle time.Duration
 }
--- a/session.go
+++ b/session.go
@@ -4,15 +4,16 @@
 
 // Sessions opens callers' sessions, independent of the callers' protocol:
 //
-//	s, err := sessions.Open(db, caller)
+//	s, err := sessions.Open(db, key)
 //	if err != nil {
-//		return err // a *NotRunError: there is no route to the database
+//		return err // a *NotRunError, for example without a route to the database
 //	}
 //	defer s.Close()
 //	result := s.Do(ctx, command)
 type Sessions interface {
-	// Open begins a session at a database. Its error is a *NotRunError.
-	Open(db DatabaseID, caller string) (Session, error)
+	// Open begins a session at a database for the caller that presents a key. Its error
+	// is a *NotRunError or a *DeniedError.
+	Open(db DatabaseID, key Key) (Session, error)
 }
 
 // Session is the session of one caller. It is used by one goroutine at a time.
--- a/work.go
+++ b/work.go
@@ -38,7 +38,9 @@
 	Session  SessionID
 	// Caller identifies the caller for fair sharing within a priority.
 	Caller string
-	Access Access
+	// Account is the client account to name to upstreams; may be empty.
+	Account AccountID
+	Access  Access
 	// Seen is the latest mark that the session is known to have observed.
 	Seen Mark
 	// Arrived is when the VM that schedules the work received it.
