link: repeats of a status don't confirm each other

The status of a member that led no longer was taken for a new one when the answers to a status, a reset and a status came twice.

Cause: behind an equal answer to the reset, any status that equalled an earlier one was believed. As an upstream answers no command more than twice, such statuses show something only if more of them came since the request than before it; the filter counts them now. If an answer was passed over on the way as well, the status isn't relied on.

--- a/internal/decide/repeat/memory.go
+++ b/internal/decide/repeat/memory.go
@@ -25,6 +25,8 @@
 	// key is the hash of the signature; for an answer without one, of the whole.
 	key, whole fingerprint
 	at         time.Time
+	// number counts the answers of the connection.
+	number int
 }
 
 func remember(r chervilladder.Result, now time.Time) answer {
@@ -87,6 +89,20 @@
 	}
 }
 
+// count returns how many equal answers are remembered up to a number and after it.
+func (m *memory) count(whole fingerprint, number int) (before, after int) {
+	for _, a := range m.order {
+		switch {
+		case a.whole != whole:
+		case a.number <= number:
+			before++
+		default:
+			after++
+		}
+	}
+	return before, after
+}
+
 func (m *memory) forgetOldest() {
 	oldest := m.order[0]
 	m.order = m.order[1:]
--- a/internal/decide/repeat/repeat.go
+++ b/internal/decide/repeat/repeat.go
@@ -136,6 +136,14 @@
 // Settle records that all commands' own answers were received.
 func (f *Filter) Settle() { f.displaced = 0 }
 
+// AnsweredSince reports whether one of the answers that equal r was sent to one of the
+// latest commands: those sent when received answers had been received. As an upstream
+// answers no command more than twice, it was if more of them came since than before.
+func (f *Filter) AnsweredSince(r chervilladder.Result, received int) bool {
+	before, since := f.unsigned.count(remember(r, time.Time{}).whole, received)
+	return since > before
+}
+
 // Judge judges the next answer. An answer to a command that sets up a connection is
 // accepted even if it equals an earlier one: it says nothing that a caller receives.
 func (f *Filter) Judge(r chervilladder.Result, now time.Time) Judgement {
@@ -164,6 +172,7 @@
 		f.due = slices.Delete(f.due, 0, 1) // keeps the slice's memory
 	}
 	f.received++
+	a.number = f.received
 	remembered.add(a) // also if skipped: a displaced answer may be repeated too
 	return j
 }
--- a/internal/link/answer.go
+++ b/internal/link/answer.go
@@ -152,8 +152,8 @@
 // was outstanding then.
 //
 // If the answer to a reset is new, the status before it is the command's own. Otherwise
-// the command is sent again; an answer may be outstanding then, and the connection isn't
-// reused.
+// the command is sent again. Its answer counts if too many are equal for all of them to be
+// repeats; an answer may be outstanding then, and the connection isn't reused.
 func (c *Conn) confirmStatus(
 	deadline time.Time, command chervilladder.Command, status chervilladder.Result, before int, settled bool,
 ) (chervilladder.Result, error) {
@@ -165,7 +165,10 @@
 		return chervilladder.Result{}, err
 	}
 	alone := c.filter.Received() == before+2 // those to the command and to the reset
-	if !j.Equal && alone && settled {
+	switch {
+	case j.Equal && !alone:
+		return chervilladder.Result{}, &AnswerInDoubtError{Equal: true, Age: j.Age}
+	case !j.Equal && alone && settled:
 		c.filter.Settle()
 		c.inDoubt = false
 		return status, nil
@@ -175,7 +178,7 @@
 	}
 	status, err = c.receive(deadline)
 	c.inDoubt = true
-	if MayRepeatSuccess(err) {
+	if MayRepeatSuccess(err) && c.filter.AnsweredSince(status, before) {
 		err = nil
 	}
 	return status, err
