Client accounts: callers are authenticated, upstreams told the account

Cause: a caller's word in CONNECT told callers apart and nothing else. Deployments with client accounts need the key checked, withdrawn keys refused and the account named to upstreams.

Change: platform/ parses the accounts into salted digests; internal/identity authenticates, a session does so again when the configuration has changed; a connection of a pool serves the account it was opened for; forwarded work bears its account. An account whose entry can't be used stays as it was, without the keys that the entry no longer lists.

--- a/account.go
+++ b/account.go
@@ -1,10 +1,12 @@
 package chervilladder
 
 import (
+	"bytes"
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/base64"
+	"maps"
 )
 
 // AccountID names a client account: the callers that share its keys and its quota.
@@ -54,6 +56,46 @@
 	Salt   KeySalt
 	Keys   map[KeyDigest]AccountID
 	Quotas map[AccountID]Quota
+	// Invalid holds the accounts whose entries can't be used. It is empty once
+	// KeepLast has replaced them.
+	Invalid map[AccountID]InvalidAccount `json:"-"`
+}
+
+// InvalidAccount describes an account whose entry in a configuration can't be used.
+type InvalidAccount struct {
+	// Listed holds the keys that the entry lists, as far as they could be read.
+	Listed map[KeyDigest]bool
+	// KeysUnknown is set if the entry holds no list of keys.
+	KeysUnknown bool
+}
+
+// retains reports whether the account may keep a key that it held before: one that the
+// entry no longer lists is withdrawn.
+func (i InvalidAccount) retains(d KeyDigest) bool { return i.KeysUnknown || i.Listed[d] }
+
+// KeepLast returns the accounts with each invalid one as it was in the configuration
+// before, without the keys that are withdrawn or that another account holds now. An
+// account that was unknown before, or whose digests have another salt, gets no keys.
+func (a *Accounts) KeepLast(before *Accounts) *Accounts {
+	if a == nil || len(a.Invalid) == 0 {
+		return a
+	}
+	kept := &Accounts{Salt: a.Salt, Keys: maps.Clone(a.Keys), Quotas: maps.Clone(a.Quotas)}
+	if before == nil || !bytes.Equal(before.Salt, a.Salt) {
+		return kept
+	}
+	for digest, id := range before.Keys {
+		invalid, ok := a.Invalid[id]
+		if _, held := kept.Keys[digest]; ok && !held && invalid.retains(digest) {
+			kept.Keys[digest] = id
+		}
+	}
+	for id := range a.Invalid {
+		if q, ok := before.Quotas[id]; ok {
+			kept.Quotas[id] = q
+		}
+	}
+	return kept
 }
 
 // Holder returns the client account that holds a key. The time that a look-up takes
--- a/internal/clustertest/record.go
+++ b/internal/clustertest/record.go
@@ -208,7 +208,7 @@
 
 // Open opens a link that gets no responses while the member is unreachable. It
 // blocks until the context ends if the member is unreachable already.
-func (fl *FaultyLinker) Open(ctx context.Context, u chervilladder.Registered) (chervilladder.Link, error) {
+func (fl *FaultyLinker) Open(ctx context.Context, u chervilladder.Registered, account chervilladder.AccountID) (chervilladder.Link, error) {
 	if !fl.process.runs(ctx) || fl.isUnreachable(u.ID) {
 		<-ctx.Done()
 		return nil, &chervilladder.UpstreamLostError{Upstream: u.ID, Err: ErrSimulated}
@@ -216,7 +216,7 @@
 	if fl.isFull(u.ID) {
 		return nil, &chervilladder.LinkRefusedError{Upstream: u.ID, Code: chervilladder.CodeConnectionLimit}
 	}
-	l, err := fl.Linker.Open(ctx, u)
+	l, err := fl.Linker.Open(ctx, u, account)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/control/failover/orders.go
+++ b/internal/control/failover/orders.go
@@ -28,7 +28,7 @@
 // connect opens a connection for orders to a member. If the member accepts no new
 // connections, it uses one of the pool.
 func (r *replacement) connect(ctx context.Context, o blackboard.MemberObservation) (*orderConn, error) {
-	opened, err := r.k.c.Linker.Open(ctx, o.Registered)
+	opened, err := r.k.c.Linker.Open(ctx, o.Registered, "")
 	if err == nil {
 		return &orderConn{member: o, conn: link.Dedicated(opened)}, nil
 	}
@@ -36,7 +36,7 @@
 	if !errors.As(err, &refused) || refused.Code != chervilladder.CodeConnectionLimit {
 		return nil, err
 	}
-	pooled, err := r.k.c.Pools.For(o.Registered).Get(ctx, nil)
+	pooled, err := r.k.c.Pools.For(o.Registered).Get(ctx, "", nil)
 	if err != nil {
 		return nil, errors.Join(refused, err)
 	}
--- a/internal/control/routing/routing.go
+++ b/internal/control/routing/routing.go
@@ -128,8 +128,26 @@
 	if old != nil && old.Revision >= r.Revision {
 		return
 	}
+	r = withLastAccounts(r, old)
 	k.c.Board.Routing.Store(r)
-	k.c.Log.WithFields(logrus.Fields{
-		"version": r.Version, "revision": r.Revision, "routes": len(r.Routes), "services": len(r.Services),
-	}).Info("routing: configuration in force")
+	fields := logrus.Fields{"version": r.Version, "revision": r.Revision, "routes": len(r.Routes), "services": len(r.Services)}
+	if r.Accounts != nil {
+		fields["keys"] = len(r.Accounts.Keys)
+	}
+	k.c.Log.WithFields(fields).Info("routing: configuration in force")
+}
+
+// withLastAccounts returns a configuration in which client accounts that can't be used
+// stay as they were.
+func withLastAccounts(r, old *chervilladder.Routing) *chervilladder.Routing {
+	if r.Accounts == nil || len(r.Accounts.Invalid) == 0 {
+		return r
+	}
+	var before *chervilladder.Accounts
+	if old != nil {
+		before = old.Accounts
+	}
+	next := *r
+	next.Accounts = r.Accounts.KeepLast(before)
+	return &next
 }
--- a/internal/control/statuspoll/prober.go
+++ b/internal/control/statuspoll/prober.go
@@ -121,7 +121,7 @@
 // busy member, else the last error.
 func (p *prober) requestStatuses(ctx context.Context, requests int) (chervilladder.LinkStatus, error) {
 	pool := p.k.c.Pools.For(p.upstream)
-	get := func(ctx context.Context) (*link.Conn, error) { return pool.Get(ctx, nil) }
+	get := func(ctx context.Context) (*link.Conn, error) { return pool.Get(ctx, "", nil) }
 	if p.failing > 0 {
 		get = pool.OpenNew
 	}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -23,6 +23,7 @@
 	"github.com/chervilladder/chervilladder/internal/control/routing"
 	"github.com/chervilladder/chervilladder/internal/control/shutdown"
 	"github.com/chervilladder/chervilladder/internal/control/statuspoll"
+	"github.com/chervilladder/chervilladder/internal/identity"
 	"github.com/chervilladder/chervilladder/internal/link"
 	"github.com/chervilladder/chervilladder/internal/logs"
 	"github.com/chervilladder/chervilladder/internal/observe"
@@ -84,6 +85,7 @@
 	metricSet := metrics.NewSet()
 	client, err := platform.NewClient(platform.ClientConfig{
 		Store: c.Settings.Store, Promotions: c.Settings.Promotions, Log: c.Log, Metrics: metricSet,
+		KeySalt: func() chervilladder.KeySalt { return keySalt(board) },
 	})
 	if err != nil {
 		return nil, err
@@ -91,8 +93,12 @@
 	linker := platform.Linker{Name: c.Settings.VM}
 	pools := link.NewPools(link.PoolsConfig{Board: board, Linker: linker, Log: c.Log})
 	peers := peer.NewClient(board)
+	authenticator, err := identity.New(identity.Config{Board: board, Log: c.Log})
+	if err != nil {
+		return nil, err
+	}
 	sessions, err := session.New(session.Config{
-		Board: board, Pools: pools, Log: c.Log, Clock: clock.SinceBoot, Remote: peers,
+		Board: board, Pools: pools, Log: c.Log, Clock: clock.SinceBoot, Remote: peers, Authenticator: authenticator,
 		Observer: observe.New(observe.Config{Output: c.LogQueue, Metrics: metricSet}),
 	})
 	if err != nil {
@@ -143,10 +149,18 @@
 		signals,
 		failovers,
 		platform.Readiness{Listener: readinessListener, Ready: func() bool { return canServe(board) && !board.ShutsDown() && !recovery.Failing() }},
-		platform.Metrics{Listener: metricsListener, Sets: []*metrics.Set{metricSet, recovery.Metrics, failover.Metrics, link.Metrics}},
+		platform.Metrics{Listener: metricsListener, Sets: []*metrics.Set{metricSet, recovery.Metrics, failover.Metrics, link.Metrics, identity.Metrics}},
 	}, append(peering, controllers...)...), nil
 }
 
+// keySalt returns the salt of the keys of the configuration in force, or nil.
+func keySalt(board *blackboard.Board) chervilladder.KeySalt {
+	if r := board.Routing.Load(); r != nil && r.Accounts != nil {
+		return r.Accounts.Salt
+	}
+	return nil
+}
+
 func buildControllers(c PlatformConfig, board *blackboard.Board, client *platform.Client, pools *link.Pools, reloadBounds <-chan struct{}) ([]actor, error) {
 	routes, err := routing.New(routing.Config{Board: board, Source: client.Routing(), Log: c.Log, Clock: clock.SinceBoot})
 	if err != nil {
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -42,6 +42,8 @@
 	link chervilladder.Link
 	// pool is nil for a dedicated connection.
 	pool *Pool
+	// account is the client account that the connection was opened for.
+	account chervilladder.AccountID
 	// filter judges the answers. inDoubt is set once one of them may belong to another
 	// command: then the connection isn't reused.
 	filter   repeat.Filter
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,10 +54,10 @@
 	mu   sync.Mutex
 	idle []*Conn
 	// open counts the connections that exist or are being opened; limit is their
-	// maximum.
-	open, limit int
-	waiters     []chan *Conn
-	retired     bool
+	// maximum. unnamed counts those of them that name no client account.
+	open, limit, unnamed int
+	waiters              []*waiter
+	retired              bool
 	// fullUntil is the end of the wait after the upstream refused a connection for
 	// its limit. nearLimit is set while it has few left for all VMs together.
 	fullUntil time.Time
@@ -76,103 +77,163 @@
 // Dedicated returns a connection that belongs to no pool; releasing it closes it.
 func Dedicated(l chervilladder.Link) *Conn { return &Conn{link: l} }
 
-// Get returns a connection, preferably an idle one with the given values. Its error is
-// ErrFull, ErrRetired, an *UpstreamLostError or a *LinkRefusedError; in all cases nothing
-// but the start-up message was sent.
-func (p *Pool) Get(ctx context.Context, values map[string]string) (*Conn, error) {
+// Get returns a connection of a client account, preferably an idle one with the given
+// values. If no more may be opened, it closes an idle one of another account and opens
+// one in its place. Its error is ErrFull, ErrRetired, an *UpstreamLostError or a
+// *LinkRefusedError; in all cases nothing but the start-up message was sent.
+func (p *Pool) Get(ctx context.Context, account chervilladder.AccountID, values map[string]string) (*Conn, error) {
 	p.mu.Lock()
-	switch {
-	case p.retired:
+	if p.retired {
 		p.mu.Unlock()
 		return nil, ErrRetired
-	case len(p.idle) > 0:
-		c := p.takeIdle(values)
+	}
+	if c := p.takeIdle(account, values); c != nil {
 		p.mu.Unlock()
 		return c, nil
-	case p.mayOpen():
-		p.open++
+	}
+	if p.mayOpen(account) {
+		p.count(account, 1)
+		p.mu.Unlock()
+		return p.dial(ctx, account)
+	}
+	if replaced := p.takeReplaceable(account); replaced != nil {
 		p.mu.Unlock()
-		return p.dial(ctx)
+		replaced.link.Close()
+		return p.dial(ctx, account)
 	}
+	w := p.enqueue(account)
 	p.mu.Unlock()
-	return p.await(ctx)
+	return p.await(ctx, w)
 }
 
-// mayOpen reports whether one more connection may be opened. A VM that has none always
-// tries.
-func (p *Pool) mayOpen() bool {
-	return p.open == 0 || p.open < p.limit && !p.nearLimit && time.Now().After(p.fullUntil)
+// mayOpen reports whether one more connection may be opened for an account. A VM that
+// has none always tries. Those without an account, which carry the status requests, and
+// those with one count separately in this.
+func (p *Pool) mayOpen(account chervilladder.AccountID) bool {
+	if account == "" && p.unnamed == 0 || account != "" && p.unnamed == p.open {
+		return true
+	}
+	return p.open < p.limit && !p.nearLimit && time.Now().After(p.fullUntil)
 }
 
-// OpenNew opens a new connection, even if others are idle or the limit is reached.
+// count adds to the number of connections that are open for an account.
+func (p *Pool) count(account chervilladder.AccountID, n int) {
+	p.open += n
+	if account == "" {
+		p.unnamed += n
+	}
+}
+
+// OpenNew opens a new connection without an account, even if others are idle or the limit
+// is reached.
 func (p *Pool) OpenNew(ctx context.Context) (*Conn, error) {
 	p.mu.Lock()
 	if p.retired {
 		p.mu.Unlock()
 		return nil, ErrRetired
 	}
-	p.open++
+	p.count("", 1)
 	p.mu.Unlock()
-	l, err := p.linker.Open(ctx, p.upstream)
+	l, err := p.linker.Open(ctx, p.upstream, "")
 	if err != nil {
-		p.countClosed()
+		p.countClosed("")
 		return nil, err
 	}
 	return &Conn{link: l, pool: p}, nil
 }
 
-// await waits until a connection is returned or another one may be opened, or until the
-// pool is retired.
-func (p *Pool) await(ctx context.Context) (*Conn, error) {
-	wait := make(chan *Conn, 1)
-	p.mu.Lock()
-	p.waiters = append(p.waiters, wait)
-	p.mu.Unlock()
-	select {
-	case c := <-wait:
-		if c == nil {
-			return p.Get(ctx, nil)
+// takeIdle takes the idle connection of an account that has the same values, or else the
+// one of the account that was used last; nil if it has none.
+func (p *Pool) takeIdle(account chervilladder.AccountID, values map[string]string) *Conn {
+	at := -1
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if c.account != account {
+			continue
 		}
-		return c, nil
-	case <-ctx.Done():
-		p.stopWaiting(wait)
-		return nil, ErrFull
+		if maps.Equal(c.values, values) {
+			return p.takeIdleAt(i)
+		}
+		if at < 0 {
+			at = i
+		}
+	}
+	if at < 0 {
+		return nil
 	}
+	return p.takeIdleAt(at)
 }
 
-// takeIdle takes the idle connection that has the same values, or else the one used
-// last.
-func (p *Pool) takeIdle(values map[string]string) *Conn {
-	at := len(p.idle) - 1
-	for i := at; i >= 0; i-- {
-		if maps.Equal(p.idle[i].values, values) {
-			at = i
-			break
-		}
+func (p *Pool) takeIdleAt(i int) *Conn {
+	c := p.idle[i]
+	p.idle = slices.Delete(p.idle, i, i+1)
+	return c
+}
+
+// takeReplaceable takes the connection of another account that was idle longest, which
+// the caller must close, and counts it as one of the given account. It returns nil if
+// there is none.
+func (p *Pool) takeReplaceable(account chervilladder.AccountID) *Conn {
+	i := p.longestIdle(0, func(c *Conn) bool { return c.account != account && !p.keeps(c) })
+	if i < 0 {
+		return nil
 	}
-	c := p.idle[at]
-	p.idle = append(p.idle[:at], p.idle[at+1:]...)
+	c := p.takeIdleAt(i)
+	p.count(c.account, -1)
+	p.count(account, 1)
 	return c
 }
 
-func (p *Pool) dial(ctx context.Context) (*Conn, error) {
+// keeps reports whether a connection is the only one without an account beside those of
+// accounts. It is kept for the status requests, each of which would open it again.
+func (p *Pool) keeps(c *Conn) bool { return c.account == "" && p.unnamed == 1 && p.open > 1 }
+
+// dial opens a connection that was counted. If the upstream accepts no more, it opens one
+// in place of one that is idle for another account, or waits for one.
+func (p *Pool) dial(ctx context.Context, account chervilladder.AccountID) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	l, err := p.linker.Open(ctx, p.upstream)
+	c, err := p.dialOnce(ctx, account)
+	if !isFull(err) {
+		return c, err
+	}
+	p.mu.Lock()
+	if replaced := p.takeReplaceable(account); replaced != nil {
+		p.mu.Unlock()
+		replaced.link.Close()
+		if c, err = p.dialOnce(ctx, account); !isFull(err) {
+			return c, err
+		}
+		p.mu.Lock()
+	}
+	if p.open == 0 {
+		p.mu.Unlock()
+		return nil, err
+	}
+	w := p.enqueue(account)
+	p.mu.Unlock()
+	return p.await(ctx, w)
+}
+
+// dialOnce opens a connection that was counted.
+func (p *Pool) dialOnce(ctx context.Context, account chervilladder.AccountID) (*Conn, error) {
+	l, err := p.linker.Open(ctx, p.upstream, account)
 	if err == nil {
-		return &Conn{link: l, pool: p}, nil
+		return &Conn{link: l, pool: p, account: account}, nil
 	}
-	var refused *chervilladder.LinkRefusedError
-	full := errors.As(err, &refused) && refused.Code == chervilladder.CodeConnectionLimit
-	if full {
+	if isFull(err) {
 		p.noteFull()
 	}
-	if p.countClosed() && full {
-		return p.await(ctx)
-	}
+	p.countClosed(account)
 	return nil, err
 }
 
+// isFull reports whether an upstream refused a connection for its limit.
+func isFull(err error) bool {
+	var refused *chervilladder.LinkRefusedError
+	return errors.As(err, &refused) && refused.Code == chervilladder.CodeConnectionLimit
+}
+
 // noteFull records that the upstream has reached its connection limit.
 func (p *Pool) noteFull() {
 	p.mu.Lock()
@@ -180,55 +241,48 @@
 	p.fullUntil = time.Now().Add(fullFor)
 }
 
-// countClosed counts a connection as closed and lets a waiter open another one. It
-// reports whether connections are left.
-func (p *Pool) countClosed() bool {
+// countClosed counts a connection of an account as closed and lets a waiter open another
+// one.
+func (p *Pool) countClosed(account chervilladder.AccountID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.open--
+	p.count(account, -1)
 	if len(p.waiters) > 0 {
-		p.waiters[0] <- nil
-		p.waiters = p.waiters[1:]
-	}
-	return p.open > 0
-}
-
-func (p *Pool) stopWaiting(wait chan *Conn) {
-	p.mu.Lock()
-	for i, w := range p.waiters {
-		if w == wait {
-			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
-			p.mu.Unlock()
-			return
-		}
-	}
-	p.mu.Unlock()
-	// The waiter was served at the same time.
-	if c := <-wait; c != nil {
-		p.put(c)
+		p.serve(p.waiters[0], grant{})
 	}
 }
 
+// put returns a connection to the pool.
 func (p *Pool) put(c *Conn) {
 	p.mu.Lock()
-	if p.retired || p.open > p.limit {
+	if p.retired || p.open > p.limit && !p.keeps(c) {
 		p.mu.Unlock()
 		p.discard(c)
 		return
 	}
-	defer p.mu.Unlock()
 	c.returnedAt = time.Now()
-	if len(p.waiters) > 0 {
-		p.waiters[0] <- c
-		p.waiters = p.waiters[1:]
+	if w := p.waiterFor(c); w != nil {
+		p.serve(w, grant{conn: c})
+		p.mu.Unlock()
 		return
 	}
 	p.idle = append(p.idle, c)
+	var replaced *Conn
+	if len(p.waiters) > 0 {
+		w := p.waiters[0]
+		if replaced = p.takeReplaceable(w.account); replaced != nil {
+			p.serve(w, grant{mayDial: true})
+		}
+	}
+	p.mu.Unlock()
+	if replaced != nil {
+		replaced.link.Close()
+	}
 }
 
 func (p *Pool) discard(c *Conn) {
 	c.link.Close()
-	p.countClosed()
+	p.countClosed(c.account)
 }
 
 // DiscardOlder closes the idle connections that were last used before a time. A
@@ -251,19 +305,28 @@
 	}
 }
 
+// SetLimit sets the maximum number of connections.
+func (p *Pool) SetLimit(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = n
+}
+
 // SetUsage sets the percentage of the upstream's connections that are open, and closes at
-// most one idle connection.
+// most one idle connection. Connections of client accounts are closed near the limit only:
+// the VMs' limits leave room for each other, and to open one again costs the upstream more
+// than to keep it.
 func (p *Pool) SetUsage(percent int) {
 	p.mu.Lock()
 	p.nearLimit = percent >= nearLimitPercent
+	closable := func(c *Conn) bool { return !p.keeps(c) && (c.account == "" || p.nearLimit) }
 	var c *Conn
 	for _, level := range usageLevels {
 		if percent < level.percent {
 			continue
 		}
-		if i := p.longestIdle(level.minIdle); i >= 0 && (p.nearLimit || p.open > 1) {
-			c = p.idle[i]
-			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+		if i := p.longestIdle(level.minIdle, closable); i >= 0 && (p.nearLimit || p.open > 1) {
+			c = p.takeIdleAt(i)
 		}
 		break
 	}
@@ -274,11 +337,11 @@
 }
 
 // longestIdle returns the index of the connection that did no work for the longest
-// time, or -1 if that is shorter than minIdle.
-func (p *Pool) longestIdle(minIdle time.Duration) int {
+// time, of those that qualify, or -1 if that is shorter than minIdle.
+func (p *Pool) longestIdle(minIdle time.Duration, qualifies func(*Conn) bool) int {
 	best := -1
 	for i, c := range p.idle {
-		if time.Since(c.sessionUsedAt) >= minIdle && (best < 0 || c.sessionUsedAt.Before(p.idle[best].sessionUsedAt)) {
+		if time.Since(c.sessionUsedAt) >= minIdle && (best < 0 || c.sessionUsedAt.Before(p.idle[best].sessionUsedAt)) && qualifies(c) {
 			best = i
 		}
 	}
@@ -293,7 +356,7 @@
 	p.waiters, p.idle = nil, nil
 	p.mu.Unlock()
 	for _, w := range waiters {
-		w <- nil
+		w.served <- grant{}
 	}
 	for _, c := range idle {
 		p.discard(c)
--- a/internal/link/pools.go
+++ b/internal/link/pools.go
@@ -5,6 +5,7 @@
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/hosting"
 )
 
 // PoolsConfig configures Pools.
@@ -63,21 +64,35 @@
 // minConnections is the lowest limit of connections of a VM.
 const minConnections = 3
 
+// usableConnections is the percentage of an upstream's connections that the VMs which
+// host its service divide among themselves for the work of client accounts. A VM keeps
+// what it has open, so the maxima must not add up to more than the total.
+const usableConnections = 80
+
 func (p *Pools) limit(u chervilladder.Registered) int {
 	routing := p.c.Board.Routing.Load()
 	if routing == nil {
 		return minConnections
 	}
-	return max(minConnections, routing.Services[u.Service].MaxConnections/connectionShare)
+	total := routing.Services[u.Service].MaxConnections
+	if routing.Accounts == nil {
+		return max(minConnections, total/connectionShare)
+	}
+	fleet := hosting.Fleet{VMs: len(p.c.Board.Members.Load().Candidates()) + 1, Services: len(routing.Services), Connections: total}
+	return max(minConnections, min(total/connectionShare, total*usableConnections/100/fleet.Hosts()))
 }
 
 // SetConnectionCount records how many connections all VMs together have open to an
-// upstream, and closes an idle one if there are too many.
+// upstream, and closes an idle one if there are too many. With client accounts, it also
+// adapts the pool's limit to the number of VMs.
 func (p *Pools) SetConnectionCount(u chervilladder.Registered, connections int) {
 	routing := p.c.Board.Routing.Load()
 	if routing == nil {
 		return
 	}
+	if routing.Accounts != nil {
+		p.For(u).SetLimit(p.limit(u))
+	}
 	if limit := routing.Services[u.Service].MaxConnections; limit > 0 {
 		p.For(u).SetUsage(connections * 100 / limit)
 	}
--- a/internal/session/forwarded.go
+++ b/internal/session/forwarded.go
@@ -44,7 +44,7 @@
 	if !m.c.Board.Hosting.Load().Here(w.Service) {
 		e.recordRequest(w.Service)
 	}
-	s := &session{m: m, db: w.Database, caller: w.Caller, fromPeer: true}
+	s := &session{m: m, db: w.Database, identity: chervilladder.Identity{Account: w.Account, Name: w.Caller}, fromPeer: true}
 	s.observe(w.Seen, m.c.Clock())
 	return &forwardedExchange{ctx: ctx, session: s}, nil
 }
--- a/internal/session/manager.go
+++ b/internal/session/manager.go
@@ -30,6 +30,9 @@
 	// this VM doesn't, and that of a service hosted here whose primary only a peer
 	// reaches. It is nil if there are no other VMs.
 	Remote chervilladder.Remote
+	// Authenticator says whose callers are. If it is nil, a caller's key only tells
+	// callers apart.
+	Authenticator chervilladder.Authenticator
 	// Observer is called after each command; may be nil.
 	Observer Observer
 }
@@ -89,7 +92,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &session{m: m, db: db, caller: string(key)}
+	s := &session{m: m, db: db, key: key}
+	if err := s.authenticate(route); err != nil {
+		return nil, err
+	}
 	if err := s.checkTaken(route.UsualTime()); err != nil {
 		return nil, err
 	}
--- a/internal/session/place.go
+++ b/internal/session/place.go
@@ -134,7 +134,7 @@
 		Priority: w.route.Priority,
 		Class:    chervilladder.ClassID(w.session.db),
 		Service:  w.route.Service,
-		Caller:   w.session.caller,
+		Caller:   w.identity.Name,
 		Target:   w.route.Target,
 		Deadline: w.deadline,
 		Access:   access,
--- a/internal/session/remote.go
+++ b/internal/session/remote.go
@@ -62,7 +62,7 @@
 		return "", errNoHostingVM
 	}
 	firstCount := max(1, min(h.FirstCount, len(h.VMs)))
-	start := int(xxhash.Sum64String(w.session.caller) % uint64(firstCount))
+	start := int(xxhash.Sum64String(w.identity.Name) % uint64(firstCount))
 	var last []chervilladder.VMID
 	for i := range h.VMs {
 		vm := h.VMs[i]
@@ -84,7 +84,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	timeout := time.AfterFunc(openTimeout, cancel)
 	x, err := w.session.m.c.Remote.Open(ctx, vm, chervilladder.Work{
-		Database: w.session.db, Service: w.route.Service, Caller: w.session.caller,
+		Database: w.session.db, Service: w.route.Service, Caller: w.identity.Name, Account: w.identity.Account,
 		Access: access, Seen: w.minPosition.mark, Deadline: w.deadline,
 	})
 	if err == nil && timeout.Stop() {
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -11,13 +11,17 @@
 
 // session is one caller's session. It implements chervilladder.Session.
 type session struct {
-	m           *Manager
-	db          chervilladder.DatabaseID
-	caller      string
-	values      map[string]string
-	prepared    map[string]link.Prepared
-	minPosition minPosition
-	tx          openTransaction
+	m  *Manager
+	db chervilladder.DatabaseID
+	// key is the caller's. identity is whose it was in the configuration
+	// authenticatedBy; both stay the same while a transaction is open.
+	key             chervilladder.Key
+	identity        chervilladder.Identity
+	authenticatedBy *chervilladder.Routing
+	values          map[string]string
+	prepared        map[string]link.Prepared
+	minPosition     minPosition
+	tx              openTransaction
 	// fromPeer is set if the session's work was forwarded to this VM by another
 	// one, and pinned is the session's route at the VM that forwarded it.
 	fromPeer bool
@@ -82,6 +86,8 @@
 		r = s.endTransaction(c)
 	case s.tx != nil:
 		r = s.tx.do(ctx, w)
+	case s.refreshIdentity() != nil:
+		r = failure(chervilladder.CodeDenied, deniedText)
 	case c.Kind == chervilladder.CommandBegin || c.Kind == chervilladder.CommandBeginRead:
 		r = s.begin(w)
 	case c.Kind == chervilladder.CommandCommit || c.Kind == chervilladder.CommandRollback:
--- a/internal/session/transaction.go
+++ b/internal/session/transaction.go
@@ -302,7 +302,7 @@
 
 // openAt begins the transaction at a member that has granted a slot.
 func (t *transaction) openAt(ctx context.Context, w *work, p *placement) error {
-	conn, err := p.pool.Get(ctx, t.session.values)
+	conn, err := p.pool.Get(ctx, w.identity.Account, t.session.values)
 	if err != nil {
 		return err
 	}
--- a/internal/session/work.go
+++ b/internal/session/work.go
@@ -40,8 +40,9 @@
 	// no connection for it.
 	retryAtOnce bool
 
-	// values, minPosition and inTransaction are the session's when the command
-	// arrived: a hedged attempt may outlast its command.
+	// identity, values, minPosition and inTransaction are the session's when the
+	// command arrived: a hedged attempt may outlast its command.
+	identity      chervilladder.Identity
 	values        map[string]string
 	minPosition   minPosition
 	inTransaction bool
@@ -74,6 +75,7 @@
 	w.route = route
 	w.cluster = w.session.m.c.Board.Clusters.Get(route.Service)
 	w.deadline = w.session.m.shutdownPlan().Bound(w.arrived.Add(route.StatementTimeout()))
+	w.identity = w.session.identity
 	w.values, w.minPosition, w.inTransaction = w.session.values, w.session.minPosition, w.session.tx != nil
 }
 
@@ -248,7 +250,7 @@
 
 // connect returns a connection to the member, set up for the session.
 func (w *work) connect(ctx context.Context, p *placement) (*link.Conn, error) {
-	conn, err := p.pool.Get(ctx, w.values)
+	conn, err := p.pool.Get(ctx, w.identity.Account, w.values)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/cluster/linker.go
+++ b/internal/standin/cluster/linker.go
@@ -15,7 +15,7 @@
 var _ chervilladder.Linker = Linker{}
 
 // Open opens a link. It serves the link on a goroutine until the connection is closed.
-func (l Linker) Open(ctx context.Context, u chervilladder.Registered) (chervilladder.Link, error) {
+func (l Linker) Open(ctx context.Context, u chervilladder.Registered, _ chervilladder.AccountID) (chervilladder.Link, error) {
 	c, err := l.Cluster.Connect(u.ID, u.Service, u.ID, ctx.Done())
 	var refused *RefusedError
 	if errors.As(err, &refused) {
--- a/link.go
+++ b/link.go
@@ -60,9 +60,10 @@
 
 // Linker opens links.
 type Linker interface {
-	// Open connects to the given upstream and to no other at its address. The
-	// error is a *LinkRefusedError if the upstream refuses.
-	Open(ctx context.Context, u Registered) (Link, error)
+	// Open connects to the given upstream and to no other at its address, for work of a
+	// client account; empty names the VM to the upstream instead. The error is a
+	// *LinkRefusedError if the upstream refuses.
+	Open(ctx context.Context, u Registered, account AccountID) (Link, error)
 }
 
 // LinkRefusedError reports a request that an upstream refused.
