--- a/internal/clustertest/world.go
+++ b/internal/clustertest/world.go
@@ -19,6 +19,7 @@
 	"github.com/chervilladder/chervilladder/internal/control/failover"
 	"github.com/chervilladder/chervilladder/internal/control/reachability"
 	"github.com/chervilladder/chervilladder/internal/control/statuspoll"
+	"github.com/chervilladder/chervilladder/internal/identity"
 	"github.com/chervilladder/chervilladder/internal/link"
 	"github.com/chervilladder/chervilladder/internal/session"
 	"github.com/chervilladder/chervilladder/internal/standin/cluster"
@@ -173,14 +174,15 @@
 	vm.Board.Bounds.Store(chervilladder.Bounds{UpstreamDrain: DrainLimit})
 	vm.SetMembers(members...)
 	vm.Pools = link.NewPools(link.PoolsConfig{Board: vm.Board, Linker: vm.Linker})
-	sessions, err1 := session.New(session.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: vm.clock, Remote: peerNetwork{w}})
+	authenticator, err0 := identity.New(identity.Config{Board: vm.Board, Log: log})
+	sessions, err1 := session.New(session.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: vm.clock, Remote: peerNetwork{w}, Authenticator: authenticator})
 	poller, err2 := statuspoll.New(statuspoll.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: vm.clock})
 	failovers, err3 := failover.New(failover.Config{
 		Board: vm.Board, Record: vm.Record, Promoter: vm.Promoter, Linker: vm.Linker, Pools: vm.Pools,
 		PeerDemoter: peerNetwork{w}, Log: log, Clock: vm.clock, Leave: vm.ResignLeadership,
 	})
 	reachabilityController, err4 := reachability.New(reachability.Config{Board: vm.Board, Peers: peerNetwork{w}, Log: log, Clock: vm.clock, Leaving: vm.RejectPeers.Load})
-	for _, err := range []error{err1, err2, err3, err4} {
+	for _, err := range []error{err0, err1, err2, err3, err4} {
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -289,6 +291,24 @@
 	return r
 }
 
+// SetAccounts gives all VMs a configuration in which the accounts hold the given keys.
+// Without keys, it names no accounts.
+func (w *World) SetAccounts(keys map[chervilladder.Key]chervilladder.AccountID) {
+	for _, vm := range w.VMs {
+		r := *vm.Board.Routing.Load()
+		r.Revision++
+		r.Accounts = nil
+		if keys != nil {
+			salt := chervilladder.NewKeySalt()
+			r.Accounts = &chervilladder.Accounts{Salt: salt, Keys: make(map[chervilladder.KeyDigest]chervilladder.AccountID)}
+			for k, id := range keys {
+				r.Accounts.Keys[salt.Digest(k)] = id
+			}
+		}
+		vm.Board.Routing.Store(&r)
+	}
+}
+
 // Open opens a session at a VM.
 func (w *World) Open(t *testing.T, vm int, db chervilladder.DatabaseID) chervilladder.Session {
 	t.Helper()
--- a/internal/control/relay/wire_test.go
+++ b/internal/control/relay/wire_test.go
@@ -48,6 +48,15 @@
 		}},
 		Services: map[chervilladder.ServiceID]chervilladder.ServiceLimits{"agenda": {ID: "agenda", MaxConnections: 22, SyncReplicas: 1}},
 	}
+	withAccounts := *routing
+	withAccounts.Accounts = &chervilladder.Accounts{
+		Salt:   chervilladder.KeySalt("0123456789abcdef"),
+		Keys:   map[chervilladder.KeyDigest]chervilladder.AccountID{chervilladder.KeySalt("0123456789abcdef").Digest("key-1"): "acme"},
+		Quotas: map[chervilladder.AccountID]chervilladder.Quota{"acme": {Rate: 12.5, Burst: 40}},
+	}
+	open := withAccounts.Routes["bookings"]
+	open.Open = true
+	withAccounts.Routes = map[chervilladder.DatabaseID]chervilladder.Route{"bookings": open}
 	change := listChange{
 		At: 12, Whole: true, Removed: []chervilladder.UpstreamID{"i-2"},
 		Entries: []chervilladder.Registered{{
@@ -58,10 +67,13 @@
 	var gotRouting *chervilladder.Routing
 	is.NoErr(json.Unmarshal(golden(t, "routing.json", routing), &gotRouting))
 	is.Equal(gotRouting, routing)
+	var gotAccounts *chervilladder.Routing
+	is.NoErr(json.Unmarshal(golden(t, "routing-accounts.json", &withAccounts), &gotAccounts))
+	is.Equal(gotAccounts, &withAccounts)
 	var gotChange listChange
 	is.NoErr(json.Unmarshal(golden(t, "upstreams.json", change), &gotChange))
 	is.Equal(gotChange, change)
-	for name, current := range map[string]any{"routing.json": routing, "upstreams.json": change} {
+	for name, current := range map[string]any{"routing.json": routing, "routing-accounts.json": &withAccounts, "upstreams.json": change} {
 		text, err := json.MarshalIndent(current, "", "  ")
 		is.NoErr(err)
 		is.Equal(string(golden(t, name, current)), string(text)+"\n")
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -80,6 +80,8 @@
 	// Connection and Transaction identify where it ran; Transaction is zero
 	// outside of one.
 	Connection, Transaction uint64
+	// Peer is whom the connection was opened for.
+	Peer string
 }
 
 // Promotion is a promotion that was ordered.
--- a/internal/standin/cluster/conn.go
+++ b/internal/standin/cluster/conn.go
@@ -32,6 +32,7 @@
 	values   map[string]string
 	prepared map[string]chervilladder.Command
 	tx       *transaction
+	peer     string
 }
 
 type transaction struct {
@@ -75,6 +76,10 @@
 	}
 }
 
+// SetPeer sets whom the connection was opened for. It must be called before the first
+// command.
+func (c *Conn) SetPeer(name string) { c.peer = name }
+
 // wait releases the lock while it waits for a change. It returns false if quit is
 // closed first.
 func (k *Cluster) wait(quit <-chan struct{}) bool {
@@ -363,7 +368,7 @@
 func (c *Conn) recordExecution(cmd chervilladder.Command, shape string) {
 	run := Execution{
 		Member: c.m.ID, Command: cmd, Log: c.m.mark(c.m.applied(time.Now())), At: time.Now(),
-		Values: maps.Clone(c.values), Shape: shape, Connection: c.number,
+		Values: maps.Clone(c.values), Shape: shape, Connection: c.number, Peer: c.peer,
 	}
 	if c.tx != nil {
 		run.Transaction = c.tx.number
--- a/internal/standin/cluster/linker.go
+++ b/internal/standin/cluster/linker.go
@@ -15,7 +15,7 @@
 var _ chervilladder.Linker = Linker{}
 
 // Open opens a link. It serves the link on a goroutine until the connection is closed.
-func (l Linker) Open(ctx context.Context, u chervilladder.Registered, _ chervilladder.AccountID) (chervilladder.Link, error) {
+func (l Linker) Open(ctx context.Context, u chervilladder.Registered, account chervilladder.AccountID) (chervilladder.Link, error) {
 	c, err := l.Cluster.Connect(u.ID, u.Service, u.ID, ctx.Done())
 	var refused *RefusedError
 	if errors.As(err, &refused) {
@@ -24,6 +24,7 @@
 	if err != nil {
 		return nil, &chervilladder.UpstreamLostError{Upstream: u.ID, Err: err}
 	}
+	c.SetPeer(string(account))
 	opened := &link{conn: c, upstream: u.ID, commands: make(chan chervilladder.Command, maxOutstanding), answers: make(chan answer, maxOutstanding)}
 	go opened.serve()
 	return opened, nil
--- a/internal/standin/lineserver/lineserver.go
+++ b/internal/standin/lineserver/lineserver.go
@@ -131,6 +131,7 @@
 	if err != nil {
 		return false
 	}
+	conn.SetPeer(f[2])
 	sess.conn = conn
 	return sess.write("READY I " + mark(conn.Mark()))
 }
