--- a/internal/link/accounts_test.go
+++ b/internal/link/accounts_test.go
@@ -21,10 +21,10 @@
 type upstream struct {
 	limit int
 
-	mu                       sync.Mutex
-	opened, open, maxOpen    int
-	openFor                  map[chervilladder.AccountID]int
-	refused, openWhenRefused int
+	mu                    sync.Mutex
+	opened, open, maxOpen int
+	openFor               map[chervilladder.AccountID]int
+	refused               int
 }
 
 type namedLink struct {
