--- a/internal/link/repeated_status_test.go
+++ b/internal/link/repeated_status_test.go
@@ -39,7 +39,7 @@
 
 type stutteringLink struct{ of *stutterer }
 
-func (s *stutterer) Open(context.Context, chervilladder.Registered) (chervilladder.Link, error) {
+func (s *stutterer) Open(context.Context, chervilladder.Registered, chervilladder.AccountID) (chervilladder.Link, error) {
 	s.answers, s.repeats = nil, nil
 	return stutteringLink{s}, nil
 }
@@ -109,7 +109,7 @@
 		board := blackboard.New(chervilladder.VM{ID: "vm"})
 		pool := link.NewPools(link.PoolsConfig{Board: board, Linker: s}).For(chervilladder.Registered{ID: "u", Service: "s"})
 		for range 60 {
-			c, err := pool.Get(context.Background(), nil)
+			c, err := pool.Get(context.Background(), "", nil)
 			if err != nil {
 				t.Fatal(err)
 			}
