Quotas of client accounts: lend, borrow and admit

A VM admits the operations of its own callers from loans of the account's three lenders, each of which owns a third of the quota as a token bucket. Accounts are divided into eight groups with the same lenders, so that a VM calls few of them at a time. A VM that becomes a lender waits until no other may lend in its place: until all VMs have it in their lists, or for the age that a list may have. One that can't know of changes of the list lends no more.

--- a/errors.go
+++ b/errors.go
@@ -107,6 +107,17 @@
 	return fmt.Sprintf("database %s: denied: no client account holds the caller's key", e.Database)
 }
 
+// UnknownBorrowerError reports a VM that asked for a part of a quota and isn't in the
+// lender's list of VMs.
+type UnknownBorrowerError struct {
+	VM VMID
+}
+
+// Error names the VM.
+func (e *UnknownBorrowerError) Error() string {
+	return fmt.Sprintf("VM %q is not in the list of VMs", string(e.VM))
+}
+
 // InvalidFieldError reports a text that can't be sent to an upstream as one field of a
 // message. Nothing was sent.
 type InvalidFieldError struct {
--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -59,6 +59,18 @@
 	// Peers holds the other VMs of the platform's list. Written by
 	// control/relay.
 	Peers Section[[]chervilladder.VM]
+	// ListedAt is when this VM last read a list of VMs that contains it. Raised by
+	// control/relay.
+	ListedAt LatestTime
+	// ListedBefore is set if the list contained this VM before it announced itself:
+	// it has been restarted. Written by control/relay.
+	ListedBefore atomic.Bool
+	// QuotaLenders says which VMs lend parts of the client accounts' quotas. Written
+	// by control/quota.
+	QuotaLenders Section[QuotaLenders]
+	// Quotas holds what this VM has borrowed and lent of each client account's quota.
+	// Its sections name their own writers.
+	Quotas Table[chervilladder.AccountID, Quota]
 	// Hosting says which VMs hold connections to which service's upstreams.
 	// Written by control/hosting.
 	Hosting Section[Hosting]
--- /dev/null
+++ b/internal/control/quota/borrow.go
@@ -0,0 +1,261 @@
+package quota
+
+import (
+	"context"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/quota"
+	"github.com/chervilladder/chervilladder/internal/recovery"
+)
+
+const (
+	// gatherFor is how long the operations that wait are gathered before lenders are
+	// asked.
+	gatherFor = 2 * time.Millisecond
+	// lateAfter is after how long the next lender is asked as well, and callTimeout how
+	// long a lender's answer is waited for.
+	lateAfter   = 70 * time.Millisecond
+	callTimeout = 200 * time.Millisecond
+	// avoidFor is how long a lender that didn't answer is asked last.
+	avoidFor = time.Second
+	// minWaiting is the number of operations of an account that may wait in any case.
+	minWaiting = 4
+)
+
+// borrowing is the state of what this VM borrows of one account's quota.
+type borrowing struct {
+	account chervilladder.AccountID
+	quota   *blackboard.Quota
+	// offered and granted are the rates of the operations that callers ask for and of
+	// those that lenders lend.
+	offered, granted   quota.Rate
+	offeredAt, lentNow int64
+	// next is the index of the lender to ask next, and asked how many have been asked
+	// since one had enough. retryAfter is the least time that these told to wait.
+	next, asked int
+	retryAfter  time.Duration
+	// call is the unanswered call that asks for this account; nil if there is none.
+	call *call
+}
+
+// call is one request to a lender.
+type call struct {
+	lender  chervilladder.VM
+	demands []chervilladder.QuotaDemand
+	sentAt  time.Time
+}
+
+// answer is a lender's answer, or that it is late.
+type answer struct {
+	call  *call
+	loans []chervilladder.QuotaLoan
+	late  bool
+	err   error
+}
+
+// borrow asks lenders for what operations wait for, and ahead for accounts with steady
+// demand.
+func (k *Controller) borrow(ctx context.Context) {
+	k.borrowings = make(map[chervilladder.AccountID]*borrowing)
+	k.avoided = make(map[chervilladder.VMID]time.Time)
+	refilledAt := k.c.Clock()
+	refill := time.NewTicker(k.terms().RefillInterval())
+	defer refill.Stop()
+	gather := time.NewTimer(0)
+	defer gather.Stop()
+	for {
+		select {
+		case <-k.wake:
+			gather.Reset(gatherFor)
+		case <-gather.C:
+			k.request(ctx, k.takeQueued())
+		case <-refill.C:
+			now := k.c.Clock()
+			k.request(ctx, k.observe(now.Sub(refilledAt)))
+			refilledAt = now
+		case a := <-k.answers:
+			k.request(ctx, k.apply(ctx, a))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// takeQueued returns the accounts with operations that wait for a loan.
+func (k *Controller) takeQueued() []*borrowing {
+	k.mu.Lock()
+	queued := k.queued
+	k.queued = nil
+	k.mu.Unlock()
+	list := make([]*borrowing, 0, len(queued))
+	for _, a := range queued {
+		b := k.borrowing(a)
+		b.quota.Queued.Store(false)
+		list = append(list, b)
+	}
+	return list
+}
+
+func (k *Controller) borrowing(a chervilladder.AccountID) *borrowing {
+	b, ok := k.borrowings[a]
+	if !ok {
+		b = &borrowing{account: a, quota: k.c.Board.Quotas.Get(a)}
+		k.borrowings[a] = b
+	}
+	return b
+}
+
+// observe updates the rates of all accounts, and returns the accounts.
+func (k *Controller) observe(interval time.Duration) []*borrowing {
+	list := make([]*borrowing, 0, len(k.borrowings))
+	for _, b := range k.borrowings {
+		offered := b.quota.Offered.Load()
+		b.offered.Observe(offered-b.offeredAt, interval)
+		b.granted.Observe(b.lentNow, interval)
+		b.offeredAt, b.lentNow = offered, 0
+		list = append(list, b)
+	}
+	return list
+}
+
+// request asks lenders for what accounts need, with one message to each lender.
+func (k *Controller) request(ctx context.Context, list []*borrowing) {
+	now, terms := k.c.Clock(), k.terms()
+	lenders := k.c.Board.QuotaLenders.Load()
+	var calls []*call
+	for _, b := range list {
+		limit, limited := k.quotaOf(b.account)
+		group := lenders.Groups[quota.GroupOf(b.account)].Lenders
+		if !limited || len(group) == 0 || b.call != nil || b.quota.Supply.Load().ShortUntil.After(now) {
+			continue
+		}
+		demand := quota.Demand{
+			Quota: limit, Terms: terms, Offered: b.offered,
+			Waiting: b.quota.Waiting.Load(), Left: b.quota.Loans.Left(now.Add(terms.RefillInterval())),
+		}.Operations()
+		if demand < 1 {
+			continue
+		}
+		lender := k.choose(b, group, now)
+		i := slices.IndexFunc(calls, func(c *call) bool { return c.lender.ID == lender.ID })
+		if i < 0 {
+			i = len(calls)
+			calls = append(calls, &call{lender: lender, sentAt: now})
+		}
+		calls[i].demands = append(calls[i].demands, chervilladder.QuotaDemand{Account: b.account, Operations: demand})
+		b.call = calls[i]
+	}
+	for _, c := range calls {
+		k.calls.Go(func() { _ = recovery.Call(k.c.Log, part, func() { k.send(ctx, c) }) })
+	}
+}
+
+// choose returns the lender to ask for an account: the next one that isn't avoided.
+func (k *Controller) choose(b *borrowing, group []chervilladder.VM, now time.Time) chervilladder.VM {
+	for i := range group {
+		if vm := group[(b.next+i)%len(group)]; !k.avoided[vm.ID].After(now) {
+			b.next = (b.next + i) % len(group)
+			return vm
+		}
+	}
+	b.next %= len(group)
+	return group[b.next]
+}
+
+// send calls a lender and passes on its answer.
+func (k *Controller) send(ctx context.Context, c *call) {
+	pass := func(a answer) {
+		select {
+		case k.answers <- a:
+		case <-ctx.Done():
+		}
+	}
+	late := time.AfterFunc(lateAfter, func() { pass(answer{call: c, late: true}) })
+	defer late.Stop()
+	loans, err := k.call(ctx, c)
+	pass(answer{call: c, loans: loans, err: err})
+}
+
+func (k *Controller) call(ctx context.Context, c *call) ([]chervilladder.QuotaLoan, error) {
+	if c.lender.ID == k.c.Board.Self.ID || k.c.Peers == nil {
+		return k.Lend(ctx, k.c.Board.Self.ID, c.demands)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return k.c.Peers.Lend(ctx, c.lender.Peer, c.demands)
+}
+
+// apply applies an answer, and returns the accounts for which another lender is to be
+// asked.
+func (k *Controller) apply(ctx context.Context, a answer) []*borrowing {
+	now := k.c.Clock()
+	if a.late || a.err != nil {
+		k.avoided[a.call.lender.ID] = now.Add(avoidFor)
+	}
+	var again []*borrowing
+	for i, d := range a.call.demands {
+		b := k.borrowing(d.Account)
+		loan := chervilladder.QuotaLoan{RetryAfter: k.terms().RetryInterval()}
+		if i < len(a.loans) && a.loans[i].Account == d.Account {
+			loan = a.loans[i]
+		}
+		lent := k.add(b, d, loan, a.call.sentAt, now)
+		if b.call != a.call {
+			continue // it was late, and another lender has been asked
+		}
+		b.call = nil
+		if lent >= int64(d.Operations) {
+			b.asked, b.retryAfter = 0, 0
+		} else {
+			k.short(ctx, b, loan.RetryAfter, now)
+		}
+		b.quota.Supply.Update(func(s blackboard.QuotaSupply) blackboard.QuotaSupply {
+			s.MaxWaiting = int64(math.Ceil(b.granted.Over(maxWait)))
+			return s
+		})
+		again = append(again, b)
+	}
+	return again
+}
+
+// add adds a loan, at most the demand, and returns its operations.
+func (k *Controller) add(b *borrowing, d chervilladder.QuotaDemand, l chervilladder.QuotaLoan, sentAt, now time.Time) int64 {
+	if !(l.Operations >= 1) { // also if it is no number
+		return 0
+	}
+	lent := int64(min(l.Operations, d.Operations))
+	expires := sentAt.Add(min(l.Lifetime, k.terms().Lifetime))
+	b.lentNow += lent
+	b.quota.Loans.Add(lent, expires, now)
+	return lent
+}
+
+// short has the next lender asked. Once all have been, none is asked for a time.
+func (k *Controller) short(ctx context.Context, b *borrowing, retryAfter time.Duration, now time.Time) {
+	lenders := len(k.c.Board.QuotaLenders.Load().Groups[quota.GroupOf(b.account)].Lenders)
+	if b.asked == 0 || retryAfter < b.retryAfter {
+		b.retryAfter = retryAfter
+	}
+	b.next, b.asked = b.next+1, b.asked+1
+	if b.asked < lenders {
+		return
+	}
+	wait := min(max(b.retryAfter, k.terms().RetryInterval()), maxShort)
+	b.asked, b.retryAfter = 0, 0
+	b.quota.Supply.Update(func(s blackboard.QuotaSupply) blackboard.QuotaSupply {
+		s.ShortUntil = now.Add(wait)
+		return s
+	})
+	time.AfterFunc(wait, func() {
+		if b.quota.Waiting.Load() > 0 && ctx.Err() == nil {
+			k.queue(b.account, b.quota)
+		}
+	})
+}
+
+// maxShort bounds how long no lender is asked that has too little.
+const maxShort = time.Second
--- /dev/null
+++ b/internal/control/quota/quota.go
@@ -0,0 +1,127 @@
+// Package quota keeps the operations of client accounts within their quotas: it admits
+// them from loans, borrows from the VMs that lend parts of the quotas, and lends to other
+// VMs what this VM owns of them.
+package quota
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/quota"
+	"github.com/chervilladder/chervilladder/internal/recovery"
+)
+
+// part names this package in reports of panics.
+const part recovery.Part = "quota"
+
+// Config configures a Controller.
+type Config struct {
+	Board *blackboard.Board
+	// Peers borrows from other VMs; nil if there are none.
+	Peers chervilladder.PeerQuotaLender
+	Log   *logrus.Logger
+	// Clock returns the VM's own time.
+	Clock func() time.Time
+	// MaxListAge returns how old the list of VMs of a VM may be that reaches the store,
+	// given the number of VMs.
+	MaxListAge func(vms int) time.Duration
+}
+
+// Controller is the one writer of the board's QuotaLenders and Quotas, except for the
+// counts that the path of a request writes. It implements chervilladder.Admitter and
+// chervilladder.QuotaLender.
+type Controller struct {
+	c Config
+
+	// mu guards queued, the accounts with operations that wait for a loan.
+	mu     sync.Mutex
+	queued []chervilladder.AccountID
+	// wake receives when an account has been queued.
+	wake chan struct{}
+	// answers receives the answers of lenders.
+	answers chan answer
+
+	// borrowings and lenders are used by Run's goroutine only.
+	borrowings map[chervilladder.AccountID]*borrowing
+	calls      sync.WaitGroup
+	// avoided holds until when a lender that didn't answer is asked last.
+	avoided map[chervilladder.VMID]time.Time
+
+	standing standing
+}
+
+var (
+	_ chervilladder.Admitter    = (*Controller)(nil)
+	_ chervilladder.QuotaLender = (*Controller)(nil)
+)
+
+// New returns a controller.
+func New(c Config) (*Controller, error) {
+	if c.Board == nil || c.Log == nil || c.Clock == nil || c.MaxListAge == nil {
+		return nil, errors.New("quota: a board, a log, a clock and the age of lists are needed")
+	}
+	return &Controller{c: c, wake: make(chan struct{}, 1), answers: make(chan answer)}, nil
+}
+
+// Run borrows and decides on lenders until the context ends. It does nothing while the
+// configuration has no quotas.
+func (k *Controller) Run(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer k.calls.Wait()
+	defer stop()
+	for ctx.Err() == nil {
+		routing, changed := k.c.Board.Routing.Watch()
+		if hasQuotas(routing) {
+			k.runWithQuotas(ctx)
+			continue
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// runWithQuotas runs until the configuration has no quotas.
+func (k *Controller) runWithQuotas(ctx context.Context) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	var parts sync.WaitGroup
+	recovery.Go(ctx, &parts, k.c.Log, part, k.keepStanding)
+	recovery.Go(ctx, &parts, k.c.Log, part, k.borrow)
+	for ctx.Err() == nil {
+		routing, changed := k.c.Board.Routing.Watch()
+		if !hasQuotas(routing) {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	stop()
+	parts.Wait()
+}
+
+func hasQuotas(r *chervilladder.Routing) bool {
+	return r != nil && r.Accounts != nil && len(r.Accounts.Quotas) > 0
+}
+
+// quotaOf returns the quota of an account in the configuration in force.
+func (k *Controller) quotaOf(a chervilladder.AccountID) (chervilladder.Quota, bool) {
+	r := k.c.Board.Routing.Load()
+	if r == nil || r.Accounts == nil {
+		return chervilladder.Quota{}, false
+	}
+	q, ok := r.Accounts.Quotas[a]
+	return q, ok
+}
+
+func (k *Controller) terms() quota.Terms { return quota.TermsFor(k.c.Board.Bounds.Load().QuotaWindow) }
--- a/internal/control/relay/relay.go
+++ b/internal/control/relay/relay.go
@@ -27,6 +27,8 @@
 	minListEvery   = 10 * time.Second
 	listEveryPerVM = 100 * time.Millisecond
 	firstListEvery = 500 * time.Millisecond
+	// maxListCall is how long a read of the list may take.
+	maxListCall = time.Second
 	// announceRetry is the mean pause after a failed announcement.
 	announceRetry = 2 * time.Second
 )
@@ -44,8 +46,8 @@
 	Clock func() time.Time
 }
 
-// Controller is the one writer of the board's Published, Members, Peers,
-// StoreAccess, PeerConfirmedAt and PeerKnowledge in a VM started with
+// Controller is the one writer of the board's Published, Members, Peers, ListedAt,
+// ListedBefore, StoreAccess, PeerConfirmedAt and PeerKnowledge in a VM started with
 // daemon.RunOnPlatform. It sends peers what the blackboard holds of the store, and follows them while this VM
 // doesn't read the store itself.
 type Controller struct {
@@ -95,15 +97,22 @@
 // VM from the list when they can't reach it for removeAfter, so it announces itself
 // again when it is missing.
 func (k *Controller) followDirectory(ctx context.Context) {
+	if vms, err := k.c.Directory.VMs(ctx); err == nil {
+		k.c.Board.ListedBefore.Store(k.contained(vms))
+	}
 	if !k.announce(ctx) {
 		return
 	}
 	listed := false
 	for wait := firstListEvery; ; wait = min(2*wait, k.listEvery()) {
+		requested := k.c.Clock()
 		vms, err := k.c.Directory.VMs(ctx)
 		if err == nil {
 			k.setPeers(k.others(vms))
-			present := slices.ContainsFunc(vms, func(v chervilladder.VM) bool { return v.ID == k.c.Board.Self.ID })
+			present := k.contained(vms)
+			if present {
+				k.c.Board.ListedAt.Raise(requested)
+			}
 			if listed && !present && !k.announce(ctx) {
 				return
 			}
@@ -117,6 +126,11 @@
 	}
 }
 
+// contained reports whether a list contains this VM.
+func (k *Controller) contained(vms []chervilladder.VM) bool {
+	return slices.ContainsFunc(vms, func(v chervilladder.VM) bool { return v.ID == k.c.Board.Self.ID })
+}
+
 // announce adds this VM to the list. It returns false if the context ends first.
 func (k *Controller) announce(ctx context.Context) bool {
 	for k.c.Directory.Announce(ctx, k.c.Board.Self) != nil {
@@ -127,10 +141,18 @@
 	return true
 }
 
-// listEvery returns the mean time between two reads of the list of VMs. The more
-// VMs there are, the longer is the list and the more VMs read it.
-func (k *Controller) listEvery() time.Duration {
-	return max(minListEvery, time.Duration(len(k.c.Board.Peers.Load()))*listEveryPerVM)
+// listEvery returns the mean time between two reads of the list of VMs.
+func (k *Controller) listEvery() time.Duration { return listEvery(len(k.c.Board.Peers.Load())) }
+
+// listEvery returns the mean time between two reads of a list of VMs. The longer it is,
+// the more VMs read it.
+func listEvery(vms int) time.Duration {
+	return max(minListEvery, time.Duration(vms)*listEveryPerVM)
+}
+
+// MaxListAge returns how old the list of VMs of a VM may be that reaches the store.
+func MaxListAge(vms int) time.Duration {
+	return listEvery(vms)*3/2 + maxListCall // retry.Jitter adds up to half
 }
 
 // setPeers writes the list to the blackboard if it has changed.
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -17,6 +17,7 @@
 	"github.com/chervilladder/chervilladder/internal/control/bounds"
 	"github.com/chervilladder/chervilladder/internal/control/failover"
 	"github.com/chervilladder/chervilladder/internal/control/hosting"
+	"github.com/chervilladder/chervilladder/internal/control/quota"
 	"github.com/chervilladder/chervilladder/internal/control/reachability"
 	"github.com/chervilladder/chervilladder/internal/control/registry"
 	"github.com/chervilladder/chervilladder/internal/control/relay"
@@ -91,8 +92,12 @@
 	linker := platform.Linker{Name: c.Settings.VM}
 	pools := link.NewPools(link.PoolsConfig{Board: board, Linker: linker, Log: c.Log})
 	peers := peer.NewClient(board)
+	quotas, err := quota.New(quota.Config{Board: board, Peers: peers, Log: c.Log, Clock: clock.SinceBoot, MaxListAge: relay.MaxListAge})
+	if err != nil {
+		return nil, err
+	}
 	sessions, err := session.New(session.Config{
-		Board: board, Pools: pools, Log: c.Log, Clock: clock.SinceBoot, Remote: peers,
+		Board: board, Pools: pools, Log: c.Log, Clock: clock.SinceBoot, Remote: peers, Admitter: quotas,
 		Observer: observe.New(observe.Config{Output: c.LogQueue, Metrics: metricSet}),
 	})
 	if err != nil {
@@ -133,7 +138,7 @@
 	if err != nil {
 		return nil, err
 	}
-	peering, err := buildPeering(c, board, client, peers, sessions, failovers)
+	peering, err := buildPeering(c, board, client, peers, sessions, failovers, quotas)
 	if err != nil {
 		return nil, err
 	}
@@ -142,6 +147,7 @@
 		front,
 		signals,
 		failovers,
+		quotas,
 		platform.Readiness{Listener: readinessListener, Ready: func() bool { return canServe(board) && !board.ShutsDown() && !recovery.Failing() }},
 		platform.Metrics{Listener: metricsListener, Sets: []*metrics.Set{metricSet, recovery.Metrics, failover.Metrics, link.Metrics}},
 	}, append(peering, controllers...)...), nil
@@ -169,7 +175,7 @@
 
 // buildPeering returns the actors by which VMs exchange the contents of the store
 // and their own observations of upstreams, and forward work to each other.
-func buildPeering(c PlatformConfig, board *blackboard.Board, client *platform.Client, peers *peer.Client, sessions *session.Manager, failovers *failover.Controller) ([]actor, error) {
+func buildPeering(c PlatformConfig, board *blackboard.Board, client *platform.Client, peers *peer.Client, sessions *session.Manager, failovers *failover.Controller, quotas *quota.Controller) ([]actor, error) {
 	if c.Settings.Peers == "" {
 		c.Log.Warn("daemon: the settings have no ports for peers; nothing is forwarded between VMs")
 		return nil, nil
@@ -195,7 +201,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := peer.NewServer(peer.ServerConfig{Board: board, Listener: listener, Executor: executor, Feed: relays, Demoter: failovers, Reachability: reachabilityController, Log: c.Log})
+	server := peer.NewServer(peer.ServerConfig{Board: board, Listener: listener, Executor: executor, Feed: relays, Demoter: failovers, Reachability: reachabilityController, QuotaLender: quotas, Log: c.Log})
 	return []actor{relays, hostingController, reachabilityController, server}, nil
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -33,6 +33,8 @@
 	Demoter chervilladder.Demoter
 	// Reachability reports which primaries this VM reaches; nil rejects the call.
 	Reachability chervilladder.Reachability
+	// QuotaLender lends parts of quotas; nil rejects the call.
+	QuotaLender chervilladder.QuotaLender
 	// Canceller cancels the statements of sessions at this VM when peers request it;
 	// may be nil.
 	Canceller chervilladder.Canceller
--- a/internal/session/manager.go
+++ b/internal/session/manager.go
@@ -30,6 +30,8 @@
 	// this VM doesn't, and that of a service hosted here whose primary only a peer
 	// reaches. It is nil if there are no other VMs.
 	Remote chervilladder.Remote
+	// Admitter admits the operations of client accounts; nil admits all.
+	Admitter chervilladder.Admitter
 	// Observer is called after each command; may be nil.
 	Observer Observer
 }
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -14,6 +14,7 @@
 	m           *Manager
 	db          chervilladder.DatabaseID
 	caller      string
+	account     chervilladder.AccountID
 	values      map[string]string
 	prepared    map[string]link.Prepared
 	minPosition minPosition
@@ -83,7 +84,7 @@
 	case s.tx != nil:
 		r = s.tx.do(ctx, w)
 	case c.Kind == chervilladder.CommandBegin || c.Kind == chervilladder.CommandBeginRead:
-		r = s.begin(w)
+		r = s.begin(ctx, w)
 	case c.Kind == chervilladder.CommandCommit || c.Kind == chervilladder.CommandRollback:
 		r = failure(chervilladder.CodeMalformed, "no transaction is open")
 	case c.Kind == chervilladder.CommandRead || c.Kind == chervilladder.CommandWrite || c.Kind == chervilladder.CommandExecute:
@@ -138,7 +139,7 @@
 }
 
 // begin opens a transaction. The first statement takes the connection.
-func (s *session) begin(w *work) chervilladder.Result {
+func (s *session) begin(ctx context.Context, w *work) chervilladder.Result {
 	route, err := s.route()
 	if err != nil {
 		return failure(chervilladder.CodeNoDatabase, "no route to the database")
@@ -146,6 +147,9 @@
 	if err := s.checkTaken(allowance(route, w.command.Kind, chervilladder.AccessRead)); err != nil {
 		return w.refusal(err)
 	}
+	if err := s.admit(ctx); err != nil {
+		return w.refusal(err)
+	}
 	w.route = route
 	if w.runsElsewhere() {
 		s.tx = &remoteTransaction{session: s, route: route, begin: w.command}
--- a/internal/session/work.go
+++ b/internal/session/work.go
@@ -102,6 +102,9 @@
 	w.setRoute(route)
 	ctx, cancel := context.WithDeadline(ctx, w.deadline)
 	defer cancel()
+	if err := s.admit(ctx); err != nil {
+		return w.refusal(err)
+	}
 	var r chervilladder.Result
 	if access == chervilladder.AccessRead {
 		r = w.runHedged(ctx)
--- a/quota.go
+++ b/quota.go
@@ -45,7 +45,9 @@
 
 // QuotaLender lends parts of quotas to other VMs.
 type QuotaLender interface {
-	// Lend returns a loan for each demand, in the same order.
+	// Lend returns a loan for each demand, in the same order. Without demands it only
+	// checks whether the borrower is known: its error is then an
+	// *UnknownBorrowerError if the borrower isn't in the lender's list of VMs.
 	Lend(ctx context.Context, borrower VMID, demands []QuotaDemand) ([]QuotaLoan, error)
 }
 
