--- a/internal/control/quota/history_test.go
+++ b/internal/control/quota/history_test.go
@@ -41,6 +41,54 @@
 	faults
 )
 
+// phase is how the callers of an account are spread over the VMs.
+type phase struct {
+	// flood is set if the callers offer several times the quota at all VMs. Otherwise
+	// they stay below it, and move from VM to VM.
+	flood bool
+	lasts time.Duration
+}
+
+// moveInterval is how long callers that move stay at a VM.
+const moveInterval = 2 * time.Second
+
+// play applies the phases in turn, over and over.
+func (w *world) play(phases []phase, rate float64) {
+	for i := 0; ; i++ {
+		p := phases[i%len(phases)]
+		for began := time.Now(); time.Since(began) < p.lasts; {
+			w.mu.Lock()
+			vms := w.vms
+			w.mu.Unlock()
+			at := w.random.IntN(len(vms))
+			for j, v := range vms {
+				switch {
+				case p.flood:
+					v.setLoad(tenant, 5*rate/float64(len(vms)))
+				case j == at:
+					v.setLoad(tenant, 0.9*rate)
+				default:
+					v.setLoad(tenant, 0)
+				}
+			}
+			if !sleep(w.ctx, moveInterval) {
+				return
+			}
+		}
+	}
+}
+
+func drawPhases(t *rapid.T) []phase {
+	phases := make([]phase, rapid.IntRange(1, 3).Draw(t, "phases"))
+	for i := range phases {
+		phases[i] = phase{
+			flood: i == 0 || rapid.Bool().Draw(t, "flood"),
+			lasts: time.Duration(rapid.IntRange(2, 30).Draw(t, "phase")) * time.Second,
+		}
+	}
+	return phases
+}
+
 // event is a fault of one VM, or of all, for a time.
 type event struct {
 	fault fault
@@ -132,19 +180,16 @@
 	limit := 1.1*(float64(q.Rate)*window.Seconds()+float64(q.Burst)) + 20
 	rapid.Check(t, func(r *rapid.T) {
 		vms := rapid.IntRange(1, 9).Draw(r, "vms")
-		events := drawEvents(r)
+		phases, events := drawPhases(r), drawEvents(r)
 		most := 0
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(vms, map[chervilladder.AccountID]chervilladder.Quota{tenant: q}, 1)
 			defer w.end()
-			load(w, tenant, 600, even(vms), trafficFrom)
+			w.running.Go(func() { w.play(phases, float64(q.Rate)) })
+			time.Sleep(trafficFrom)
 			for _, e := range events {
 				time.Sleep(e.after)
-				before := len(w.vms)
 				w.happen(e)
-				for _, v := range w.vms[before:] {
-					w.running.Go(func() { w.offer(w.ctx, v, tenant, 600/float64(vms)) })
-				}
 			}
 			time.Sleep(60 * time.Second)
 			most = w.accounts[tenant].most()
--- a/internal/control/quota/quota_test.go
+++ b/internal/control/quota/quota_test.go
@@ -24,9 +24,7 @@
 		sum += x
 	}
 	for i, x := range weights {
-		if x > 0 {
-			w.running.Go(func() { w.offer(w.ctx, w.vms[i], id, rate*x/sum) })
-		}
+		w.vms[i].setLoad(id, rate*x/sum)
 	}
 	time.Sleep(d)
 	return w.accounts[id]
--- a/internal/control/quota/world_test.go
+++ b/internal/control/quota/world_test.go
@@ -74,6 +74,7 @@
 	storeCut    bool
 	side        int
 	unreachable time.Time
+	load        map[chervilladder.AccountID]float64 // operations a second
 }
 
 func newWorld(n int, quotas map[chervilladder.AccountID]chervilladder.Quota, seed uint64) *world {
@@ -154,7 +155,11 @@
 func (v *vm) freeze() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.thawed = make(chan struct{})
+	select {
+	case <-v.thawed:
+		v.thawed = make(chan struct{})
+	default: // it is frozen already
+	}
 }
 
 func (v *vm) thaw() {
@@ -340,31 +345,57 @@
 	}
 }
 
-// offer has callers at a VM run operations of an account at random, at a mean rate.
-func (w *world) offer(ctx context.Context, v *vm, id chervilladder.AccountID, rate float64) {
-	a := w.accounts[id]
-	for sleep(ctx, time.Duration(rand.ExpFloat64()/rate*float64(time.Second))) {
-		k := v.current()
-		if k == nil || v.frozen() {
-			continue
+// setLoad sets how many operations of an account the callers at a VM offer a second.
+func (v *vm) setLoad(id chervilladder.AccountID, rate float64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.load == nil {
+		v.load = make(map[chervilladder.AccountID]float64)
+	}
+	if _, offered := v.load[id]; !offered && rate > 0 {
+		v.w.running.Go(func() { v.offer(id) })
+	}
+	v.load[id] = rate
+}
+
+// idleCheck is after how long callers look whether there is load again.
+const idleCheck = 50 * time.Millisecond
+
+// offer has callers run operations at random times, at the mean rate of setLoad.
+func (v *vm) offer(id chervilladder.AccountID) {
+	for {
+		v.mu.Lock()
+		rate := v.load[id]
+		v.mu.Unlock()
+		pause := idleCheck
+		if rate > 0 {
+			pause = time.Duration(rand.ExpFloat64() / rate * float64(time.Second))
 		}
-		w.running.Go(func() {
-			began := time.Now()
-			err := k.Admit(w.ctx, id)
-			now := time.Now()
-			if w.ctx.Err() != nil {
-				return
-			}
-			a.mu.Lock()
-			defer a.mu.Unlock()
-			a.offered++
-			a.waited += now.Sub(began)
-			if err != nil {
-				a.refused++
-			} else {
-				a.admitted = append(a.admitted, now)
-			}
-		})
+		if !sleep(v.w.ctx, pause) {
+			return
+		}
+		if k := v.current(); k != nil && rate > 0 && !v.frozen() {
+			v.w.running.Go(func() { v.w.admit(k, id) })
+		}
+	}
+}
+
+// admit runs one operation.
+func (w *world) admit(k *quota.Controller, id chervilladder.AccountID) {
+	a, began := w.accounts[id], time.Now()
+	err := k.Admit(w.ctx, id)
+	now := time.Now()
+	if w.ctx.Err() != nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.offered++
+	a.waited += now.Sub(began)
+	if err != nil {
+		a.refused++
+	} else {
+		a.admitted = append(a.admitted, now)
 	}
 }
 
