--- /dev/null
+++ b/internal/control/quota/history_test.go
@@ -0,0 +1,200 @@
+package quota_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// TestMain fixes the seed of the property tests unless another one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		if err := flag.Set("rapid.seed", "1"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// fault is what happens to a system in a history.
+type fault int
+
+// The faults. Each ends after a time, except that a VM that is replaced doesn't return.
+const (
+	killOne fault = iota
+	killAll
+	freezeOne
+	cutFromVMs
+	cutFromStore
+	storeDown
+	replaceOne
+	addOne
+	partition
+	faults
+)
+
+// phase is how the callers of an account are spread over the VMs.
+type phase struct {
+	// flood is set if the callers offer several times the quota at all VMs. Otherwise
+	// they stay below it, and move from VM to VM.
+	flood bool
+	lasts time.Duration
+}
+
+// moveInterval is how long callers that move stay at a VM.
+const moveInterval = 2 * time.Second
+
+// play applies the phases in turn, over and over.
+func (w *world) play(phases []phase, rate float64) {
+	for i := 0; ; i++ {
+		p := phases[i%len(phases)]
+		for began := time.Now(); time.Since(began) < p.lasts; {
+			w.mu.Lock()
+			vms := w.vms
+			w.mu.Unlock()
+			at := w.random.IntN(len(vms))
+			for j, v := range vms {
+				switch {
+				case p.flood:
+					v.setLoad(tenant, 5*rate/float64(len(vms)))
+				case j == at:
+					v.setLoad(tenant, 0.9*rate)
+				default:
+					v.setLoad(tenant, 0)
+				}
+			}
+			if !sleep(w.ctx, moveInterval) {
+				return
+			}
+		}
+	}
+}
+
+func drawPhases(t *rapid.T) []phase {
+	phases := make([]phase, rapid.IntRange(1, 3).Draw(t, "phases"))
+	for i := range phases {
+		phases[i] = phase{
+			flood: i == 0 || rapid.Bool().Draw(t, "flood"),
+			lasts: time.Duration(rapid.IntRange(2, 30).Draw(t, "phase")) * time.Second,
+		}
+	}
+	return phases
+}
+
+// event is a fault of one VM, or of all, for a time.
+type event struct {
+	fault fault
+	vm    int
+	after time.Duration // since the event before
+	lasts time.Duration
+}
+
+// happen applies an event to the world.
+func (w *world) happen(e event) {
+	w.mu.Lock()
+	vms := w.vms
+	v := vms[e.vm%len(vms)]
+	w.mu.Unlock()
+	later := func(undo func()) {
+		w.running.Go(func() {
+			sleep(w.ctx, e.lasts)
+			undo()
+		})
+	}
+	locked := func(change func()) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		change()
+	}
+	switch e.fault {
+	case killOne:
+		v.kill()
+		later(v.start)
+	case killAll:
+		for _, v := range vms {
+			v.kill()
+			later(v.start)
+		}
+	case freezeOne:
+		v.freeze()
+		later(v.thaw)
+	case cutFromVMs:
+		locked(func() { v.side = 1 + e.vm%len(vms) })
+		later(func() { locked(func() { v.side = 0 }) })
+	case cutFromStore:
+		locked(func() { v.storeCut = true })
+		later(func() { locked(func() { v.storeCut = false }) })
+	case storeDown:
+		locked(func() { w.storeDown = true })
+		later(func() { locked(func() { w.storeDown = false }) })
+	case replaceOne:
+		v.kill()
+		w.add()
+	case addOne:
+		w.add()
+	case partition: // a minority is cut off from the store and the other VMs
+		minority := vms[:(len(vms)-1)/2]
+		locked(func() {
+			for _, v := range minority {
+				v.side, v.storeCut = -1, true
+			}
+		})
+		later(func() {
+			locked(func() {
+				for _, v := range minority {
+					v.side, v.storeCut = 0, false
+				}
+			})
+		})
+	}
+}
+
+func drawEvents(t *rapid.T) []event {
+	seconds := func(name string, from, to int) time.Duration {
+		return time.Duration(rapid.IntRange(from, to).Draw(t, name)) * time.Second
+	}
+	events := make([]event, rapid.IntRange(1, 5).Draw(t, "events"))
+	for i := range events {
+		events[i] = event{
+			fault: fault(rapid.IntRange(0, int(faults)-1).Draw(t, "fault")),
+			vm:    rapid.IntRange(0, 9).Draw(t, "vm"),
+			after: seconds("after", 0, 20),
+			lasts: seconds("lasts", 1, 90),
+		}
+	}
+	return events
+}
+
+// The operations that a flood gets stay within the quota in any window, whatever happens
+// to the VMs, their network and the store.
+func TestNoHistoryExceedsTheQuota(t *testing.T) {
+	q := chervilladder.Quota{Rate: 100, Burst: 30}
+	limit := 1.1*(float64(q.Rate)*window.Seconds()+float64(q.Burst)) + 20
+	rapid.Check(t, func(r *rapid.T) {
+		vms := rapid.IntRange(1, 9).Draw(r, "vms")
+		phases, events := drawPhases(r), drawEvents(r)
+		most := 0
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(vms, map[chervilladder.AccountID]chervilladder.Quota{tenant: q}, 1)
+			defer w.end()
+			w.running.Go(func() { w.play(phases, float64(q.Rate)) })
+			time.Sleep(trafficFrom)
+			for _, e := range events {
+				time.Sleep(e.after)
+				w.happen(e)
+			}
+			time.Sleep(60 * time.Second)
+			most = w.accounts[tenant].most()
+		})
+		is := is.New(r)
+		is.True(float64(most) <= limit)
+	})
+}
--- a/internal/session/manager.go
+++ b/internal/session/manager.go
@@ -33,6 +33,8 @@
 	// Authenticator says whose callers are. If it is nil, a caller's key only tells
 	// callers apart.
 	Authenticator chervilladder.Authenticator
+	// Admitter admits the operations of client accounts; nil admits all.
+	Admitter chervilladder.Admitter
 	// Observer is called after each command; may be nil.
 	Observer Observer
 }
