peer: reconnect fast, and keep connections that are needed

Cause: a connection between VMs that couldn't be opened was tried again after 1 s to 120 s by gRPC's default back-off, each attempt for up to 20 s, and work forwarded meanwhile failed at once or waited its 250 ms. Connections were opened by the first caller's request.

Change: an attempt takes at most 1 s, pauses grow from 50 to 500 ms. Keep-alive pings also pass while no call runs. chervilladder.Connector keeps a connection open and reports its state. PrimaryUnreachableError tells a VM that answers that it doesn't reach a primary from one that doesn't answer.

--- a/errors.go
+++ b/errors.go
@@ -132,6 +132,15 @@
 	return fmt.Sprintf("upstream %s: ballot refused: member is in term %d", e.Upstream, e.Term)
 }
 
+// PrimaryUnreachableError reports a service whose primary a VM doesn't reach, or whose
+// work it takes from no peer, since it leaves, doesn't know the service or doesn't host it.
+type PrimaryUnreachableError struct{ Service ServiceID }
+
+// Error names the service.
+func (e *PrimaryUnreachableError) Error() string {
+	return fmt.Sprintf("the VM does not reach the primary of %s and its replicas", e.Service)
+}
+
 // ClaimLostError reports a claim that another VM has taken over.
 type ClaimLostError struct {
 	Upstream UpstreamID
--- a/internal/control/reachability/reachability.go
+++ b/internal/control/reachability/reachability.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -153,24 +152,16 @@
 
 var _ chervilladder.Reachability = (*Controller)(nil)
 
-// unreachableError reports a service whose primary this VM doesn't reach, or whose work
-// it takes from no peer, since it leaves, doesn't know the service or doesn't host it.
-type unreachableError struct{ Service chervilladder.ServiceID }
-
-func (e *unreachableError) Error() string {
-	return fmt.Sprintf("reachability: this VM does not reach the primary of %s and its replicas", e.Service)
-}
-
 // ReachablePrimary has the members of a cluster polled again, and returns the primary
 // if this VM reaches it.
 func (k *Controller) ReachablePrimary(ctx context.Context, service chervilladder.ServiceID) (chervilladder.PrimaryTerm, error) {
 	c, known := k.c.Board.Clusters.Find(service)
 	if !known || k.c.Leaving() || !k.c.Board.Hosting.Load().Here(service) {
-		return chervilladder.PrimaryTerm{}, &unreachableError{Service: service}
+		return chervilladder.PrimaryTerm{}, &chervilladder.PrimaryUnreachableError{Service: service}
 	}
 	calledAt := k.c.Clock()
 	if lead.PrimaryUnreachable(c.View.Load(), blackboard.PeerReport{}, calledAt) {
-		return chervilladder.PrimaryTerm{}, &unreachableError{Service: service} // enough polls have failed already; another one would not help
+		return chervilladder.PrimaryTerm{}, &chervilladder.PrimaryUnreachableError{Service: service} // enough polls have failed already; another one would not help
 	}
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
@@ -187,7 +178,7 @@
 		case <-next.C:
 			c.PollTrigger.Ask()
 		case <-ctx.Done():
-			return chervilladder.PrimaryTerm{}, &unreachableError{Service: service}
+			return chervilladder.PrimaryTerm{}, &chervilladder.PrimaryUnreachableError{Service: service}
 		}
 	}
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,8 +10,11 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
@@ -28,6 +31,16 @@
 	keepAliveTimeout = time.Second
 )
 
+// How a lost connection is opened again. A peer that was unreachable must be in use again
+// soon after it is back, so attempts are short and the pauses between them bounded.
+const (
+	connectTimeout    = time.Second
+	minReconnectPause = 50 * time.Millisecond
+	maxReconnectPause = 500 * time.Millisecond
+	// idleTimeout is after how long without a call a connection is closed.
+	idleTimeout = 5 * time.Minute
+)
+
 // Client calls the other VMs. It keeps one connection to each peer that it has called.
 type Client struct {
 	board *blackboard.Board
@@ -39,6 +52,8 @@
 var (
 	_ chervilladder.Relay    = (*Client)(nil)
 	_ chervilladder.Releaser = (*Client)(nil)
+
+	_ chervilladder.Connector = (*Client)(nil)
 )
 
 // NewClient returns a client that takes the addresses of peers from the blackboard.
@@ -135,6 +150,9 @@
 		return chervilladder.PrimaryTerm{}, err
 	}
 	r, err := client.Witness(ctx, &peerpb.WitnessRequest{Service: string(s)})
+	if status.Code(err) == codes.FailedPrecondition {
+		return chervilladder.PrimaryTerm{}, &chervilladder.PrimaryUnreachableError{Service: s}
+	}
 	if err != nil {
 		return chervilladder.PrimaryTerm{}, fmt.Errorf("peer %s: reachable primary of %s: %w", peer, s, err)
 	}
@@ -161,22 +179,36 @@
 }
 
 func (c *Client) client(a chervilladder.Address) (peerpb.PeerClient, error) {
+	conn, err := c.conn(a)
+	if err != nil {
+		return nil, err
+	}
+	return peerpb.NewPeerClient(conn), nil
+}
+
+// conn returns the connection to a peer. It is opened in the background.
+func (c *Client) conn(a chervilladder.Address) (*grpc.ClientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if conn, ok := c.conns[a]; ok {
-		return peerpb.NewPeerClient(conn), nil
+		return conn, nil
 	}
 	conn, err := grpc.NewClient(
 		"passthrough:///"+string(a),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepAliveEvery, Timeout: keepAliveTimeout}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepAliveEvery, Timeout: keepAliveTimeout, PermitWithoutStream: true}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: minReconnectPause, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxReconnectPause},
+			MinConnectTimeout: connectTimeout,
+		}),
+		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxFrameBytes), grpc.MaxCallSendMsgSize(maxFrameBytes)),
 	)
 	if err != nil {
 		return nil, fmt.Errorf("peer %s: %w", a, err)
 	}
 	c.conns[a] = conn
-	return peerpb.NewPeerClient(conn), nil
+	return conn, nil
 }
 
 // exchange runs work at a peer.
--- a/reachability.go
+++ b/reachability.go
@@ -18,6 +18,16 @@
 // PeerReachability calls the Reachability of peers.
 type PeerReachability interface {
 	// ReachablePrimary calls Reachability.ReachablePrimary at the VM of an
-	// address.
+	// address. A VM that answers that it doesn't reach the primary returns a
+	// *PrimaryUnreachableError; any other error means that it didn't answer.
 	ReachablePrimary(ctx context.Context, peer Address, s ServiceID) (PrimaryTerm, error)
 }
+
+// Connector keeps connections to other VMs.
+type Connector interface {
+	// KeepConnected keeps the connection to a VM open until the context ends, and calls
+	// report when it has been opened and when an attempt to open it has failed.
+	KeepConnected(ctx context.Context, peer Address, report func(connected bool))
+	// Disconnect closes the connection to a VM that has left the system.
+	Disconnect(peer Address)
+}
