statuspoll: find a silent member when all connections of the pool wait for it

Cause: a poll waited 400 ms for a connection of the VM's pool; when none came free, that counted as a busy member, which resets the failures.

Change: after 150 ms the poll opens a connection of its own.

--- a/internal/control/statuspoll/prober.go
+++ b/internal/control/statuspoll/prober.go
@@ -25,6 +25,9 @@
 	// minPollInterval is the time between two polls when newer observations are
 	// requested.
 	minPollInterval = 5 * time.Millisecond
+	// poolTimeout bounds the wait for a connection of the pool. The rest of statusTimeout
+	// is left for a new one.
+	poolTimeout = 150 * time.Millisecond
 	// overrun is by how much a poll may exceed its timeout. If it takes longer, this VM
 	// itself was suspended, and no failure is recorded.
 	overrun = 200 * time.Millisecond
@@ -121,7 +124,7 @@
 // busy member, else the last error.
 func (p *prober) requestStatuses(ctx context.Context, requests int) (chervilladder.LinkStatus, error) {
 	pool := p.k.c.Pools.For(p.upstream)
-	get := func(ctx context.Context) (*link.Conn, error) { return pool.Get(ctx, nil) }
+	get := func(ctx context.Context) (*link.Conn, error) { return getOrOpen(ctx, pool) }
 	if p.failing > 0 {
 		get = pool.OpenNew
 	}
@@ -168,6 +171,18 @@
 	return errors.As(err, &inDoubt)
 }
 
+// getOrOpen returns a connection of a pool, or a new one if none becomes available in time:
+// all may wait for a member that is silent, which only a new one shows.
+func getOrOpen(ctx context.Context, pool *link.Pool) (*link.Conn, error) {
+	fromPool, cancel := context.WithTimeout(ctx, poolTimeout)
+	defer cancel()
+	conn, err := pool.Get(fromPool, nil)
+	if errors.Is(err, link.ErrFull) && ctx.Err() == nil {
+		return pool.OpenNew(ctx)
+	}
+	return conn, err
+}
+
 // requestStatus sends one status request, on a connection from get.
 func (p *prober) requestStatus(ctx context.Context, get func(context.Context) (*link.Conn, error)) (chervilladder.LinkStatus, error) {
 	deadline := time.Now().Add(statusTimeout)
