Forwarded work goes to hosts that can run it

Cause: the VM that forwards chose a host by the caller's hash and order only. A host that doesn't reach the primary refused, and the refusal went to the caller, or cost the retry budget and a random delay. A refusal marked the host unresponsive for all services. Every 3 s a caller's request found out, in 250 ms, that a host was down.

Change: decide/placement orders the hosts by what is known of each: refusals, reports in the answers to forwarded work (reaches the primary, wait, time taken), silence, connection, the time lost on the way.

Messages: two fields more in the answer to forwarded work, left out when empty; earlier builds ignore them (wire_test.go).

--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -66,6 +66,10 @@
 	// that the VM didn't host, by the VM's own clock. Written by the path of a
 	// peer's request.
 	ForwardedAt Section[map[chervilladder.ServiceID]time.Time]
+	// ForwardTargets and HostStates hold what this VM knows of the VMs that it
+	// forwards work to. Their types name the writers.
+	ForwardTargets Table[chervilladder.VMID, ForwardTarget]
+	HostStates     Table[ServiceHost, HostState]
 	// PeerKnowledge is the last update of the store's content from a peer.
 	// Written by control/relay; control/routing and control/registry apply what
 	// is newer than their own state.
--- a/internal/blackboard/hosting.go
+++ b/internal/blackboard/hosting.go
@@ -16,8 +16,15 @@
 	// first FirstCount of them.
 	VMs        []chervilladder.VMID
 	FirstCount int
+	// HostCount is how many of them, from the start, always hold connections to the
+	// service's upstreams. The others connect when work is forwarded to them.
+	HostCount int
 }
 
+// IsSpare reports whether the i-th VM connects to the upstreams only when work is
+// forwarded to it.
+func (h Hosts) IsSpare(i int) bool { return i >= max(h.FirstCount, h.HostCount) }
+
 // Here reports whether this VM holds connections to a service's upstreams.
 func (h Hosting) Here(s chervilladder.ServiceID) bool {
 	_, elsewhere := h.Elsewhere[s]
--- a/internal/clustertest/forwarding.go
+++ b/internal/clustertest/forwarding.go
@@ -18,7 +18,7 @@
 const messageDelay = 500 * time.Microsecond
 
 // peerNetwork carries calls between the VMs of a world. It implements
-// chervilladder.Remote, PeerDemoter and PeerReachability.
+// chervilladder.Remote, Connector, PeerDemoter and PeerReachability.
 type peerNetwork struct{ w *World }
 
 // Open opens an exchange at another VM. It fails if there is no such VM; if the
@@ -31,6 +31,7 @@
 		if v.Board.Self.ID != vm {
 			continue
 		}
+		time.Sleep(v.delay())
 		if v.Unreachable.Load() {
 			<-ctx.Done()
 			break
@@ -73,6 +74,30 @@
 	return chervilladder.PrimaryTerm{}, ErrSimulated
 }
 
+// connectionCheck is the time between two checks of a simulated connection.
+const connectionCheck = 100 * time.Millisecond
+
+// KeepConnected reports whether another VM is reachable until the context ends.
+func (n peerNetwork) KeepConnected(ctx context.Context, peer chervilladder.Address, report func(connected bool)) {
+	t := time.NewTicker(connectionCheck)
+	defer t.Stop()
+	for {
+		for _, v := range n.w.running() {
+			if chervilladder.Address(v.Board.Self.ID) == peer {
+				report(!v.Unreachable.Load())
+			}
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Disconnect does nothing.
+func (n peerNetwork) Disconnect(chervilladder.Address) {}
+
 // forwardedExchange is an exchange that another VM runs.
 type forwardedExchange struct {
 	vm     *VM
@@ -92,7 +117,7 @@
 // Send forwards a batch.
 func (x *forwardedExchange) Send(b chervilladder.Batch) error {
 	x.sentSoFar.Sent, x.sentSoFar.Commits = true, b.Commits
-	time.Sleep(messageDelay)
+	time.Sleep(messageDelay + x.vm.delay())
 	return x.inner.Send(b)
 }
 
@@ -104,7 +129,7 @@
 		return chervilladder.Reply{}, x.sentSoFar.Lost(x.db, ErrSimulated)
 	}
 	r, err := x.run()
-	time.Sleep(messageDelay)
+	time.Sleep(messageDelay + x.vm.delay())
 	if err != nil {
 		return r, err
 	}
@@ -141,6 +166,16 @@
 	})
 }
 
+// ForwardToHosts makes a VM forward the service's work to other VMs, which all hold
+// connections to its upstreams; its callers are spread over the first few.
+func (w *World) ForwardToHosts(vm, firstCount int, hosts ...int) {
+	list := blackboard.Hosts{FirstCount: firstCount, HostCount: len(hosts)}
+	for _, i := range hosts {
+		list.VMs = append(list.VMs, w.VMs[i].Board.Self.ID)
+	}
+	w.VMs[vm].Board.Hosting.Store(blackboard.Hosting{Elsewhere: map[chervilladder.ServiceID]blackboard.Hosts{Service: list}})
+}
+
 // Forward makes a VM forward the service's work to other VMs.
 func (w *World) Forward(vm int, to ...int) {
 	list := blackboard.Hosts{FirstCount: 1}
@@ -158,8 +193,13 @@
 	// Unreachable makes the VM unreachable for other VMs. LoseResponses makes it
 	// run forwarded work but lose the replies.
 	Unreachable, LoseResponses atomic.Bool
+	// SlowBy is how much longer each message of an exchange with the VM takes, in
+	// nanoseconds, as when it is short of processor time.
+	SlowBy atomic.Int64
 	// RejectPeers makes the VM reject work and reachability queries from other VMs.
 	RejectPeers atomic.Bool
 	// forwardedExecutor runs the work that other VMs forward.
 	forwardedExecutor *session.ForwardedExecutor
 }
+
+func (p *peerSide) delay() time.Duration { return time.Duration(p.SlowBy.Load()) }
--- a/internal/clustertest/process.go
+++ b/internal/clustertest/process.go
@@ -46,7 +46,7 @@
 	w.mu.Lock()
 	w.VMs[i] = vm
 	w.mu.Unlock()
-	vm.Board.Peers.Store(w.peersOf(vm))
+	w.listPeers(vm)
 }
 
 // VM returns the VM that runs under the i-th name now.
--- a/internal/clustertest/world.go
+++ b/internal/clustertest/world.go
@@ -17,6 +17,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/control/failover"
+	"github.com/chervilladder/chervilladder/internal/control/forwarding"
 	"github.com/chervilladder/chervilladder/internal/control/reachability"
 	"github.com/chervilladder/chervilladder/internal/control/statuspoll"
 	"github.com/chervilladder/chervilladder/internal/link"
@@ -120,13 +121,24 @@
 		w.VMs = append(w.VMs, w.start(t, i, cc.Members))
 	}
 	for _, vm := range w.VMs {
-		vm.Board.Peers.Store(w.peersOf(vm))
+		w.listPeers(vm)
 	}
 	t.Cleanup(w.stop)
 	time.Sleep(time.Second)
 	return w
 }
 
+// listPeers tells a VM which other VMs there are.
+func (w *World) listPeers(vm *VM) {
+	peers := w.peersOf(vm)
+	members := make(map[chervilladder.VMID]blackboard.Member, len(peers))
+	for _, peer := range peers {
+		members[peer.ID] = blackboard.Member{VM: peer}
+	}
+	vm.Board.Members.Store(blackboard.Membership{Members: members})
+	vm.Board.Peers.Store(peers)
+}
+
 // peersOf returns the other VMs. Their ids serve as addresses.
 func (w *World) peersOf(vm *VM) []chervilladder.VM {
 	var list []chervilladder.VM
@@ -180,7 +192,8 @@
 		PeerDemoter: peerNetwork{w}, Log: log, Clock: vm.clock, Leave: vm.ResignLeadership,
 	})
 	reachabilityController, err4 := reachability.New(reachability.Config{Board: vm.Board, Peers: peerNetwork{w}, Log: log, Clock: vm.clock, Leaving: vm.RejectPeers.Load})
-	for _, err := range []error{err1, err2, err3, err4} {
+	forwardingController, err5 := forwarding.New(forwarding.Config{Board: vm.Board, Connections: peerNetwork{w}, Peers: peerNetwork{w}, Log: log, Clock: vm.clock})
+	for _, err := range []error{err1, err2, err3, err4, err5} {
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -194,6 +207,7 @@
 	controllers.Go(func() error { return poller.Run(ctx) })
 	controllers.Go(func() error { return failovers.Run(ctx) })
 	controllers.Go(func() error { return reachabilityController.Run(ctx) })
+	controllers.Go(func() error { return forwardingController.Run(ctx) })
 	go func() { vm.ended <- controllers.Wait() }()
 	return vm
 }
@@ -213,7 +227,7 @@
 		w.VMs[i] = w.start(t, i, members)
 	}
 	for _, vm := range w.VMs {
-		vm.Board.Peers.Store(w.peersOf(vm))
+		w.listPeers(vm)
 	}
 }
 
--- /dev/null
+++ b/internal/control/forwarding/forwarding.go
@@ -0,0 +1,197 @@
+// Package forwarding keeps connections to the VMs that this VM forwards work to, and
+// probes those that failed, so that no caller's request has to find out whether they
+// answer again. Only daemon.RunOnPlatform starts it.
+package forwarding
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/recovery"
+)
+
+const (
+	// probeInterval is the time between two rounds of probes, and maxProbes the most
+	// probes that run at a time, so that their number doesn't grow with the system.
+	probeInterval = 250 * time.Millisecond
+	maxProbes     = 8
+	// probeTimeout is longer than a VM takes to answer that it reaches no primary.
+	probeTimeout = 400 * time.Millisecond
+	// keptPerService bounds the VMs of one service to which connections are kept.
+	keptPerService = 8
+)
+
+// part names this package in reports of panics.
+const part recovery.Part = "forwarding"
+
+// Config configures a Controller.
+type Config struct {
+	Board *blackboard.Board
+	// Connections keeps connections to other VMs, and Peers probes them.
+	Connections chervilladder.Connector
+	Peers       chervilladder.PeerReachability
+	Log         *logrus.Logger
+	// Clock returns the VM's own time.
+	Clock func() time.Time
+}
+
+// Controller is the only writer of Disconnected of the board's ForwardTargets.
+type Controller struct {
+	c Config
+	// kept holds the VMs to which connections are kept. Only Run's goroutine uses it.
+	kept    map[chervilladder.VMID]keptConnection
+	mu      sync.Mutex
+	probing map[blackboard.ServiceHost]bool
+	running sync.WaitGroup
+}
+
+// keptConnection is a connection that is kept.
+type keptConnection struct {
+	peer chervilladder.Address
+	stop context.CancelFunc
+}
+
+// New returns a controller.
+func New(c Config) (*Controller, error) {
+	if c.Board == nil || c.Connections == nil || c.Peers == nil || c.Log == nil || c.Clock == nil {
+		return nil, errors.New("forwarding: a board, connections, peers, a log and a clock are needed")
+	}
+	return &Controller{c: c}, nil
+}
+
+// Run keeps the connections and probes VMs until the context ends.
+func (k *Controller) Run(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer k.running.Wait()
+	defer stop()
+	k.kept = make(map[chervilladder.VMID]keptConnection) // those of a run that panicked have ended
+	k.probing = make(map[blackboard.ServiceHost]bool)
+	t := time.NewTicker(probeInterval)
+	defer t.Stop()
+	for {
+		hosting, changed := k.c.Board.Hosting.Watch()
+		members, listed := k.c.Board.Members.Watch()
+		k.keepConnections(ctx, hosting, members)
+		select {
+		case <-changed:
+		case <-listed:
+		case <-t.C:
+			k.probe(ctx, hosting, members)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// keepConnections starts to keep connections to the first hosts of each service, and stops
+// to keep those that are no longer among them.
+func (k *Controller) keepConnections(ctx context.Context, h blackboard.Hosting, members blackboard.Membership) {
+	wanted := make(map[chervilladder.VMID]chervilladder.Address)
+	for _, hosts := range h.Elsewhere {
+		for i, vm := range hosts.VMs[:min(len(hosts.VMs), keptPerService)] {
+			if m, listed := members.Members[vm]; listed && !hosts.IsSpare(i) {
+				wanted[vm] = m.VM.Peer
+			}
+		}
+	}
+	for vm, c := range k.kept {
+		if wanted[vm] == c.peer {
+			continue
+		}
+		c.stop()
+		delete(k.kept, vm)
+		if members.Members[vm].VM.Peer != c.peer {
+			k.c.Connections.Disconnect(c.peer)
+		}
+	}
+	for vm, peer := range wanted {
+		if _, kept := k.kept[vm]; !kept {
+			k.keep(ctx, vm, peer)
+		}
+	}
+}
+
+// keep starts to keep a connection.
+func (k *Controller) keep(ctx context.Context, vm chervilladder.VMID, peer chervilladder.Address) {
+	ctx, stop := context.WithCancel(ctx)
+	k.kept[vm] = keptConnection{peer: peer, stop: stop}
+	target := k.c.Board.ForwardTargets.Get(vm)
+	report := func(connected bool) {
+		if target.Disconnected.Swap(!connected) == connected {
+			k.c.Log.WithFields(logrus.Fields{"peer": vm, "connected": connected}).Info("forwarding: connection to a host changed")
+		}
+	}
+	k.running.Go(func() {
+		_ = recovery.Call(k.c.Log, part, func() { k.c.Connections.KeepConnected(ctx, peer, report) }) // then calls open it
+		target.Disconnected.Store(false)                                                              // it is not known any more
+	})
+}
+
+// probe starts probes of hosts that failed to answer or reported that they don't reach
+// the primary.
+func (k *Controller) probe(ctx context.Context, h blackboard.Hosting, members blackboard.Membership) {
+	for service, hosts := range h.Elsewhere {
+		for i, vm := range hosts.VMs {
+			host := blackboard.ServiceHost{VM: vm, Service: service}
+			if m, listed := members.Members[vm]; listed && k.needsProbe(host, hosts.IsSpare(i)) && k.start(host) {
+				k.running.Go(func() {
+					defer k.finish(host)
+					_ = recovery.Call(k.c.Log, part, func() { k.probeHost(ctx, host, m.VM.Peer, hosts.IsSpare(i)) }) // the next round tries again
+				})
+			}
+		}
+	}
+}
+
+// needsProbe reports whether something is known against a host. A spare host isn't probed
+// for the primary, which it may not reach only because it is not connected.
+func (k *Controller) needsProbe(host blackboard.ServiceHost, spare bool) bool {
+	if t, ok := k.c.Board.ForwardTargets.Find(host.VM); ok && t.Failing() {
+		return true
+	}
+	s, ok := k.c.Board.HostStates.Find(host)
+	return ok && !spare && s.NoPrimary()
+}
+
+// start reports whether a probe of a host may start: none of its VM runs, and fewer than
+// maxProbes in all.
+func (k *Controller) start(host blackboard.ServiceHost) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.probing) >= maxProbes || k.probing[host] {
+		return false
+	}
+	k.probing[host] = true
+	return true
+}
+
+func (k *Controller) finish(host blackboard.ServiceHost) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.probing, host)
+}
+
+// probeHost asks a host once whether it reaches the primary, and records what its answer,
+// or its silence, says about it.
+func (k *Controller) probeHost(ctx context.Context, host blackboard.ServiceHost, peer chervilladder.Address, spare bool) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := k.c.Peers.ReachablePrimary(ctx, peer, host.Service)
+	target := k.c.Board.ForwardTargets.Get(host.VM)
+	var unreachable *chervilladder.PrimaryUnreachableError
+	refused := errors.As(err, &unreachable)
+	if err != nil && !refused {
+		target.Failed(k.c.Clock())
+		return
+	}
+	target.Answered(k.c.Clock())
+	if !spare {
+		k.c.Board.HostStates.Get(host).ReportPrimary(!refused, k.c.Clock())
+	}
+}
--- a/internal/control/hosting/hosting.go
+++ b/internal/control/hosting/hosting.go
@@ -110,7 +110,7 @@
 			continue // none are ranked if all VMs host the service
 		}
 		ordered, firstCount := hosting.Order(self.DataCentre, slices.DeleteFunc(ranked, isSelf), count)
-		k.elsewhere[service] = blackboard.Hosts{VMs: ordered, FirstCount: firstCount}
+		k.elsewhere[service] = blackboard.Hosts{VMs: ordered, FirstCount: firstCount, HostCount: min(count, len(ordered))}
 	}
 }
 
@@ -123,7 +123,9 @@
 		}
 	}
 	before := k.c.Board.Hosting.Load()
-	same := func(a, b blackboard.Hosts) bool { return a.FirstCount == b.FirstCount && slices.Equal(a.VMs, b.VMs) }
+	same := func(a, b blackboard.Hosts) bool {
+		return a.FirstCount == b.FirstCount && a.HostCount == b.HostCount && slices.Equal(a.VMs, b.VMs)
+	}
 	if !before.HostsUnknown && maps.EqualFunc(before.Elsewhere, next, same) {
 		return
 	}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -16,6 +16,7 @@
 	"github.com/chervilladder/chervilladder/internal/clock"
 	"github.com/chervilladder/chervilladder/internal/control/bounds"
 	"github.com/chervilladder/chervilladder/internal/control/failover"
+	"github.com/chervilladder/chervilladder/internal/control/forwarding"
 	"github.com/chervilladder/chervilladder/internal/control/hosting"
 	"github.com/chervilladder/chervilladder/internal/control/reachability"
 	"github.com/chervilladder/chervilladder/internal/control/registry"
@@ -195,8 +196,12 @@
 	if err != nil {
 		return nil, err
 	}
+	forwardingController, err := forwarding.New(forwarding.Config{Board: board, Connections: peers, Peers: peers, Log: c.Log, Clock: clock.SinceBoot})
+	if err != nil {
+		return nil, err
+	}
 	server := peer.NewServer(peer.ServerConfig{Board: board, Listener: listener, Executor: executor, Feed: relays, Demoter: failovers, Reachability: reachabilityController, Log: c.Log})
-	return []actor{relays, hostingController, reachabilityController, server}, nil
+	return []actor{relays, hostingController, reachabilityController, forwardingController, server}, nil
 }
 
 // memoryLimiter sets the Go runtime's memory limit from the memory that the
--- a/internal/session/forwarded.go
+++ b/internal/session/forwarded.go
@@ -46,7 +46,7 @@
 	}
 	s := &session{m: m, db: w.Database, caller: w.Caller, fromPeer: true}
 	s.observe(w.Seen, m.c.Clock())
-	return &forwardedExchange{ctx: ctx, session: s}, nil
+	return &forwardedExchange{ctx: ctx, session: s, access: w.Access}, nil
 }
 
 // recordRequest records that a peer requested a service that this VM doesn't host, so
@@ -67,6 +67,7 @@
 type forwardedExchange struct {
 	ctx     context.Context
 	session *session
+	access  chervilladder.Access
 	batch   chervilladder.Batch
 }
 
@@ -89,6 +90,7 @@
 		return chervilladder.Reply{}, &chervilladder.NotRunError{Database: x.session.db, Reason: chervilladder.ReasonCancelled, Err: err}
 	}
 	s := x.session
+	began := time.Now()
 	s.pinned, s.values, s.prepared = &p.Route, p.Values, p.Prepared
 	var r chervilladder.Result
 	for _, c := range p.Commands {
@@ -96,13 +98,24 @@
 			break
 		}
 	}
-	payload, err := encode(forwardResponse{Result: r, Upstream: s.lastUpstream})
+	payload, err := encode(forwardResponse{Result: r, Upstream: s.lastUpstream, Refused: s.refused, Host: x.report(&p.Route, time.Since(began))})
 	if err != nil {
 		return chervilladder.Reply{}, &chervilladder.UnknownError{Database: s.db, Err: err}
 	}
 	return chervilladder.Reply{Payload: payload, Last: true, Open: r.State != chervilladder.StateIdle, Seen: r.Mark, Upstream: s.lastUpstream}, nil
 }
 
+// report returns what this VM reports about itself.
+func (x *forwardedExchange) report(r *chervilladder.Route, took time.Duration) *hostReport {
+	m := x.session.m
+	c := m.c.Board.Clusters.Get(r.Service)
+	return &hostReport{
+		NoPrimary: m.checkReachable(x.session.db, c) != nil,
+		Took:      took,
+		Wait:      c.Queue.Backlog(r.Priority, x.access),
+	}
+}
+
 // Cancel does nothing: a statement that was sent runs to its end.
 func (x *forwardedExchange) Cancel() {}
 
--- a/internal/session/forwarding.go
+++ b/internal/session/forwarding.go
@@ -1,6 +1,8 @@
 package session
 
 import (
+	"time"
+
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/chervilladder/chervilladder"
@@ -19,10 +21,25 @@
 	Commands []chervilladder.Command
 }
 
-// forwardResponse is the answer: the result and the upstream that returned it.
+// forwardResponse is the answer: the result and the upstream that returned it. A VM of an
+// earlier build sends and reads only these two.
 type forwardResponse struct {
 	Result   chervilladder.Result
 	Upstream chervilladder.UpstreamID
+	// Refused is why nothing of the transaction was run; empty if something was, or
+	// another VM could run it no better.
+	Refused chervilladder.Reason `msgpack:",omitempty"`
+	Host    *hostReport          `msgpack:",omitempty"`
+}
+
+// hostReport is what the VM that ran the work reports about itself.
+type hostReport struct {
+	// NoPrimary is set if it doesn't reach the primary of the service.
+	NoPrimary bool `msgpack:",omitempty"`
+	// Took is the time from the arrival of the commands to their result.
+	Took time.Duration `msgpack:",omitempty"`
+	// Wait is the expected wait for a slot, for work of the same priority and access.
+	Wait time.Duration `msgpack:",omitempty"`
 }
 
 func encode(v any) ([]byte, error) { return msgpack.Marshal(v) }
--- a/internal/session/hedge.go
+++ b/internal/session/hedge.go
@@ -58,7 +58,7 @@
 	c := *w
 	c.running = new(atomic.Pointer[running])
 	c.excluded = nil
-	c.avoid = other.forwardedTo
+	c.targets = targets{avoid: other.forwardedTo}
 	if other.upstream != "" {
 		c.exclude(other.upstream)
 	}
@@ -74,6 +74,6 @@
 // adopt copies from the attempt whose result is returned what is reported to the
 // observer.
 func (w *work) adopt(c *work) {
-	w.upstream, w.minMark, w.grantedAt, w.forwardedTo = c.upstream, c.minMark, c.grantedAt, c.forwardedTo
+	w.upstream, w.minMark, w.grantedAt, w.forwardedTo, w.refused = c.upstream, c.minMark, c.grantedAt, c.forwardedTo, c.refused
 	w.attempts += c.attempts
 }
--- a/internal/session/manager.go
+++ b/internal/session/manager.go
@@ -69,8 +69,6 @@
 // Manager opens sessions. It implements chervilladder.Sessions.
 type Manager struct {
 	c Config
-	// lastUnanswered holds for each VM when it last failed to answer.
-	lastUnanswered blackboard.Table[chervilladder.VMID, blackboard.LatestTime]
 }
 
 var _ chervilladder.Sessions = (*Manager)(nil)
--- a/internal/session/place.go
+++ b/internal/session/place.go
@@ -316,6 +316,7 @@
 func (w *work) refusal(err error) chervilladder.Result {
 	var notRun *chervilladder.NotRunError
 	if errors.As(err, &notRun) {
+		w.refused = notRun.Reason
 		if notRun.Reason == chervilladder.ReasonDeadline || notRun.Reason == chervilladder.ReasonOverload {
 			w.cluster.LastShed.Raise(w.session.m.c.Clock())
 		}
--- a/internal/session/remote.go
+++ b/internal/session/remote.go
@@ -5,8 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/decide/answer"
@@ -18,16 +16,11 @@
 const (
 	// openTimeout bounds the opening of an exchange.
 	openTimeout = 250 * time.Millisecond
-	// unresponsiveFor is how long a VM is tried last after it failed to answer.
-	unresponsiveFor = 3 * time.Second
 	// forwardMargin is how much longer than its timeout a forwarded command is
 	// waited for: the other VM enforces the timeout and answers.
 	forwardMargin = 100 * time.Millisecond
 )
 
-// errNoHostingVM reports a service without a VM to forward its work to.
-var errNoHostingVM = errors.New("no VM is known that hosts the service")
-
 // forwardTargets returns the VMs to forward the work to, if it isn't to run here: those
 // that host its service, or a peer that reaches the primary while this VM doesn't.
 func (w *work) forwardTargets() (blackboard.Hosts, bool) {
@@ -53,31 +46,6 @@
 	return elsewhere
 }
 
-// nextTarget returns the VM to forward the next attempt to. Callers are spread over the
-// first targets. Those that failed to answer in the last unresponsiveFor, and the VM that
-// another attempt was forwarded to, are tried last.
-func (w *work) nextTarget() (chervilladder.VMID, error) {
-	h, _ := w.forwardTargets()
-	if len(h.VMs) == 0 {
-		return "", errNoHostingVM
-	}
-	firstCount := max(1, min(h.FirstCount, len(h.VMs)))
-	start := int(xxhash.Sum64String(w.session.caller) % uint64(firstCount))
-	var last []chervilladder.VMID
-	for i := range h.VMs {
-		vm := h.VMs[i]
-		if i < firstCount {
-			vm = h.VMs[(start+i)%firstCount]
-		}
-		if vm == w.avoid || w.unresponsive(vm) {
-			last = append(last, vm)
-			continue
-		}
-		return vm, nil
-	}
-	return last[w.attempts%len(last)], nil
-}
-
 // openExchange opens an exchange at another VM.
 func (w *work) openExchange(ctx context.Context, vm chervilladder.VMID, access chervilladder.Access) (chervilladder.Exchange, error) {
 	w.forwardedTo = vm
@@ -91,6 +59,9 @@
 		return &cancellingExchange{Exchange: x, cancel: cancel}, nil
 	}
 	cancel()
+	if isRefusal(err) {
+		return nil, err
+	}
 	w.markUnresponsive(vm)
 	if err == nil {
 		x.Close()
@@ -111,77 +82,98 @@
 	b.cancel()
 }
 
-// lastUnanswered returns when a VM last failed to answer; zero if it never did.
-func (w *work) lastUnanswered(vm chervilladder.VMID) time.Time {
-	if at, ok := w.session.m.lastUnanswered.Find(vm); ok {
-		return at.Load()
-	}
-	return time.Time{}
-}
-
-// unresponsive reports whether a VM has failed to answer in the last unresponsiveFor.
-func (w *work) unresponsive(vm chervilladder.VMID) bool {
-	return w.session.m.c.Clock().Sub(w.lastUnanswered(vm)) < unresponsiveFor
-}
-
-// markUnresponsive records that a VM failed to answer, so that it is tried last for
-// unresponsiveFor.
-func (w *work) markUnresponsive(vm chervilladder.VMID) {
-	w.session.m.lastUnanswered.Get(vm).Raise(w.session.m.c.Clock())
-}
-
 // forward runs commands through an exchange. After an error the exchange is no longer
 // usable.
-func (w *work) forward(x chervilladder.Exchange, vm chervilladder.VMID, commands ...chervilladder.Command) (chervilladder.Result, error) {
+func (w *work) forward(x chervilladder.Exchange, vm chervilladder.VMID, commands ...chervilladder.Command) (forwardResponse, error) {
 	p := forwardRequest{Route: w.route, Values: w.values, Commands: commands}
 	if w.statement != nil {
 		p.Prepared = map[string]link.Prepared{w.command.Name: *w.statement}
 	}
 	payload, err := encode(p)
 	if err != nil {
-		return chervilladder.Result{}, err
+		return forwardResponse{}, err
 	}
+	began := time.Now()
+	w.sent(vm)
 	if w.running != nil {
-		w.running.Store(&running{forwardedTo: vm, sentAt: time.Now()})
+		w.running.Store(&running{forwardedTo: vm, sentAt: began})
 	}
 	timeout := time.AfterFunc(time.Until(w.deadline)+forwardMargin, x.Close)
 	defer timeout.Stop()
 	commits := commands[len(commands)-1].Kind == chervilladder.CommandCommit || w.access == chervilladder.AccessWrite && !w.inTransaction
 	if err := x.Send(chervilladder.Batch{Payload: payload, Commits: commits}); err != nil {
 		w.markUnresponsive(vm)
-		return chervilladder.Result{}, err
+		return forwardResponse{}, err
 	}
 	reply, err := x.Recv()
 	if err != nil {
-		w.markUnresponsive(vm)
-		return chervilladder.Result{}, err
+		if !isRefusal(err) {
+			w.markUnresponsive(vm)
+		}
+		return forwardResponse{}, err
 	}
 	r, err := decodeForwardResponse(reply.Payload)
 	w.upstream, w.grantedAt = r.Upstream, w.arrived // it waited for no slot here
-	return r.Result, err
+	if err == nil {
+		w.answered(vm, r, time.Since(began))
+	}
+	return r, err
+}
+
+// notRunReason returns the reason of a *NotRunError; empty for another error.
+func notRunReason(err error) chervilladder.Reason {
+	var notRun *chervilladder.NotRunError
+	if errors.As(err, &notRun) {
+		return notRun.Reason
+	}
+	return ""
+}
+
+// isRefusal reports whether an error is the answer of the other VM that it doesn't run
+// the work. The other errors report a VM that was lost.
+func isRefusal(err error) bool {
+	r := notRunReason(err)
+	return r != "" && r != chervilladder.ReasonNoOwner && r != chervilladder.ReasonRolledBack
 }
 
 // attemptForward forwards a single-statement transaction to another VM.
 func (w *work) attemptForward(ctx context.Context) (chervilladder.Result, answer.Next) {
-	vm, err := w.nextTarget()
+	vm, _, err := w.nextTarget()
 	if err != nil {
 		return failure(chervilladder.CodeBusy, err.Error()), answer.Return
 	}
 	x, err := w.openExchange(ctx, vm, w.access)
 	if err != nil {
+		w.retryAtOnce = w.refusedBy(vm, notRunReason(err))
 		return failure(chervilladder.CodeBusy, err.Error()), answer.Retry
 	}
 	defer x.Close()
 	r, err := w.forward(x, vm, w.command)
-	if err == nil {
-		if r.Code == chervilladder.CodeNone {
-			w.cluster.Retries.Succeeded()
-		}
-		return r, answer.Return
+	if err != nil {
+		return w.forwardFailed(vm, err)
+	}
+	if r.Refused != "" && w.refusedBy(vm, r.Refused) {
+		w.retryAtOnce = true
+		return r.Result, answer.Retry
 	}
+	if r.Result.Code == chervilladder.CodeNone {
+		w.cluster.Retries.Succeeded()
+	}
+	return r.Result, answer.Return
+}
+
+// forwardFailed decides what follows an error of a forwarded single-statement
+// transaction: what certainly didn't run goes to another VM at once.
+func (w *work) forwardFailed(vm chervilladder.VMID, err error) (chervilladder.Result, answer.Next) {
 	var notRun *chervilladder.NotRunError
-	if errors.As(err, &notRun) && w.access == chervilladder.AccessWrite {
-		return failure(chervilladder.CodeBusy, err.Error()), answer.Retry
+	if errors.As(err, &notRun) {
+		w.retryAtOnce = w.refusedBy(vm, notRun.Reason)
+		if isRefusal(err) {
+			return failure(chervilladder.CodeBusy, notRun.Refusal()), answer.Retry
+		}
+		if w.access == chervilladder.AccessWrite {
+			return failure(chervilladder.CodeBusy, err.Error()), answer.Retry
+		}
 	}
 	next, code := answer.AutocommitLost(w.access)
 	return failure(code, err.Error()), next
--- a/internal/session/remote_transaction.go
+++ b/internal/session/remote_transaction.go
@@ -65,13 +65,14 @@
 // run forwards a command to the other VM. The first one begins the transaction there.
 func (t *remoteTransaction) run(ctx context.Context, w *work) chervilladder.Result {
 	t.wrote = t.wrote || w.command.Kind != chervilladder.CommandCommit && w.access == chervilladder.AccessWrite
-	var r chervilladder.Result
+	var response forwardResponse
 	var err error
 	if t.exchange == nil {
-		r, err = t.open(ctx, w)
+		response, err = t.open(ctx, w)
 	} else {
-		r, err = w.forward(t.exchange, t.vm, w.command)
+		response, err = w.forward(t.exchange, t.vm, w.command)
 	}
+	r := response.Result
 	switch {
 	case err != nil:
 		t.fail()
@@ -89,30 +90,43 @@
 
 // open begins the transaction at another VM and runs its first command there. If
 // nothing ran at that VM, it tries the next one.
-func (t *remoteTransaction) open(ctx context.Context, w *work) (chervilladder.Result, error) {
+func (t *remoteTransaction) open(ctx context.Context, w *work) (forwardResponse, error) {
 	for {
 		w.attempts++
-		vm, err := w.nextTarget()
+		vm, _, err := w.nextTarget()
 		if err != nil {
-			return chervilladder.Result{}, err
+			return forwardResponse{}, err
 		}
-		// The exchange outlives the command that opens it.
-		x, err := w.openExchange(context.WithoutCancel(ctx), vm, chervilladder.AccessWrite)
-		if err == nil {
-			t.vm, t.exchange = vm, x
-			var r chervilladder.Result
-			if r, err = w.forward(x, vm, t.begin, w.command); err == nil {
-				return r, nil
-			}
+		r, err := t.openAt(ctx, w, vm)
+		reason := r.Refused
+		if err != nil {
+			reason = notRunReason(err)
+		}
+		if reason != "" && w.refusedBy(vm, reason) {
 			t.abandon()
+			continue
 		}
-		var notRun *chervilladder.NotRunError
-		if !errors.As(err, &notRun) || !w.backOff(ctx) {
-			return chervilladder.Result{}, err
+		if err == nil || reason == "" || !w.backOff(ctx) {
+			return r, err
 		}
 	}
 }
 
+// openAt begins the transaction at a VM. After an error it isn't open there.
+func (t *remoteTransaction) openAt(ctx context.Context, w *work, vm chervilladder.VMID) (forwardResponse, error) {
+	// The exchange outlives the command that opens it.
+	x, err := w.openExchange(context.WithoutCancel(ctx), vm, chervilladder.AccessWrite)
+	if err != nil {
+		return forwardResponse{}, err
+	}
+	t.vm, t.exchange = vm, x
+	r, err := w.forward(x, vm, t.begin, w.command)
+	if err != nil {
+		t.abandon()
+	}
+	return r, err
+}
+
 // lostResult returns the answer to a command whose exchange has failed. The other VM
 // rolls back unless a COMMIT was forwarded.
 func (t *remoteTransaction) lostResult(w *work, err error) chervilladder.Result {
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -27,6 +27,8 @@
 	// lastUpstream is the member at which the last command was placed; empty if it
 	// was placed at none.
 	lastUpstream chervilladder.UpstreamID
+	// refused is why nothing of the last command was run, if another VM may run it.
+	refused chervilladder.Reason
 }
 
 // openTransaction is a session's open transaction, here or at another VM.
@@ -96,7 +98,7 @@
 	} else {
 		r.State = chervilladder.StateIdle
 	}
-	s.lastUpstream = w.upstream
+	s.lastUpstream, s.refused = w.upstream, w.refused
 	w.report(r)
 	return r
 }
--- /dev/null
+++ b/internal/session/target.go
@@ -0,0 +1,164 @@
+package session
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/blackboard"
+	decide "github.com/chervilladder/chervilladder/internal/decide/placement"
+)
+
+// maxAlternatives is how many VMs a command is sent to at once after others refused it.
+// The first costs nothing of the retry budget.
+const maxAlternatives = 3
+
+// errNoHostingVM reports a service without a VM to forward its work to.
+var errNoHostingVM = errors.New("no VM is known that hosts the service")
+
+// targets are the VMs to which a command was forwarded.
+type targets struct {
+	// tried are the VMs that failed to run it. avoid is the VM that another attempt was
+	// forwarded to.
+	tried []chervilladder.VMID
+	avoid chervilladder.VMID
+	// alternatives counts the VMs that it was sent to without a delay after others
+	// refused it.
+	alternatives int
+}
+
+// excluded reports whether the command is to be forwarded to other VMs first.
+func (t *targets) excluded(vm chervilladder.VMID) bool {
+	return vm == t.avoid || slices.Contains(t.tried, vm)
+}
+
+// nextTarget returns the VM to forward the next attempt to, and its standing. Once all
+// have been tried, they are tried again.
+func (w *work) nextTarget() (chervilladder.VMID, decide.Standing, error) {
+	h, _ := w.forwardTargets()
+	if len(h.VMs) == 0 {
+		return "", decide.Unresponsive, errNoHostingVM
+	}
+	var space [16]decide.Host
+	hosts := w.assess(space[:0], h)
+	caller := xxhash.Sum64String(w.session.caller)
+	i := decide.Choose(caller, hosts)
+	if i < 0 {
+		w.targets.tried = nil
+		for i := range hosts {
+			hosts[i].Tried = false
+		}
+		i = decide.Choose(caller, hosts)
+	}
+	return hosts[i].VM, hosts[i].Standing, nil
+}
+
+// assess appends the hosts of the work's service as this VM knows them.
+func (w *work) assess(hosts []decide.Host, h blackboard.Hosts) []decide.Host {
+	board, now := w.session.m.c.Board, w.session.m.c.Clock()
+	for i, vm := range h.VMs {
+		t, _ := board.ForwardTargets.Find(vm)
+		s, _ := board.HostStates.Find(blackboard.ServiceHost{VM: vm, Service: w.route.Service})
+		host := decide.Host{VM: vm, Tried: w.targets.excluded(vm)}
+		host.Standing, host.Cost = decide.Assess(baseStanding(h, i), t, s, w.route.Priority, w.access, now)
+		hosts = append(hosts, host)
+	}
+	return hosts
+}
+
+// baseStanding returns the standing of the i-th host while nothing is known against it.
+func baseStanding(h blackboard.Hosts, i int) decide.Standing {
+	switch {
+	case i < max(1, h.FirstCount):
+		return decide.Preferred
+	case !h.IsSpare(i):
+		return decide.Fallback
+	default:
+		return decide.Spare
+	}
+}
+
+// refusedBy records that a VM didn't run the work, and reports whether to forward it to
+// another VM at once: one that nothing is known against, while the deadline permits.
+func (w *work) refusedBy(vm chervilladder.VMID, r chervilladder.Reason) bool {
+	if !w.recordRefusal(vm, r) {
+		return false
+	}
+	w.targets.tried = append(w.targets.tried, vm)
+	if w.targets.alternatives >= maxAlternatives || time.Until(w.deadline) <= 0 {
+		return false
+	}
+	if _, standing, err := w.nextTarget(); err != nil || !standing.Usable() || w.targets.tried == nil {
+		return false
+	}
+	if w.targets.alternatives > 0 && !w.cluster.Retries.Spend() {
+		return false
+	}
+	w.targets.alternatives++
+	return true
+}
+
+// recordRefusal records what a refusal says about the VM, and reports whether another VM
+// may run the work.
+func (w *work) recordRefusal(vm chervilladder.VMID, r chervilladder.Reason) bool {
+	board, now := w.session.m.c.Board, w.session.m.c.Clock()
+	switch r {
+	case chervilladder.ReasonNoPrimary:
+		w.hostState(vm).ReportPrimary(false, now)
+	case chervilladder.ReasonDraining:
+		board.ForwardTargets.Get(vm).DrainingAt.Raise(now)
+	case chervilladder.ReasonNoOwner, chervilladder.ReasonNoProof:
+	default:
+		return false
+	}
+	return true
+}
+
+// sent records that the work is sent to a VM.
+func (w *work) sent(vm chervilladder.VMID) {
+	if w.needsPrimary() {
+		w.hostState(vm).Sent(w.session.m.c.Clock(), decide.SilentUntil)
+	}
+}
+
+// hostState returns what this VM knows of the work's service at a VM.
+func (w *work) hostState(vm chervilladder.VMID) *blackboard.HostState {
+	return w.session.m.c.Board.HostStates.Get(blackboard.ServiceHost{VM: vm, Service: w.route.Service})
+}
+
+// answered records what the answer of a VM says about it.
+func (w *work) answered(vm chervilladder.VMID, r forwardResponse, roundTrip time.Duration) {
+	board, now := w.session.m.c.Board, w.session.m.c.Clock()
+	t := board.ForwardTargets.Get(vm)
+	t.Answered(now)
+	s := w.hostState(vm)
+	if w.needsPrimary() && r.Upstream != "" && r.Result.Code != chervilladder.CodeBusy {
+		s.Served(now)
+	}
+	if r.Host == nil {
+		return // sent by an earlier build
+	}
+	t.Overhead.Add(roundTrip - r.Host.Took)
+	s.ReportPrimary(!r.Host.NoPrimary, now)
+	access := w.access
+	if w.inTransaction {
+		access = chervilladder.AccessWrite // as it was forwarded
+	}
+	s.Wait(w.route.Priority, access).Store(r.Host.Wait, now)
+}
+
+// lastUnanswered returns when a VM last failed to answer; zero if it never did.
+func (w *work) lastUnanswered(vm chervilladder.VMID) time.Time {
+	if t, ok := w.session.m.c.Board.ForwardTargets.Find(vm); ok {
+		return t.FailedAt.Load()
+	}
+	return time.Time{}
+}
+
+// markUnresponsive records that a VM failed to answer, so that it is tried last.
+func (w *work) markUnresponsive(vm chervilladder.VMID) {
+	w.session.m.c.Board.ForwardTargets.Get(vm).Failed(w.session.m.c.Clock())
+}
--- a/internal/session/wire_test.go
+++ b/internal/session/wire_test.go
@@ -105,3 +105,22 @@
 	is.Equal(p.Commands, []chervilladder.Command{{ID: "5c0e"}})
 	is.Equal(len(p.Values), 0)
 }
+
+// A VM of an earlier build must be able to read an answer with a report of the host, and
+// this build one without.
+func TestReportOfAHostIsIgnoredByEarlierBuilds(t *testing.T) {
+	is := is.New(t)
+	sent := wireResponse()
+	sent.Refused, sent.Host = chervilladder.ReasonNoPrimary, &hostReport{NoPrimary: true, Took: time.Millisecond, Wait: time.Second}
+	b, err := encode(sent)
+	is.NoErr(err)
+	got, err := decodeForwardResponse(b)
+	is.NoErr(err)
+	is.Equal(got, sent)
+	var earlier struct {
+		Result   chervilladder.Result
+		Upstream chervilladder.UpstreamID
+	}
+	is.NoErr(msgpack.Unmarshal(b, &earlier))
+	is.Equal(earlier.Result, sent.Result)
+}
--- a/internal/session/work.go
+++ b/internal/session/work.go
@@ -34,8 +34,9 @@
 	// excluded are the members not to send this command to: it has failed there, or
 	// another attempt of it runs there.
 	excluded map[chervilladder.UpstreamID]bool
-	// avoid is the VM that another attempt was forwarded to.
-	avoid chervilladder.VMID
+	// targets are the VMs that it was forwarded to. refused is why nothing was run.
+	targets targets
+	refused chervilladder.Reason
 	// retryAtOnce is set when a replica has refused a read for its lag, or had
 	// no connection for it.
 	retryAtOnce bool
