Commands are counted by client account

Callers of a route without a key stay spread over the hosts by their key, which doesn't leave the VM.

--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -42,6 +42,7 @@
 	waited [chervilladder.PriorityCount]*metrics.Histogram
 	// notWritten counts lines over the limits and those whose write failed.
 	notWritten *metrics.Counter
+	accounts   accountCounters
 
 	mu              sync.Mutex
 	line            []byte
@@ -53,7 +54,7 @@
 
 // New returns an observer.
 func New(c Config) *Observer {
-	o := &Observer{c: c, notWritten: c.Metrics.NewCounter("chervilladder_request_lines_suppressed_total")}
+	o := &Observer{c: c, accounts: newAccountCounters(c.Metrics), notWritten: c.Metrics.NewCounter("chervilladder_request_lines_suppressed_total")}
 	for p := range chervilladder.Priority(chervilladder.PriorityCount) {
 		o.took[p] = c.Metrics.NewHistogram(fmt.Sprintf("chervilladder_command_seconds{priority=%q}", p))
 		o.waited[p] = c.Metrics.NewHistogram(fmt.Sprintf("chervilladder_queue_wait_seconds{priority=%q}", p))
@@ -66,6 +67,7 @@
 	if e.Upstream == "" && e.Result.Code == chervilladder.CodeNone {
 		return // succeeded without an upstream
 	}
+	o.accounts.count(e.Account, e.Result.Code)
 	p := min(int(e.Priority), chervilladder.PriorityCount-1)
 	o.took[p].Update(e.Took.Seconds())
 	if e.Upstream != "" {
@@ -112,6 +114,10 @@
 	b = strconv.AppendQuote(b, string(e.Command.ID))
 	b = append(b, `,"database":`...)
 	b = strconv.AppendQuote(b, string(e.Database))
+	if e.Account != "" {
+		b = append(b, `,"account":`...)
+		b = strconv.AppendQuote(b, string(e.Account))
+	}
 	b = append(b, `,"command":"`...)
 	b = append(b, kindName(e.Command.Kind)...)
 	b = append(b, `","code":"`...)
--- a/internal/session/identity.go
+++ b/internal/session/identity.go
@@ -33,3 +33,12 @@
 	}
 	return s.authenticate(route)
 }
+
+// countedAccount returns the account to count the session's commands by. Forwarded work is
+// counted by the VM that forwards it.
+func (s *session) countedAccount() chervilladder.AccountID {
+	if s.fromPeer {
+		return ""
+	}
+	return s.identity.Account
+}
--- a/internal/session/manager.go
+++ b/internal/session/manager.go
@@ -45,6 +45,9 @@
 // Ended describes a command that has ended and how it was run.
 type Ended struct {
 	Database chervilladder.DatabaseID
+	// Account is the caller's client account; empty if it has none, or if another VM
+	// forwarded the command.
+	Account  chervilladder.AccountID
 	Command  chervilladder.Command
 	Priority chervilladder.Priority
 	// Upstream is the last member at which the command was placed, whether or not
--- a/internal/session/remote.go
+++ b/internal/session/remote.go
@@ -53,6 +53,15 @@
 	return elsewhere
 }
 
+// spreadKey returns the text by whose hash work is spread over VMs. An account has a
+// single one, so that few VMs hold connections for it.
+func (w *work) spreadKey() string {
+	if w.identity.Account != "" {
+		return string(w.identity.Account)
+	}
+	return string(w.session.key)
+}
+
 // nextTarget returns the VM to forward the next attempt to. Callers are spread over the
 // first targets. Those that failed to answer in the last unresponsiveFor, and the VM that
 // another attempt was forwarded to, are tried last.
@@ -62,7 +71,7 @@
 		return "", errNoHostingVM
 	}
 	firstCount := max(1, min(h.FirstCount, len(h.VMs)))
-	start := int(xxhash.Sum64String(w.identity.Name) % uint64(firstCount))
+	start := int(xxhash.Sum64String(w.spreadKey()) % uint64(firstCount))
 	var last []chervilladder.VMID
 	for i := range h.VMs {
 		vm := h.VMs[i]
--- a/internal/session/work.go
+++ b/internal/session/work.go
@@ -316,7 +316,7 @@
 		return
 	}
 	e := Ended{
-		Database: w.session.db, Command: w.command, Priority: w.route.Priority,
+		Database: w.session.db, Account: w.session.countedAccount(), Command: w.command, Priority: w.route.Priority,
 		Upstream: w.upstream, ForwardedTo: w.forwardedTo, Attempts: w.attempts, MinMark: w.minMark, Result: r, Took: time.Since(w.arrived),
 	}
 	if !w.grantedAt.IsZero() {
