Soak with client accounts: processes, a withdrawn key, VMs and members that fail

Change: the stand-in platform writes client accounts; TestSoakAccounts and TestSoakAccountsOfForwardedWork check that each statement ran for its caller's account, and none of a caller whose key was withdrawn 5 s before.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -78,6 +78,8 @@
 	// services is how many services there are; zero is one. Each has this many spares,
 	// members that are down until a fault adds them.
 	services, spares int
+	// accounts is how many client accounts the callers belong to; zero is none.
+	accounts int
 	// inject injects the faults of one round; nil is world.inject.
 	inject func(*world)
 	// minServed is the least share of the callers' operations that must succeed; zero is
@@ -164,6 +166,7 @@
 		}
 	}
 	violations := w.check(attempts)
+	violations = append(violations, w.checkAccounts()...)
 	violations = append(violations, checkServed(t, attempts, s.minServed)...)
 	report(t, w, attempts, violations)
 	promotions := 0
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -70,6 +70,8 @@
 
 	mu     sync.Mutex
 	events []event
+	// withdrawnAt is when the key of withdrawnCaller was withdrawn.
+	withdrawnAt time.Time
 }
 
 // event is a fault, a restart or a note on an omitted fault. Its duration is zero if
@@ -141,7 +143,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	var err error
-	w.env, err = environment.New(environment.Config{Services: services, AnnouncedAddresses: announced, Listeners: listeners, Routes: routes(len(services)), Log: log})
+	w.env, err = environment.New(environment.Config{Services: services, AnnouncedAddresses: announced, Listeners: listeners, Routes: routes(len(services)), Accounts: accounts(s), Log: log})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/standin/environment/environment.go
+++ b/internal/standin/environment/environment.go
@@ -32,7 +32,16 @@
 	Listeners map[chervilladder.UpstreamID]net.Listener
 	// Routes is the initial configuration.
 	Routes []Route
-	Log    logrus.FieldLogger
+	// Accounts are the client accounts of the initial configuration; it names none if
+	// this is empty.
+	Accounts []Account
+	Log      logrus.FieldLogger
+}
+
+// Account is a client account of the operators' configuration.
+type Account struct {
+	Name string   `json:"name"`
+	Keys []string `json:"api_keys"`
 }
 
 // Route is a route of the operators' configuration: it maps the name of a database to a
@@ -59,11 +68,12 @@
 	draining map[chervilladder.UpstreamID]bool
 	unlisted map[chervilladder.UpstreamID]bool
 	version  int
+	accounts []Account
 }
 
 // New returns an environment and writes the initial configuration.
 func New(c Config) (*Environment, error) {
-	e := &Environment{c: c, Clusters: make(map[chervilladder.ServiceID]*cluster.Cluster), draining: make(map[chervilladder.UpstreamID]bool), unlisted: make(map[chervilladder.UpstreamID]bool)}
+	e := &Environment{c: c, accounts: c.Accounts, Clusters: make(map[chervilladder.ServiceID]*cluster.Cluster), draining: make(map[chervilladder.UpstreamID]bool), unlisted: make(map[chervilladder.UpstreamID]bool)}
 	for _, s := range c.Services {
 		k, err := cluster.New(s)
 		if err != nil {
@@ -88,6 +98,14 @@
 	return k.Promote(holder, epoch, id)
 }
 
+// SetAccounts writes a new configuration with the initial routes and other client accounts.
+func (e *Environment) SetAccounts(accounts []Account) error {
+	e.mu.Lock()
+	e.accounts = accounts
+	e.mu.Unlock()
+	return e.Configure(e.c.Routes)
+}
+
 // Configure writes a new configuration.
 func (e *Environment) Configure(routes []Route) error {
 	type service struct {
@@ -102,9 +120,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.version += 3 // versions increase but need not be consecutive
-	spec, err := json.Marshal(map[string]any{
+	configuration := map[string]any{
 		"version": e.version, "routes": routes, "services": services, "limits": map[string]int{"tx_idle_ms": 3000},
-	})
+	}
+	if len(e.accounts) > 0 {
+		configuration["tenants"] = e.accounts
+	}
+	spec, err := json.Marshal(configuration)
 	if err != nil {
 		return err
 	}
