Pools: close idle connections beyond a limit that has fallen

Cause: at the start a VM knows few others, so its limit is high; what it had idle beyond the later limit stayed.

--- a/internal/link/accounts_test.go
+++ b/internal/link/accounts_test.go
@@ -220,6 +220,28 @@
 	})
 }
 
+// When more VMs join, a VM's limit falls and it closes what is beyond it.
+func TestIdleConnectionsBeyondALowerLimitAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u := &upstream{limit: 100}
+		all, registered := accountPool(u, 30)
+		p := all.For(registered)
+		var conns []*link.Conn
+		for i := range 10 {
+			conns = append(conns, getFor(t, p, chervilladder.AccountID(rune('a'+i))))
+		}
+		for _, c := range conns {
+			c.Release()
+		}
+		for range 20 {
+			p.SetLimit(6)
+		}
+		is.Equal(u.open, 6)
+		all.Remove(registered.ID)
+	})
+}
+
 // Whatever is opened, returned, discarded, waited for and given up: a connection serves
 // the account that it was opened for only, and in the end none is left.
 func TestConnectionsServeOneAccount(t *testing.T) {
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -305,11 +305,21 @@
 	}
 }
 
-// SetLimit sets the maximum number of connections.
+// SetLimit sets the maximum number of connections, and closes an idle one if there are
+// more.
 func (p *Pool) SetLimit(n int) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.limit = n
+	var c *Conn
+	if p.open > n {
+		if i := p.longestIdle(0, func(c *Conn) bool { return !p.keeps(c) }); i >= 0 {
+			c = p.takeIdleAt(i)
+		}
+	}
+	p.mu.Unlock()
+	if c != nil {
+		p.discard(c)
+	}
 }
 
 // SetUsage sets the percentage of the upstream's connections that are open, and closes at
--- a/internal/session/identity.go
+++ b/internal/session/identity.go
@@ -21,8 +21,8 @@
 }
 
 // refreshIdentity authenticates again if the configuration has changed: the key may have
-// been withdrawn, or given to another account. For work that another VM forwards, that VM does this. Its error is a
-// *chervilladder.DeniedError.
+// been withdrawn, or given to another account. For forwarded work, the VM that forwards it
+// does this. Its error is a *chervilladder.DeniedError.
 func (s *session) refreshIdentity() error {
 	if s.fromPeer || s.m.c.Board.Routing.Load() == s.authenticatedBy {
 		return nil
