--- a/internal/session/identity.go
+++ b/internal/session/identity.go
@@ -21,8 +21,8 @@
 }
 
 // refreshIdentity authenticates again if the configuration has changed: the key may have
-// been withdrawn, or given to another account. For work that another VM forwards, that VM does this. Its error is a
-// *chervilladder.DeniedError.
+// been withdrawn, or given to another account. For forwarded work, the VM that forwards it
+// does this. Its error is a *chervilladder.DeniedError.
 func (s *session) refreshIdentity() error {
 	if s.fromPeer || s.m.c.Board.Routing.Load() == s.authenticatedBy {
 		return nil
@@ -33,3 +33,12 @@
 	}
 	return s.authenticate(route)
 }
+
+// countedAccount returns the account to count the session's commands by. Forwarded work is
+// counted by the VM that forwards it.
+func (s *session) countedAccount() chervilladder.AccountID {
+	if s.fromPeer {
+		return ""
+	}
+	return s.identity.Account
+}
