Quotas: refusals are reported, and small borrowers keep their share

A lender that has too little leaves to the borrowers whose demand it can meet what they haven't been lent yet. A VM whose callers ask for far more than lenders have asks one lender at a time.

--- a/internal/control/quota/borrow.go
+++ b/internal/control/quota/borrow.go
@@ -22,6 +22,10 @@
 	callTimeout = 200 * time.Millisecond
 	// avoidFor is how long a lender that didn't answer is asked last.
 	avoidFor = time.Second
+	// maxShort bounds how long no lender is asked that has too little.
+	maxShort = time.Second
+	// floodFactor is how many times what is lent callers must ask for to flood a VM.
+	floodFactor = 2
 	// minWaiting is the number of operations of an account that may wait in any case.
 	minWaiting = 4
 )
@@ -39,7 +43,8 @@
 	next, asked int
 	retryAfter  time.Duration
 	// call is the unanswered call that asks for this account; nil if there is none.
-	call *call
+	call   *call
+	report report
 }
 
 // call is one request to a lender.
@@ -60,8 +65,7 @@
 // borrow asks lenders for what operations wait for, and ahead for accounts with steady
 // demand.
 func (k *Controller) borrow(ctx context.Context) {
-	k.borrowings = make(map[chervilladder.AccountID]*borrowing)
-	k.avoided = make(map[chervilladder.VMID]time.Time)
+	k.resume()
 	refilledAt := k.c.Clock()
 	refill := time.NewTicker(k.terms().RefillInterval())
 	defer refill.Stop()
@@ -75,7 +79,7 @@
 			k.request(ctx, k.takeQueued())
 		case <-refill.C:
 			now := k.c.Clock()
-			k.request(ctx, k.observe(now.Sub(refilledAt)))
+			k.request(ctx, k.observe(now.Sub(refilledAt), now))
 			refilledAt = now
 		case a := <-k.answers:
 			k.request(ctx, k.apply(ctx, a))
@@ -85,6 +89,17 @@
 	}
 }
 
+// resume discards what a run has left behind that ended, by a panic or since the
+// configuration had no quotas: the calls that it waited for, and what it was told.
+func (k *Controller) resume() {
+	for _, b := range k.borrowings {
+		b.call = nil
+	}
+	for _, q := range k.c.Board.Quotas.All() {
+		q.Queued.Store(false)
+	}
+}
+
 // takeQueued returns the accounts with operations that wait for a loan.
 func (k *Controller) takeQueued() []*borrowing {
 	k.mu.Lock()
@@ -103,19 +118,23 @@
 func (k *Controller) borrowing(a chervilladder.AccountID) *borrowing {
 	b, ok := k.borrowings[a]
 	if !ok {
-		b = &borrowing{account: a, quota: k.c.Board.Quotas.Get(a)}
+		b = &borrowing{account: a, quota: k.c.Board.Quotas.Get(a), report: newReport(a, len(k.borrowings))}
 		k.borrowings[a] = b
 	}
 	return b
 }
 
-// observe updates the rates of all accounts, and returns the accounts.
-func (k *Controller) observe(interval time.Duration) []*borrowing {
+// observe updates the rates and reports of all accounts, and returns the accounts.
+func (k *Controller) observe(interval time.Duration, now time.Time) []*borrowing {
 	list := make([]*borrowing, 0, len(k.borrowings))
 	for _, b := range k.borrowings {
 		offered := b.quota.Offered.Load()
 		b.offered.Observe(offered-b.offeredAt, interval)
 		b.granted.Observe(b.lentNow, interval)
+		b.report.offered.Add(int(offered - b.offeredAt))
+		b.report.borrowed.Add(int(b.lentNow))
+		limit, _ := k.quotaOf(b.account)
+		b.report.update(k.c.Log.WithField("account", b.account), b.quota.Refused.Load(), limit, now)
 		b.offeredAt, b.lentNow = offered, 0
 		list = append(list, b)
 	}
@@ -246,6 +265,9 @@
 	}
 	wait := min(max(b.retryAfter, k.terms().RetryInterval()), maxShort)
 	b.asked, b.retryAfter = 0, 0
+	if b.flooded() {
+		b.asked, b.retryAfter = lenders-1, maxShort // one lender at a time will do
+	}
 	b.quota.Supply.Update(func(s blackboard.QuotaSupply) blackboard.QuotaSupply {
 		s.ShortUntil = now.Add(wait)
 		return s
@@ -257,5 +279,7 @@
 	})
 }
 
-// maxShort bounds how long no lender is asked that has too little.
-const maxShort = time.Second
+// flooded reports whether callers ask for far more than lenders have.
+func (b *borrowing) flooded() bool {
+	return b.offered.Over(time.Second) > floodFactor*b.granted.Over(time.Second)
+}
--- a/internal/control/quota/lend.go
+++ b/internal/control/quota/lend.go
@@ -53,6 +53,7 @@
 		Borrower: borrower, Demand: chervilladder.Operations(min(demand, maxDemand)),
 		Quota: limit, Lenders: lenders.Groups[group].Tenure.Lenders, LendingSince: since, Terms: terms,
 	}, now)
+	lentTotal.Add(int(loan.Operations))
 	return loan
 }
 
--- a/internal/control/quota/quota.go
+++ b/internal/control/quota/quota.go
@@ -47,11 +47,11 @@
 	// answers receives the answers of lenders.
 	answers chan answer
 
-	// borrowings and lenders are used by Run's goroutine only.
+	// borrowings holds the accounts that this VM borrows for, and avoided until when a
+	// lender that didn't answer is asked last. Only the goroutine of borrow uses them.
 	borrowings map[chervilladder.AccountID]*borrowing
+	avoided    map[chervilladder.VMID]time.Time
 	calls      sync.WaitGroup
-	// avoided holds until when a lender that didn't answer is asked last.
-	avoided map[chervilladder.VMID]time.Time
 
 	standing standing
 }
@@ -66,7 +66,10 @@
 	if c.Board == nil || c.Log == nil || c.Clock == nil || c.MaxListAge == nil {
 		return nil, errors.New("quota: a board, a log, a clock and the age of lists are needed")
 	}
-	return &Controller{c: c, wake: make(chan struct{}, 1), answers: make(chan answer)}, nil
+	return &Controller{
+		c: c, wake: make(chan struct{}, 1), answers: make(chan answer),
+		borrowings: make(map[chervilladder.AccountID]*borrowing), avoided: make(map[chervilladder.VMID]time.Time),
+	}, nil
 }
 
 // Run borrows and decides on lenders until the context ends. It does nothing while the
--- a/internal/control/quota/world_test.go
+++ b/internal/control/quota/world_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -57,6 +58,32 @@
 	offered  int
 	refused  int
 	waited   time.Duration
+	// beyond counts the operations that one token bucket of the whole quota wouldn't
+	// have admitted: tokens is what it held at the time at.
+	beyond int
+	tokens float64
+	at     time.Time
+}
+
+// offer applies an operation to the token bucket of the whole quota.
+func (a *account) offer(q chervilladder.Quota) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	a.tokens = min(float64(q.Burst), a.tokens+now.Sub(a.at).Seconds()*float64(q.Rate))
+	a.at = now
+	if a.tokens >= 1 {
+		a.tokens--
+	} else {
+		a.beyond++
+	}
+}
+
+// wronglyRefused returns how many more operations were refused than lie beyond the quota.
+func (a *account) wronglyRefused() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return max(0, a.refused-a.beyond)
 }
 
 // vm is one VM. Its controller is replaced when it restarts.
@@ -245,7 +272,9 @@
 			v.w.announce(v.self)
 		}
 		delete(members, v.self.ID)
-		b.Members.Store(blackboard.Membership{Members: members})
+		if known := b.Members.Load().Members; known == nil || !maps.Equal(known, members) {
+			b.Members.Store(blackboard.Membership{Members: members})
+		}
 	}
 }
 
@@ -383,6 +412,7 @@
 // admit runs one operation.
 func (w *world) admit(k *quota.Controller, id chervilladder.AccountID) {
 	a, began := w.accounts[id], time.Now()
+	a.offer(w.routing.Accounts.Quotas[id])
 	err := k.Admit(w.ctx, id)
 	now := time.Now()
 	if w.ctx.Err() != nil {
@@ -413,6 +443,17 @@
 	return most
 }
 
+// wronglyRefused returns the sum over all accounts but one.
+func (w *world) wronglyRefused(except chervilladder.AccountID) int {
+	sum := 0
+	for id, a := range w.accounts {
+		if id != except {
+			sum += a.wronglyRefused()
+		}
+	}
+	return sum
+}
+
 // sleep waits for a duration. It returns false if the context ends first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -149,7 +149,7 @@
 		failovers,
 		quotas,
 		platform.Readiness{Listener: readinessListener, Ready: func() bool { return canServe(board) && !board.ShutsDown() && !recovery.Failing() }},
-		platform.Metrics{Listener: metricsListener, Sets: []*metrics.Set{metricSet, recovery.Metrics, failover.Metrics, link.Metrics}},
+		platform.Metrics{Listener: metricsListener, Sets: []*metrics.Set{metricSet, recovery.Metrics, failover.Metrics, link.Metrics, quota.Metrics}},
 	}, append(peering, controllers...)...), nil
 }
 
--- a/internal/decide/quota/bucket.go
+++ b/internal/decide/quota/bucket.go
@@ -55,7 +55,8 @@
 	b.demanded += float64(r.Demand)
 	b.current[r.Borrower] = used
 	left := r.Terms.Lifetime - now.Sub(b.period)
-	allowed := b.level(r.Borrower, s, left) - used.lent
+	level, reserved := b.level(r.Borrower, s, left)
+	allowed := min(level-used.lent, b.tokens-min(reserved, max(1, reserved/4)))
 	amount := math.Floor(min(float64(r.Demand), b.tokens, max(1-used.lent, allowed)))
 	if amount > 0 {
 		b.tokens -= amount
@@ -96,11 +97,12 @@
 
 // level returns how much a borrower may be lent in the running period: all, unless the
 // demands exceed what can be lent. Then no borrower gets more than any other whose
-// demand isn't met.
-func (b *Bucket) level(borrower chervilladder.VMID, s share, left time.Duration) float64 {
+// demand isn't met. One of these leaves to the others, whose demand can be met, what they
+// haven't been lent yet: reserved.
+func (b *Bucket) level(borrower chervilladder.VMID, s share, left time.Duration) (level, reserved float64) {
 	supply := b.tokens + s.rate*max(0, left).Seconds()
 	if b.demanded+b.demandedBefore <= supply {
-		return math.Inf(1)
+		return math.Inf(1), 0
 	}
 	demands := make([]float64, 0, len(b.current)+len(b.previous))
 	for vm, u := range b.current {
@@ -112,7 +114,21 @@
 			demands = append(demands, u.demanded)
 		}
 	}
-	return fairLevel(demands, supply)
+	level = fairLevel(demands, supply)
+	if max(b.current[borrower].demanded, b.previous[borrower].demanded) <= level {
+		return level, 0
+	}
+	for vm, u := range b.current {
+		if demanded := max(u.demanded, b.previous[vm].demanded); demanded <= level {
+			reserved += max(0, demanded-u.lent)
+		}
+	}
+	for vm, u := range b.previous {
+		if _, again := b.current[vm]; !again && u.demanded <= level {
+			reserved += u.demanded
+		}
+	}
+	return level, reserved
 }
 
 // fairLevel returns the greatest amount for each that a supply allows by max-min
--- a/internal/decide/quota/lenders.go
+++ b/internal/decide/quota/lenders.go
@@ -74,20 +74,32 @@
 	Current bool
 }
 
-// List applies the list of lenders as this VM has read it.
-func (t *Tenure) List(isLender bool, lenders int, first bool, now time.Time, maxListAge time.Duration) {
+// Listing is a group's lenders by a list of VMs.
+type Listing struct {
+	// IsLender is set if this VM is one of them, Lenders is their number, and First is
+	// set for the first list that this VM has read.
+	IsLender bool
+	Lenders  int
+	First    bool
+	Now      time.Time
+	// MaxListAge is how old the list of a VM in touch with the store may be.
+	MaxListAge time.Duration
+}
+
+// List applies a list that this VM has read.
+func (t *Tenure) List(l Listing) {
 	switch {
-	case lenders >= t.Lenders:
-		t.Lenders, t.fewerAt = lenders, time.Time{}
-	case t.fewerAt.IsZero() || lenders != t.fewer:
-		t.fewer, t.fewerAt = lenders, now.Add(maxListAge+noticeTime)
+	case l.Lenders >= t.Lenders:
+		t.Lenders, t.fewerAt = l.Lenders, time.Time{}
+	case t.fewerAt.IsZero() || l.Lenders != t.fewer:
+		t.fewer, t.fewerAt = l.Lenders, l.Now.Add(l.MaxListAge+noticeTime)
 	}
-	if !isLender {
+	if !l.IsLender {
 		t.ListedSince, t.LendingSince, t.Joined = time.Time{}, time.Time{}, false
 		return
 	}
 	if t.ListedSince.IsZero() {
-		t.ListedSince, t.Joined = now, first
+		t.ListedSince, t.Joined = l.Now, l.First
 	}
 }
 
--- a/internal/decide/quota/terms.go
+++ b/internal/decide/quota/terms.go
@@ -13,16 +13,17 @@
 	// defaultWindow stands for the window of a deployment that sets none.
 	defaultWindow = 5 * time.Second
 	// maxLifetime and maxReserve bound the Terms of long windows.
-	maxLifetime = 300 * time.Millisecond
-	maxReserve  = 150 * time.Millisecond
+	maxLifetime = 250 * time.Millisecond
+	maxReserve  = 200 * time.Millisecond
 	// A lifetime of lifetimePercent and a reserve of reservePercent of the window
 	// exceed the quota by less than a tenth.
-	lifetimePercent = 6
-	reservePercent  = 3
+	lifetimePercent = 5
+	reservePercent  = 4
 )
 
 // Terms are the terms on which parts of quotas are lent. In any window, an account's
-// operations may exceed its quota by its rate times Lifetime and Reserve.
+// operations may exceed its quota by its rate times the sum of Lifetime and Reserve, and
+// by one for each lender.
 type Terms struct {
 	// Lifetime is how long a loan may be used.
 	Lifetime time.Duration
@@ -46,8 +47,8 @@
 // RefillInterval returns how often a VM with steady demand borrows.
 func (t Terms) RefillInterval() time.Duration { return t.Lifetime / 2 }
 
-// RetryInterval returns the least time until a VM asks the lenders again that have too
-// little for it.
+// RetryInterval returns the least time until a VM asks a lender again while they have too
+// little for it. It has asked all of them before the reserve of any is full.
 func (t Terms) RetryInterval() time.Duration { return t.Lifetime / 4 }
 
 // share is a lender's part of a quota.
@@ -56,12 +57,12 @@
 	capacity float64 // operations
 }
 
-// shareOf divides a quota among lenders. A share holds at least one operation, since
-// only whole operations are lent.
+// shareOf divides a quota among lenders. A share holds one operation more than its part,
+// since only whole operations are lent and a fraction of one is always left.
 func shareOf(q chervilladder.Quota, lenders int, t Terms) share {
 	n := float64(max(1, lenders))
 	rate := float64(q.Rate) / n
-	return share{rate: rate, capacity: max(1, float64(q.Burst)/n+rate*t.Reserve.Seconds())}
+	return share{rate: rate, capacity: 1 + float64(q.Burst)/n + rate*t.Reserve.Seconds()}
 }
 
 // accrual returns the time in which a share accrues an amount.
