--- a/internal/control/quota/history_test.go
+++ b/internal/control/quota/history_test.go
@@ -198,3 +198,67 @@
 		is.True(float64(most) <= limit)
 	})
 }
+
+// Callers that stay at half of their quota are refused almost nothing while single VMs
+// fail, and while the store is down: two of three lenders remain.
+func TestNoSingleFaultRefusesCallersBelowTheLimit(t *testing.T) {
+	q := chervilladder.Quota{Rate: 100, Burst: 60}
+	single := []fault{killOne, freezeOne, cutFromVMs, cutFromStore, storeDown, replaceOne, addOne}
+	rapid.Check(t, func(r *rapid.T) {
+		vms := rapid.IntRange(4, 9).Draw(r, "vms")
+		skew := rapid.Bool().Draw(r, "skew")
+		var events []event
+		for range rapid.IntRange(1, 3).Draw(r, "events") {
+			events = append(events, event{
+				fault: rapid.SampledFrom(single).Draw(r, "fault"),
+				vm:    rapid.IntRange(0, 8).Draw(r, "vm"),
+				lasts: time.Duration(rapid.IntRange(1, 80).Draw(r, "lasts")) * time.Second,
+			})
+		}
+		var offered, refused int
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(vms, map[chervilladder.AccountID]chervilladder.Quota{tenant: q}, 1)
+			defer w.end()
+			time.Sleep(trafficFrom)
+			weights := even(vms)
+			if skew {
+				weights = skewed(vms)
+			}
+			load(w, tenant, 0.5*float64(q.Rate), weights, 5*time.Second)
+			for _, e := range events {
+				w.happen(e)
+				if e.fault == cutFromVMs { // callers of a VM that is alone are refused
+					w.vms[e.vm%vms].setLoad(tenant, 0)
+				}
+				time.Sleep(e.lasts + 30*time.Second)
+			}
+			offered, refused = w.accounts[tenant].offered, w.accounts[tenant].wronglyRefused()
+		})
+		is := is.New(r)
+		is.True(refused*100 <= offered) // more than 1 % refused
+	})
+}
+
+// Nobody waits long for a lender after all VMs have lost power at once.
+func TestAllVMsRestart(t *testing.T) {
+	for _, vms := range []int{1, 4, 30} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			q := chervilladder.Quota{Rate: 100, Burst: 60}
+			w := newWorld(vms, map[chervilladder.AccountID]chervilladder.Quota{tenant: q}, 1)
+			defer w.end()
+			time.Sleep(time.Minute)
+			for _, v := range w.vms {
+				v.kill()
+			}
+			time.Sleep(time.Second)
+			for _, v := range w.vms[:max(1, vms-1)] { // one doesn't return
+				v.start()
+			}
+			time.Sleep(3 * time.Second)
+			a := load(w, tenant, 0.5*float64(q.Rate), even(vms), 10*time.Second)
+			t.Logf("%d VMs: offered %d, refused %d", vms, a.offered, a.refused)
+			is.True(a.refused*50 <= a.offered)
+		})
+	}
+}
