--- a/internal/control/quota/admit_test.go
+++ b/internal/control/quota/admit_test.go
@@ -68,6 +68,7 @@
 		ended := make(chan error, 1)
 		go func() { ended <- k.Run(ctx) }()
 		time.Sleep(10 * time.Second)
+		logged.Reset()
 		for range 200 {
 			_ = k.Admit(ctx, tenant)
 			time.Sleep(20 * time.Millisecond)
--- a/internal/control/quota/standing.go
+++ b/internal/control/quota/standing.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/decide/quota"
@@ -40,6 +42,8 @@
 	known, returning bool
 	confirmed        map[chervilladder.VMID]bool
 	introducedAt     time.Time
+	// lending is the number of groups whose quotas this VM lends.
+	lending int
 	// storeSeenLostAt is when the store was last seen lost, and inTouchAt when most
 	// of a sample of VMs last answered. resumedAt is when this VM began to check, or
 	// went on after it had stood still.
@@ -115,10 +119,22 @@
 	}
 	next := k.c.Board.QuotaLenders.Load()
 	next.DecidedAt = now
+	listed, lending := 0, 0
 	for g := range next.Groups {
-		next.Groups[g].Tenure.Update(evidence)
+		tenure := &next.Groups[g].Tenure
+		tenure.Update(evidence)
+		if !tenure.ListedSince.IsZero() {
+			listed++
+		}
+		if !tenure.LendingSince.IsZero() {
+			lending++
+		}
 	}
 	k.c.Board.QuotaLenders.Store(next)
+	if lending != k.standing.lending {
+		k.standing.lending = lending
+		k.c.Log.WithFields(logrus.Fields{"lender-of": listed, "lending": lending, "vms": vms}).Info("quota: lending changed")
+	}
 }
 
 // current reports whether this VM would know if its list of VMs had changed. It would
