Quotas: substitutes are asked while a lender doesn't lend

A VM that joins needs the word only of those that may lend in its place, and waits for a silent one only if it displaces it. A lender that is silent or doesn't lend no longer counts as asked, and VMs that may still lend by an older list are asked in its place.

--- a/internal/blackboard/quota.go
+++ b/internal/blackboard/quota.go
@@ -32,7 +32,8 @@
 // QuotaGroup describes the lenders of a group of accounts.
 type QuotaGroup struct {
 	// Lenders are the group's lenders, in the order in which this VM asks them.
-	Lenders []chervilladder.VM
+	// Substitutes are asked if one of them doesn't lend.
+	Lenders, Substitutes []chervilladder.VM
 	// Tenure is this VM's own as a lender.
 	Tenure quota.Tenure
 }
--- a/internal/control/quota/borrow.go
+++ b/internal/control/quota/borrow.go
@@ -20,7 +20,7 @@
 	// long a lender's answer is waited for.
 	lateAfter   = 70 * time.Millisecond
 	callTimeout = 200 * time.Millisecond
-	// avoidFor is how long a lender that didn't answer is asked last.
+	// avoidFor is how long a lender isn't asked that didn't answer, or doesn't lend.
 	avoidFor = time.Second
 	// maxShort bounds how long no lender is asked that has too little.
 	maxShort = time.Second
@@ -47,6 +47,12 @@
 	report report
 }
 
+// avoidance is a VM that isn't asked for a group's accounts.
+type avoidance struct {
+	vm    chervilladder.VMID
+	group quota.Group
+}
+
 // call is one request to a lender.
 type call struct {
 	lender  chervilladder.VM
@@ -148,8 +154,9 @@
 	var calls []*call
 	for _, b := range list {
 		limit, limited := k.quotaOf(b.account)
-		group := lenders.Groups[quota.GroupOf(b.account)].Lenders
-		if !limited || len(group) == 0 || b.call != nil || b.quota.Supply.Load().ShortUntil.After(now) {
+		group := quota.GroupOf(b.account)
+		candidates := k.candidates(lenders, group, now)
+		if !limited || len(candidates) == 0 || b.call != nil || b.quota.Supply.Load().ShortUntil.After(now) {
 			continue
 		}
 		demand := quota.Demand{
@@ -159,7 +166,7 @@
 		if demand < 1 {
 			continue
 		}
-		lender := k.choose(b, group, now)
+		lender := candidates[b.next%len(candidates)]
 		i := slices.IndexFunc(calls, func(c *call) bool { return c.lender.ID == lender.ID })
 		if i < 0 {
 			i = len(calls)
@@ -173,16 +180,23 @@
 	}
 }
 
-// choose returns the lender to ask for an account: the next one that isn't avoided.
-func (k *Controller) choose(b *borrowing, group []chervilladder.VM, now time.Time) chervilladder.VM {
-	for i := range group {
-		if vm := group[(b.next+i)%len(group)]; !k.avoided[vm.ID].After(now) {
-			b.next = (b.next + i) % len(group)
-			return vm
-		}
+// candidates returns the VMs to ask for a group's accounts: the lenders, and in place of
+// those that are avoided the substitutes. If all are avoided, the lenders are asked.
+func (k *Controller) candidates(l blackboard.QuotaLenders, g quota.Group, now time.Time) []chervilladder.VM {
+	group := l.Groups[g]
+	isAvoided := func(vm chervilladder.VM) bool { return k.avoided[avoidance{vm.ID, g}].After(now) }
+	if !slices.ContainsFunc(group.Lenders, isAvoided) || k.allAvoided(g, now) {
+		return group.Lenders
 	}
-	b.next %= len(group)
-	return group[b.next]
+	return slices.DeleteFunc(slices.Concat(group.Lenders, group.Substitutes), isAvoided)
+}
+
+// allAvoided reports whether all lenders of a group and their substitutes are avoided.
+func (k *Controller) allAvoided(g quota.Group, now time.Time) bool {
+	group := k.c.Board.QuotaLenders.Load().Groups[g]
+	return !slices.ContainsFunc(slices.Concat(group.Lenders, group.Substitutes), func(vm chervilladder.VM) bool {
+		return !k.avoided[avoidance{vm.ID, g}].After(now)
+	})
 }
 
 // send calls a lender and passes on its answer.
@@ -212,9 +226,6 @@
 // asked.
 func (k *Controller) apply(ctx context.Context, a answer) []*borrowing {
 	now := k.c.Clock()
-	if a.late || a.err != nil {
-		k.avoided[a.call.lender.ID] = now.Add(avoidFor)
-	}
 	var again []*borrowing
 	for i, d := range a.call.demands {
 		b := k.borrowing(d.Account)
@@ -222,14 +233,18 @@
 		if i < len(a.loans) && a.loans[i].Account == d.Account {
 			loan = a.loans[i]
 		}
+		if loan.Lifetime <= 0 {
+			k.avoided[avoidance{a.call.lender.ID, quota.GroupOf(d.Account)}] = now.Add(avoidFor)
+		}
 		lent := k.add(b, d, loan, a.call.sentAt, now)
 		if b.call != a.call {
 			continue // it was late, and another lender has been asked
 		}
 		b.call = nil
-		if lent >= int64(d.Operations) {
+		switch {
+		case lent >= int64(d.Operations):
 			b.asked, b.retryAfter = 0, 0
-		} else {
+		case loan.Lifetime > 0 || k.allAvoided(quota.GroupOf(b.account), now):
 			k.short(ctx, b, loan.RetryAfter, now)
 		}
 		b.quota.Supply.Update(func(s blackboard.QuotaSupply) blackboard.QuotaSupply {
@@ -255,7 +270,7 @@
 
 // short has the next lender asked. Once all have been, none is asked for a time.
 func (k *Controller) short(ctx context.Context, b *borrowing, retryAfter time.Duration, now time.Time) {
-	lenders := len(k.c.Board.QuotaLenders.Load().Groups[quota.GroupOf(b.account)].Lenders)
+	lenders := len(k.candidates(k.c.Board.QuotaLenders.Load(), quota.GroupOf(b.account), now))
 	if b.asked == 0 || retryAfter < b.retryAfter {
 		b.retryAfter = retryAfter
 	}
--- a/internal/control/quota/lend.go
+++ b/internal/control/quota/lend.go
@@ -41,7 +41,7 @@
 
 func (k *Controller) lend(borrower chervilladder.VMID, d chervilladder.QuotaDemand) chervilladder.QuotaLoan {
 	terms := k.terms()
-	loan := chervilladder.QuotaLoan{Account: d.Account, Lifetime: terms.Lifetime, RetryAfter: notLendingRetry}
+	loan := chervilladder.QuotaLoan{Account: d.Account, RetryAfter: notLendingRetry}
 	limit, limited := k.quotaOf(d.Account)
 	now, group, lenders := k.c.Clock(), quota.GroupOf(d.Account), k.c.Board.QuotaLenders.Load()
 	since := lenders.LendingSince(group, now)
@@ -49,6 +49,7 @@
 	if !limited || since.IsZero() || math.IsNaN(demand) || demand < 1 {
 		return loan
 	}
+	loan.Lifetime = terms.Lifetime
 	loan.Operations, loan.RetryAfter = k.c.Board.Quotas.Get(d.Account).Lend(quota.Request{
 		Borrower: borrower, Demand: chervilladder.Operations(min(demand, maxDemand)),
 		Quota: limit, Lenders: lenders.Groups[group].Tenure.Lenders, LendingSince: since, Terms: terms,
--- a/internal/control/quota/quota.go
+++ b/internal/control/quota/quota.go
@@ -48,9 +48,9 @@
 	answers chan answer
 
 	// borrowings holds the accounts that this VM borrows for, and avoided until when a
-	// lender that didn't answer is asked last. Only the goroutine of borrow uses them.
+	// lender isn't asked. Only the goroutine of borrow uses them.
 	borrowings map[chervilladder.AccountID]*borrowing
-	avoided    map[chervilladder.VMID]time.Time
+	avoided    map[avoidance]time.Time
 	calls      sync.WaitGroup
 
 	standing standing
@@ -68,7 +68,7 @@
 	}
 	return &Controller{
 		c: c, wake: make(chan struct{}, 1), answers: make(chan answer),
-		borrowings: make(map[chervilladder.AccountID]*borrowing), avoided: make(map[chervilladder.VMID]time.Time),
+		borrowings: make(map[chervilladder.AccountID]*borrowing), avoided: make(map[avoidance]time.Time),
 	}, nil
 }
 
--- a/internal/control/quota/standing.go
+++ b/internal/control/quota/standing.go
@@ -20,9 +20,8 @@
 	// standingInterval is the time between two checks whether this VM may lend.
 	standingInterval = 200 * time.Millisecond
 	// introduceInterval is the time between two rounds of calls to VMs that may not have
-	// this VM in their lists, and maxIntroductions the greatest number in a round.
+	// this VM in their lists.
 	introduceInterval = 500 * time.Millisecond
-	maxIntroductions  = 64
 	// storeLostAfter is after how long without news of the store its list of VMs can't
 	// have been changed by a VM in touch with this one.
 	storeLostAfter = 5 * time.Second
@@ -37,11 +36,14 @@
 // standing is what this VM knows about its place in the other VMs' lists. Only
 // keepStanding's goroutine uses it.
 type standing struct {
-	// known is set once all others have this VM in their lists, confirmed holds those
-	// that have said so. returning is set if all others had it before.
-	known, returning bool
-	confirmed        map[chervilladder.VMID]bool
-	introducedAt     time.Time
+	// replies holds what other VMs last replied to whether this VM is in their lists.
+	// returning is set if it was in their lists before.
+	replies      map[chervilladder.VMID]reply
+	returning    bool
+	introducedAt time.Time
+	// predecessors are those that may lend in this VM's place, for each group that it is
+	// a lender of.
+	predecessors [quota.Groups]predecessors
 	// lending is the number of groups whose quotas this VM lends.
 	lending int
 	// storeSeenLostAt is when the store was last seen lost, and inTouchAt when most
@@ -50,6 +52,20 @@
 	storeSeenLostAt, sampledAt, inTouchAt, checkedAt, resumedAt time.Time
 }
 
+// reply is a VM's reply to whether it has this VM in its list.
+type reply uint8
+
+// The replies. A VM that hasn't been asked has none.
+const (
+	notAsked reply = iota
+	notListed
+	silent
+	listed
+)
+
+// predecessors are the VMs that may lend in this VM's place; see quota.Predecessors.
+type predecessors struct{ displaced, others []chervilladder.VM }
+
 // keepStanding decides which VMs lend, and whether this VM may.
 func (k *Controller) keepStanding(ctx context.Context) {
 	t := time.NewTicker(standingInterval)
@@ -58,7 +74,7 @@
 	for {
 		members, changed := k.c.Board.Members.Watch()
 		k.notePause()
-		k.introduce(ctx, members)
+		k.introduce(ctx)
 		k.sample(ctx, members)
 		if members.Members != nil || k.alone() {
 			if changed != last {
@@ -96,13 +112,19 @@
 	next := k.c.Board.QuotaLenders.Load()
 	for g := range next.Groups {
 		group := &next.Groups[g]
-		lenders := quota.Lenders(quota.Group(g), vms)
+		lenders, substitutes := quota.Lenders(quota.Group(g), vms)
+		isLender := slices.ContainsFunc(lenders, func(vm chervilladder.VM) bool { return vm.ID == self.ID })
+		k.standing.predecessors[g] = predecessors{}
+		if isLender {
+			displaced, others := quota.Predecessors(quota.Group(g), self, vms)
+			k.standing.predecessors[g] = predecessors{displaced, others}
+		}
 		group.Tenure.List(quota.Listing{
-			IsLender: slices.ContainsFunc(lenders, func(vm chervilladder.VM) bool { return vm.ID == self.ID }),
+			IsLender: isLender,
 			Lenders:  len(lenders), First: group.Lenders == nil,
 			Now: k.c.Clock(), MaxListAge: k.c.MaxListAge(len(vms)),
 		})
-		group.Lenders = quota.Order(self.DataCentre, lenders)
+		group.Lenders, group.Substitutes = quota.Order(self.DataCentre, lenders), substitutes
 	}
 	k.c.Board.QuotaLenders.Store(next)
 }
@@ -112,16 +134,17 @@
 	now := k.c.Clock()
 	evidence := quota.Evidence{
 		Now: now, MaxListAge: k.c.MaxListAge(vms),
-		Known: k.alone() || k.standing.known, Current: k.alone() || k.current(now, vms),
+		Current: k.alone() || k.current(now, vms),
 	}
 	if !evidence.Current {
-		k.standing.known, k.standing.confirmed = false, nil
+		k.standing.replies = nil
 	}
 	next := k.c.Board.QuotaLenders.Load()
 	next.DecidedAt = now
 	listed, lending := 0, 0
 	for g := range next.Groups {
 		tenure := &next.Groups[g].Tenure
+		evidence.Known = k.known(k.standing.predecessors[g])
 		tenure.Update(evidence)
 		if !tenure.ListedSince.IsZero() {
 			listed++
@@ -131,6 +154,7 @@
 		}
 	}
 	k.c.Board.QuotaLenders.Store(next)
+	k.standing.returning = k.standing.returning || lending > 0
 	if lending != k.standing.lending {
 		k.standing.lending = lending
 		k.c.Log.WithFields(logrus.Fields{"lender-of": listed, "lending": lending, "vms": vms}).Info("quota: lending changed")
@@ -154,35 +178,65 @@
 	return min(unread, now.Sub(s.storeSeenLostAt)) < maxAge
 }
 
-// introduce asks the other VMs whether they have this VM in their lists, until all do.
-// Then no other VM lends in its place, and it needn't wait.
-func (k *Controller) introduce(ctx context.Context, members blackboard.Membership) {
+// known reports whether those that may lend in this VM's place have it in their lists.
+// Those that are silent needn't confirm it if they don't lend in its place by the list
+// that this VM has read, or had it in their lists before.
+func (k *Controller) known(p predecessors) bool {
+	if k.alone() {
+		return true
+	}
+	s := &k.standing
+	if s.introducedAt.IsZero() {
+		return false
+	}
+	for _, vm := range p.displaced {
+		if r := s.replies[vm.ID]; r != listed && (r != silent || !s.returning) {
+			return false
+		}
+	}
+	for _, vm := range p.others {
+		if r := s.replies[vm.ID]; r != listed && r != silent {
+			return false
+		}
+	}
+	return true
+}
+
+// introduce asks the VMs that may lend in this VM's place whether they have it in their
+// lists, until they do. Then it needn't wait.
+func (k *Controller) introduce(ctx context.Context) {
 	s, now := &k.standing, k.c.Clock()
-	if s.known || k.alone() || !k.lends() || k.c.Board.ListedAt.Load().IsZero() || now.Sub(s.introducedAt) < introduceInterval {
+	if k.alone() || k.c.Board.ListedAt.Load().IsZero() || now.Sub(s.introducedAt) < introduceInterval {
 		return
 	}
+	var list []chervilladder.VM
+	groups := k.c.Board.QuotaLenders.Load().Groups
+	for g, p := range s.predecessors {
+		if !groups[g].Tenure.LendingSince.IsZero() {
+			continue
+		}
+		for _, vm := range slices.Concat(p.displaced, p.others) {
+			if s.replies[vm.ID] != listed && !slices.Contains(list, vm) {
+				list = append(list, vm)
+			}
+		}
+	}
 	s.introducedAt = now
-	list := others(members)
 	s.returning = s.returning || k.c.Board.ListedBefore.Load()
-	if s.confirmed == nil {
-		s.confirmed = make(map[chervilladder.VMID]bool)
+	if s.replies == nil {
+		s.replies = make(map[chervilladder.VMID]reply)
 	}
-	list = slices.DeleteFunc(list, func(vm chervilladder.VM) bool { return s.confirmed[vm.ID] })
-	left := max(0, len(list)-maxIntroductions)
-	list = list[:len(list)-left]
 	for i, err := range k.ping(ctx, list) {
 		var unknown *chervilladder.UnknownBorrowerError
 		switch {
 		case err == nil:
-			s.confirmed[list[i].ID] = true
-		case errors.As(err, &unknown) || !s.returning:
-			left++
-		default: // it is silent, but has had this VM in its list before
-			s.confirmed[list[i].ID] = true
+			s.replies[list[i].ID] = listed
+		case errors.As(err, &unknown):
+			s.replies[list[i].ID] = notListed
+		default:
+			s.replies[list[i].ID] = silent
 		}
 	}
-	s.known = left == 0
-	s.returning = s.returning || s.known
 }
 
 // sample asks a few VMs for an answer while the store is lost.
@@ -207,16 +261,6 @@
 	}
 }
 
-// lends reports whether this VM is a lender by its own list.
-func (k *Controller) lends() bool {
-	for _, g := range k.c.Board.QuotaLenders.Load().Groups {
-		if !g.Tenure.ListedSince.IsZero() {
-			return true
-		}
-	}
-	return false
-}
-
 // ping calls VMs at the same time and returns the error of each.
 func (k *Controller) ping(ctx context.Context, list []chervilladder.VM) []error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/decide/quota/bucket.go
+++ b/internal/decide/quota/bucket.go
@@ -54,22 +54,14 @@
 	used.demanded += float64(r.Demand)
 	b.demanded += float64(r.Demand)
 	b.current[r.Borrower] = used
-	left := r.Terms.Lifetime - now.Sub(b.period)
-	level, reserved := b.level(r.Borrower, s, left)
-	allowed := min(level-used.lent, b.tokens-min(reserved, max(1, reserved/4)))
-	amount := math.Floor(min(float64(r.Demand), b.tokens, max(1-used.lent, allowed)))
-	if amount > 0 {
-		b.tokens -= amount
-		used.lent += amount
-		b.current[r.Borrower] = used
-	}
-	amount = max(0, amount)
+	available := b.tokens - b.reserved(r.Borrower, s, r.Terms.Lifetime-now.Sub(b.period))
+	amount := max(0, math.Floor(min(float64(r.Demand), b.tokens, max(1-used.lent, available))))
+	b.tokens -= amount
+	used.lent += amount
+	b.current[r.Borrower] = used
 	if amount >= float64(r.Demand) {
 		return chervilladder.Operations(amount), 0
 	}
-	if allowed-amount < 1 && b.tokens >= 1 {
-		return chervilladder.Operations(amount), max(left, r.Terms.RetryInterval())
-	}
 	return chervilladder.Operations(amount), max(s.accrual(1-min(1, b.tokens)), r.Terms.RetryInterval())
 }
 
@@ -95,14 +87,13 @@
 	b.period, b.current, b.demanded = now, make(map[chervilladder.VMID]use), 0
 }
 
-// level returns how much a borrower may be lent in the running period: all, unless the
-// demands exceed what can be lent. Then no borrower gets more than any other whose
-// demand isn't met. One of these leaves to the others, whose demand can be met, what they
-// haven't been lent yet: reserved.
-func (b *Bucket) level(borrower chervilladder.VMID, s share, left time.Duration) (level, reserved float64) {
+// reserved returns how much a borrower leaves to others. If the demands exceed what can
+// be lent in the running period, a borrower that demands more than its fair part leaves an
+// operation while others that demand less haven't been lent all of theirs.
+func (b *Bucket) reserved(borrower chervilladder.VMID, s share, left time.Duration) float64 {
 	supply := b.tokens + s.rate*max(0, left).Seconds()
 	if b.demanded+b.demandedBefore <= supply {
-		return math.Inf(1), 0
+		return 0
 	}
 	demands := make([]float64, 0, len(b.current)+len(b.previous))
 	for vm, u := range b.current {
@@ -110,25 +101,26 @@
 		demands = append(demands, max(u.demanded, b.previous[vm].demanded))
 	}
 	for vm, u := range b.previous {
-		if _, again := b.current[vm]; !again && vm != borrower {
+		if _, again := b.current[vm]; !again {
 			demands = append(demands, u.demanded)
 		}
 	}
-	level = fairLevel(demands, supply)
+	level := fairLevel(demands, supply)
 	if max(b.current[borrower].demanded, b.previous[borrower].demanded) <= level {
-		return level, 0
+		return 0
 	}
+	unmet := 0.0
 	for vm, u := range b.current {
 		if demanded := max(u.demanded, b.previous[vm].demanded); demanded <= level {
-			reserved += max(0, demanded-u.lent)
+			unmet += max(0, demanded-u.lent)
 		}
 	}
 	for vm, u := range b.previous {
 		if _, again := b.current[vm]; !again && u.demanded <= level {
-			reserved += u.demanded
+			unmet += u.demanded
 		}
 	}
-	return level, reserved
+	return min(1, unmet)
 }
 
 // fairLevel returns the greatest amount for each that a supply allows by max-min
--- a/internal/decide/quota/lenders.go
+++ b/internal/decide/quota/lenders.go
@@ -14,6 +14,9 @@
 const (
 	// lendersPerGroup is the number of VMs among which a quota is divided.
 	lendersPerGroup = 3
+	// candidates is the number of VMs that may lend in place of the lenders by an older
+	// list of VMs.
+	candidates = 2 * lendersPerGroup
 	// Groups is the number of groups of accounts. The accounts of a group have the
 	// same lenders, so that a VM calls no more than Groups of them at a time.
 	Groups = 8
@@ -28,9 +31,28 @@
 // GroupOf returns the group of an account.
 func GroupOf(a chervilladder.AccountID) Group { return Group(xxhash.Sum64String(string(a)) % Groups) }
 
-// Lenders returns the VMs that lend the quotas of a group's accounts.
-func Lenders(g Group, vms []chervilladder.VM) []chervilladder.VM {
-	return rendezvous.Spread(rendezvous.Task("quota/"+strconv.Itoa(int(g))), vms, lendersPerGroup)
+// Lenders returns the VMs that lend the quotas of a group's accounts, and those that may
+// still do so by an older list of VMs.
+func Lenders(g Group, vms []chervilladder.VM) (lenders, substitutes []chervilladder.VM) {
+	ranked := rendezvous.Spread(rendezvous.Task("quota/"+strconv.Itoa(int(g))), vms, candidates)
+	n := min(len(ranked), lendersPerGroup)
+	return ranked[:n], ranked[n:]
+}
+
+// Predecessors returns the VMs that may lend in place of a VM by a list that doesn't
+// contain it yet: those that lend if nothing else has changed, and others.
+func Predecessors(g Group, vm chervilladder.VM, vms []chervilladder.VM) (displaced, others []chervilladder.VM) {
+	without := slices.DeleteFunc(slices.Clone(vms), func(v chervilladder.VM) bool { return v.ID == vm.ID })
+	lenders, _ := Lenders(g, vms)
+	before, substitutes := Lenders(g, without)
+	for _, v := range before {
+		if slices.ContainsFunc(lenders, func(l chervilladder.VM) bool { return l.ID == v.ID }) {
+			others = append(others, v)
+		} else {
+			displaced = append(displaced, v)
+		}
+	}
+	return displaced, append(others, substitutes...)
 }
 
 // Order returns the lenders in the order in which a VM asks them: those of its own data
@@ -68,7 +90,7 @@
 	Now time.Time
 	// MaxListAge is how old the list of a VM in touch with the store may be.
 	MaxListAge time.Duration
-	// Known is set once all other VMs have this VM in their lists.
+	// Known is set once those that may lend in this VM's place have it in their lists.
 	Known bool
 	// Current is set unless the list may have changed without this VM's knowledge.
 	Current bool
--- a/quota.go
+++ b/quota.go
@@ -38,6 +38,7 @@
 	Account    AccountID
 	Operations Operations
 	// Lifetime counts from when the loan was requested, so that clocks need not agree.
+	// It is zero if the VM doesn't lend the account's quota now.
 	Lifetime time.Duration
 	// RetryAfter is when more can be lent, if the loan is less than the demand.
 	RetryAfter time.Duration
