--- a/internal/control/quota/borrow.go
+++ b/internal/control/quota/borrow.go
@@ -20,8 +20,12 @@
 	// long a lender's answer is waited for.
 	lateAfter   = 70 * time.Millisecond
 	callTimeout = 200 * time.Millisecond
-	// avoidFor is how long a lender that didn't answer is asked last.
+	// avoidFor is how long a lender isn't asked that didn't answer, or doesn't lend.
 	avoidFor = time.Second
+	// maxShort bounds how long no lender is asked that has too little.
+	maxShort = time.Second
+	// floodFactor is how many times what is lent callers must ask for to flood a VM.
+	floodFactor = 2
 	// minWaiting is the number of operations of an account that may wait in any case.
 	minWaiting = 4
 )
@@ -39,7 +43,14 @@
 	next, asked int
 	retryAfter  time.Duration
 	// call is the unanswered call that asks for this account; nil if there is none.
-	call *call
+	call   *call
+	report report
+}
+
+// avoidance is a VM that isn't asked for a group's accounts.
+type avoidance struct {
+	vm    chervilladder.VMID
+	group quota.Group
 }
 
 // call is one request to a lender.
@@ -60,8 +71,7 @@
 // borrow asks lenders for what operations wait for, and ahead for accounts with steady
 // demand.
 func (k *Controller) borrow(ctx context.Context) {
-	k.borrowings = make(map[chervilladder.AccountID]*borrowing)
-	k.avoided = make(map[chervilladder.VMID]time.Time)
+	k.resume()
 	refilledAt := k.c.Clock()
 	refill := time.NewTicker(k.terms().RefillInterval())
 	defer refill.Stop()
@@ -75,7 +85,7 @@
 			k.request(ctx, k.takeQueued())
 		case <-refill.C:
 			now := k.c.Clock()
-			k.request(ctx, k.observe(now.Sub(refilledAt)))
+			k.request(ctx, k.observe(now.Sub(refilledAt), now))
 			refilledAt = now
 		case a := <-k.answers:
 			k.request(ctx, k.apply(ctx, a))
@@ -85,6 +95,17 @@
 	}
 }
 
+// resume discards what a run has left behind that ended, by a panic or since the
+// configuration had no quotas: the calls that it waited for, and what it was told.
+func (k *Controller) resume() {
+	for _, b := range k.borrowings {
+		b.call = nil
+	}
+	for _, q := range k.c.Board.Quotas.All() {
+		q.Queued.Store(false)
+	}
+}
+
 // takeQueued returns the accounts with operations that wait for a loan.
 func (k *Controller) takeQueued() []*borrowing {
 	k.mu.Lock()
@@ -103,19 +124,23 @@
 func (k *Controller) borrowing(a chervilladder.AccountID) *borrowing {
 	b, ok := k.borrowings[a]
 	if !ok {
-		b = &borrowing{account: a, quota: k.c.Board.Quotas.Get(a)}
+		b = &borrowing{account: a, quota: k.c.Board.Quotas.Get(a), report: newReport(a, len(k.borrowings))}
 		k.borrowings[a] = b
 	}
 	return b
 }
 
-// observe updates the rates of all accounts, and returns the accounts.
-func (k *Controller) observe(interval time.Duration) []*borrowing {
+// observe updates the rates and reports of all accounts, and returns the accounts.
+func (k *Controller) observe(interval time.Duration, now time.Time) []*borrowing {
 	list := make([]*borrowing, 0, len(k.borrowings))
 	for _, b := range k.borrowings {
 		offered := b.quota.Offered.Load()
 		b.offered.Observe(offered-b.offeredAt, interval)
 		b.granted.Observe(b.lentNow, interval)
+		b.report.offered.Add(int(offered - b.offeredAt))
+		b.report.borrowed.Add(int(b.lentNow))
+		limit, _ := k.quotaOf(b.account)
+		b.report.update(k.c.Log.WithField("account", b.account), b.quota.Refused.Load(), limit, now)
 		b.offeredAt, b.lentNow = offered, 0
 		list = append(list, b)
 	}
@@ -129,8 +154,9 @@
 	var calls []*call
 	for _, b := range list {
 		limit, limited := k.quotaOf(b.account)
-		group := lenders.Groups[quota.GroupOf(b.account)].Lenders
-		if !limited || len(group) == 0 || b.call != nil || b.quota.Supply.Load().ShortUntil.After(now) {
+		group := quota.GroupOf(b.account)
+		candidates := k.candidates(lenders, group, now)
+		if !limited || len(candidates) == 0 || b.call != nil || b.quota.Supply.Load().ShortUntil.After(now) {
 			continue
 		}
 		demand := quota.Demand{
@@ -140,7 +166,7 @@
 		if demand < 1 {
 			continue
 		}
-		lender := k.choose(b, group, now)
+		lender := candidates[b.next%len(candidates)]
 		i := slices.IndexFunc(calls, func(c *call) bool { return c.lender.ID == lender.ID })
 		if i < 0 {
 			i = len(calls)
@@ -154,16 +180,23 @@
 	}
 }
 
-// choose returns the lender to ask for an account: the next one that isn't avoided.
-func (k *Controller) choose(b *borrowing, group []chervilladder.VM, now time.Time) chervilladder.VM {
-	for i := range group {
-		if vm := group[(b.next+i)%len(group)]; !k.avoided[vm.ID].After(now) {
-			b.next = (b.next + i) % len(group)
-			return vm
-		}
+// candidates returns the VMs to ask for a group's accounts: the lenders, and in place of
+// those that are avoided the substitutes. If all are avoided, the lenders are asked.
+func (k *Controller) candidates(l blackboard.QuotaLenders, g quota.Group, now time.Time) []chervilladder.VM {
+	group := l.Groups[g]
+	isAvoided := func(vm chervilladder.VM) bool { return k.avoided[avoidance{vm.ID, g}].After(now) }
+	if !slices.ContainsFunc(group.Lenders, isAvoided) || k.allAvoided(g, now) {
+		return group.Lenders
 	}
-	b.next %= len(group)
-	return group[b.next]
+	return slices.DeleteFunc(slices.Concat(group.Lenders, group.Substitutes), isAvoided)
+}
+
+// allAvoided reports whether all lenders of a group and their substitutes are avoided.
+func (k *Controller) allAvoided(g quota.Group, now time.Time) bool {
+	group := k.c.Board.QuotaLenders.Load().Groups[g]
+	return !slices.ContainsFunc(slices.Concat(group.Lenders, group.Substitutes), func(vm chervilladder.VM) bool {
+		return !k.avoided[avoidance{vm.ID, g}].After(now)
+	})
 }
 
 // send calls a lender and passes on its answer.
@@ -193,9 +226,6 @@
 // asked.
 func (k *Controller) apply(ctx context.Context, a answer) []*borrowing {
 	now := k.c.Clock()
-	if a.late || a.err != nil {
-		k.avoided[a.call.lender.ID] = now.Add(avoidFor)
-	}
 	var again []*borrowing
 	for i, d := range a.call.demands {
 		b := k.borrowing(d.Account)
@@ -203,14 +233,18 @@
 		if i < len(a.loans) && a.loans[i].Account == d.Account {
 			loan = a.loans[i]
 		}
+		if loan.Lifetime <= 0 {
+			k.avoided[avoidance{a.call.lender.ID, quota.GroupOf(d.Account)}] = now.Add(avoidFor)
+		}
 		lent := k.add(b, d, loan, a.call.sentAt, now)
 		if b.call != a.call {
 			continue // it was late, and another lender has been asked
 		}
 		b.call = nil
-		if lent >= int64(d.Operations) {
+		switch {
+		case lent >= int64(d.Operations):
 			b.asked, b.retryAfter = 0, 0
-		} else {
+		case loan.Lifetime > 0 || k.allAvoided(quota.GroupOf(b.account), now):
 			k.short(ctx, b, loan.RetryAfter, now)
 		}
 		b.quota.Supply.Update(func(s blackboard.QuotaSupply) blackboard.QuotaSupply {
@@ -236,7 +270,7 @@
 
 // short has the next lender asked. Once all have been, none is asked for a time.
 func (k *Controller) short(ctx context.Context, b *borrowing, retryAfter time.Duration, now time.Time) {
-	lenders := len(k.c.Board.QuotaLenders.Load().Groups[quota.GroupOf(b.account)].Lenders)
+	lenders := len(k.candidates(k.c.Board.QuotaLenders.Load(), quota.GroupOf(b.account), now))
 	if b.asked == 0 || retryAfter < b.retryAfter {
 		b.retryAfter = retryAfter
 	}
@@ -246,6 +280,9 @@
 	}
 	wait := min(max(b.retryAfter, k.terms().RetryInterval()), maxShort)
 	b.asked, b.retryAfter = 0, 0
+	if b.flooded() {
+		b.asked, b.retryAfter = lenders-1, maxShort // one lender at a time will do
+	}
 	b.quota.Supply.Update(func(s blackboard.QuotaSupply) blackboard.QuotaSupply {
 		s.ShortUntil = now.Add(wait)
 		return s
@@ -257,5 +294,7 @@
 	})
 }
 
-// maxShort bounds how long no lender is asked that has too little.
-const maxShort = time.Second
+// flooded reports whether callers ask for far more than lenders have.
+func (b *borrowing) flooded() bool {
+	return b.offered.Over(time.Second) > floodFactor*b.granted.Over(time.Second)
+}
