Work leaves the data centre when that saves callers time, and no more than that

Cause: work went to hosts of the VM's own data centre as long as they answered, however long it waited there; reads went to whichever replica had more free slots, near or not. Traffic between data centres is slower and costs money, yet a data centre's own VMs are sometimes too few.

Change: decide/locality and control/locality: per service, priority and access a share of the callers leaves once the own hosts cost them more time than the others, the way included, in small steps with hysteresis. decide/schedule prefers the replica of the host's data centre while half of its slots are free.

--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -70,6 +70,9 @@
 	// forwards work to. Their types name the writers.
 	ForwardTargets Table[chervilladder.VMID, ForwardTarget]
 	HostStates     Table[ServiceHost, HostState]
+	// Locality says which share of the work that this VM forwards leaves its data
+	// centre. Written by control/locality.
+	Locality Section[Locality]
 	// PeerKnowledge is the last update of the store's content from a peer.
 	// Written by control/relay; control/routing and control/registry apply what
 	// is newer than their own state.
--- a/internal/capacity/line_test.go
+++ b/internal/capacity/line_test.go
@@ -25,12 +25,10 @@
 	"github.com/chervilladder/chervilladder/platform"
 )
 
-// startLine starts a VM with the line protocol in front of a stand-in cluster of
-// three members, all in this process. It returns the address for callers.
-func startLine(b *testing.B) string {
+// startSessions starts a VM in front of a stand-in cluster of three members, all in this
+// process.
+func startSessions(ctx context.Context, b *testing.B) (*session.Manager, *blackboard.Board) {
 	b.Helper()
-	ctx, stop := context.WithCancel(context.Background())
-	b.Cleanup(stop)
 	c := cluster.Config{Service: "s", Confirmations: 1, Queue: 100}
 	var listeners []net.Listener
 	for i := range 3 {
@@ -69,6 +67,18 @@
 	poller, err := statuspoll.New(statuspoll.Config{Board: board, Pools: pools, Log: log, Clock: clock.SinceBoot})
 	check(b, err)
 	go func() { _ = poller.Run(ctx) }()
+	return sessions, board
+}
+
+// startLine starts a VM with the line protocol in front of a stand-in cluster. It returns
+// the address for callers.
+func startLine(b *testing.B) string {
+	b.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	b.Cleanup(stop)
+	sessions, _ := startSessions(ctx, b)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(b, err)
 	front, err := platform.NewFront(platform.FrontConfig{Listener: l, Sessions: sessions, Log: log})
--- a/internal/clustertest/forwarding.go
+++ b/internal/clustertest/forwarding.go
@@ -167,9 +167,10 @@
 }
 
 // ForwardToHosts makes a VM forward the service's work to other VMs, which all hold
-// connections to its upstreams; its callers are spread over the first few.
+// connections to its upstreams; its callers are spread over the first few, which are in its
+// data centre.
 func (w *World) ForwardToHosts(vm, firstCount int, hosts ...int) {
-	list := blackboard.Hosts{FirstCount: firstCount, HostCount: len(hosts)}
+	list := blackboard.Hosts{FirstCount: firstCount, HostCount: len(hosts), OwnCount: firstCount}
 	for _, i := range hosts {
 		list.VMs = append(list.VMs, w.VMs[i].Board.Self.ID)
 	}
--- a/internal/clustertest/world.go
+++ b/internal/clustertest/world.go
@@ -18,6 +18,7 @@
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/control/failover"
 	"github.com/chervilladder/chervilladder/internal/control/forwarding"
+	"github.com/chervilladder/chervilladder/internal/control/locality"
 	"github.com/chervilladder/chervilladder/internal/control/reachability"
 	"github.com/chervilladder/chervilladder/internal/control/statuspoll"
 	"github.com/chervilladder/chervilladder/internal/link"
@@ -52,8 +53,13 @@
 	Connections int
 	// Adjust, if set, changes the stand-in's configuration.
 	Adjust func(*cluster.Config)
+	// DataCentres is the number of data centres over which VMs and members are spread in
+	// turn; zero means that none has a name.
+	DataCentres int
 	// Log, if set, is called for each line that a VM logs.
 	Log logrus.Hook
+	// Observer, if set, receives the commands of all VMs.
+	Observer session.Observer
 }
 
 // World is a set of VMs in front of a stand-in service.
@@ -63,7 +69,7 @@
 	VMs     []*VM
 	// OnForward, if set, is called before work is forwarded to another VM.
 	OnForward func()
-	log       logrus.Hook
+	config    Config
 	// mu guards VMs while StartAnew replaces one.
 	mu sync.Mutex
 }
@@ -107,7 +113,9 @@
 		ConnectTime: 12 * time.Millisecond, WorkTime: 5 * time.Millisecond, PromoteTime: 600 * time.Millisecond,
 	}
 	for i := range c.Members {
-		cc.Members = append(cc.Members, Member(i))
+		m := Member(i)
+		m.DataCentre = c.dataCentre(i)
+		cc.Members = append(cc.Members, m)
 	}
 	if c.Adjust != nil {
 		c.Adjust(&cc)
@@ -116,7 +124,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &World{Cluster: standin, Record: &LeadershipRecord{}, log: c.Log}
+	w := &World{Cluster: standin, Record: &LeadershipRecord{}, config: c}
 	for i := range c.VMs {
 		w.VMs = append(w.VMs, w.start(t, i, cc.Members))
 	}
@@ -128,6 +136,14 @@
 	return w
 }
 
+// dataCentre returns the data centre of the i-th VM or member.
+func (c Config) dataCentre(i int) chervilladder.DataCentreID {
+	if c.DataCentres == 0 {
+		return ""
+	}
+	return chervilladder.DataCentreID(fmt.Sprint("dc-", i%c.DataCentres))
+}
+
 // listPeers tells a VM which other VMs there are.
 func (w *World) listPeers(vm *VM) {
 	peers := w.peersOf(vm)
@@ -144,7 +160,7 @@
 	var list []chervilladder.VM
 	for _, other := range w.running() {
 		if other.Board.Self.ID != vm.Board.Self.ID {
-			list = append(list, chervilladder.VM{ID: other.Board.Self.ID, Peer: chervilladder.Address(other.Board.Self.ID)})
+			list = append(list, chervilladder.VM{ID: other.Board.Self.ID, DataCentre: other.Board.Self.DataCentre, Peer: chervilladder.Address(other.Board.Self.ID)})
 		}
 	}
 	return list
@@ -169,14 +185,14 @@
 		log.SetOutput(t.Output())
 	}
 	log.AddHook(vmName(fmt.Sprintf("vm-%d", i)))
-	if w.log != nil {
-		log.AddHook(w.log)
+	if w.config.Log != nil {
+		log.AddHook(w.config.Log)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	runs := &process{}
 	vm := &VM{
 		process: runs,
-		Board:   blackboard.New(chervilladder.VM{ID: chervilladder.VMID(fmt.Sprintf("vm-%d", i))}),
+		Board:   blackboard.New(chervilladder.VM{ID: chervilladder.VMID(fmt.Sprintf("vm-%d", i)), DataCentre: w.config.dataCentre(i)}),
 		Linker:  &FaultyLinker{process: runs, Linker: cluster.Linker{Cluster: w.Cluster}},
 		Record:  &FaultyRecord{process: runs, Record: w.Record}, Promoter: &FaultyPromoter{process: runs, Promoter: cluster.Promoter{Cluster: w.Cluster}},
 		ResignLeadership: make(chan struct{}), cancel: cancel, ended: make(chan error, 1), stopped: make(chan struct{}),
@@ -185,7 +201,7 @@
 	vm.Board.Bounds.Store(chervilladder.Bounds{UpstreamDrain: DrainLimit})
 	vm.SetMembers(members...)
 	vm.Pools = link.NewPools(link.PoolsConfig{Board: vm.Board, Linker: vm.Linker})
-	sessions, err1 := session.New(session.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: vm.clock, Remote: peerNetwork{w}})
+	sessions, err1 := session.New(session.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: vm.clock, Remote: peerNetwork{w}, Observer: w.config.Observer})
 	poller, err2 := statuspoll.New(statuspoll.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: vm.clock})
 	failovers, err3 := failover.New(failover.Config{
 		Board: vm.Board, Record: vm.Record, Promoter: vm.Promoter, Linker: vm.Linker, Pools: vm.Pools,
@@ -193,7 +209,8 @@
 	})
 	reachabilityController, err4 := reachability.New(reachability.Config{Board: vm.Board, Peers: peerNetwork{w}, Log: log, Clock: vm.clock, Leaving: vm.RejectPeers.Load})
 	forwardingController, err5 := forwarding.New(forwarding.Config{Board: vm.Board, Connections: peerNetwork{w}, Peers: peerNetwork{w}, Log: log, Clock: vm.clock})
-	for _, err := range []error{err1, err2, err3, err4, err5} {
+	localityController, err6 := locality.New(locality.Config{Board: vm.Board, Log: log, Clock: vm.clock})
+	for _, err := range []error{err1, err2, err3, err4, err5, err6} {
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -208,6 +225,7 @@
 	controllers.Go(func() error { return failovers.Run(ctx) })
 	controllers.Go(func() error { return reachabilityController.Run(ctx) })
 	controllers.Go(func() error { return forwardingController.Run(ctx) })
+	controllers.Go(func() error { return localityController.Run(ctx) })
 	go func() { vm.ended <- controllers.Wait() }()
 	return vm
 }
--- a/internal/control/hosting/hosting.go
+++ b/internal/control/hosting/hosting.go
@@ -110,7 +110,11 @@
 			continue // none are ranked if all VMs host the service
 		}
 		ordered, firstCount := hosting.Order(self.DataCentre, slices.DeleteFunc(ranked, isSelf), count)
-		k.elsewhere[service] = blackboard.Hosts{VMs: ordered, FirstCount: firstCount, HostCount: min(count, len(ordered))}
+		hosts := blackboard.Hosts{VMs: ordered, FirstCount: firstCount, HostCount: min(count, len(ordered))}
+		if self.DataCentre != "" && members.Members[ordered[0]].VM.DataCentre == self.DataCentre {
+			hosts.OwnCount = firstCount
+		}
+		k.elsewhere[service] = hosts
 	}
 }
 
@@ -124,7 +128,7 @@
 	}
 	before := k.c.Board.Hosting.Load()
 	same := func(a, b blackboard.Hosts) bool {
-		return a.FirstCount == b.FirstCount && a.HostCount == b.HostCount && slices.Equal(a.VMs, b.VMs)
+		return a.FirstCount == b.FirstCount && a.HostCount == b.HostCount && a.OwnCount == b.OwnCount && slices.Equal(a.VMs, b.VMs)
 	}
 	if !before.HostsUnknown && maps.EqualFunc(before.Elsewhere, next, same) {
 		return
--- a/internal/control/statuspoll/statuspoll.go
+++ b/internal/control/statuspoll/statuspoll.go
@@ -252,7 +252,9 @@
 		if !o.Answers() || o.Deregistered || id != v.Primary && o.Leaves() {
 			continue
 		}
-		list = append(list, schedule.Capacity{Upstream: id, Slots: slots(o), Primary: id == v.Primary})
+		own := k.c.Board.Self.DataCentre
+		distant := own != "" && o.DataCentre != "" && o.DataCentre != own
+		list = append(list, schedule.Capacity{Upstream: id, Slots: slots(o), Primary: id == v.Primary, Distant: distant})
 	}
 	sortCapacities(list)
 	return list
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -18,6 +18,7 @@
 	"github.com/chervilladder/chervilladder/internal/control/failover"
 	"github.com/chervilladder/chervilladder/internal/control/forwarding"
 	"github.com/chervilladder/chervilladder/internal/control/hosting"
+	"github.com/chervilladder/chervilladder/internal/control/locality"
 	"github.com/chervilladder/chervilladder/internal/control/reachability"
 	"github.com/chervilladder/chervilladder/internal/control/registry"
 	"github.com/chervilladder/chervilladder/internal/control/relay"
@@ -200,8 +201,12 @@
 	if err != nil {
 		return nil, err
 	}
+	localityController, err := locality.New(locality.Config{Board: board, Log: c.Log, Clock: clock.SinceBoot})
+	if err != nil {
+		return nil, err
+	}
 	server := peer.NewServer(peer.ServerConfig{Board: board, Listener: listener, Executor: executor, Feed: relays, Demoter: failovers, Reachability: reachabilityController, Log: c.Log})
-	return []actor{relays, hostingController, reachabilityController, forwardingController, server}, nil
+	return []actor{relays, hostingController, reachabilityController, forwardingController, localityController, server}, nil
 }
 
 // memoryLimiter sets the Go runtime's memory limit from the memory that the
--- a/internal/decide/schedule/member.go
+++ b/internal/decide/schedule/member.go
@@ -12,6 +12,8 @@
 	Upstream chervilladder.UpstreamID
 	Slots    int
 	Primary  bool
+	// Distant is set if the upstream is in another data centre.
+	Distant bool
 }
 
 // member is one upstream with the tickets that run on it.
@@ -24,6 +26,10 @@
 	slow bool
 }
 
+// near reports whether a replica is preferred for its data centre: it has half of its slots
+// free or more, so that work waits at it for less time than the way to another takes.
+func (m *member) near() bool { return !m.Distant && !m.slow && 2*m.free() >= m.Slots }
+
 // slotsForShortWork is how many slots of a primary long work may not use. A primary
 // with a single slot reserves none, since otherwise long work would never run.
 const slotsForShortWork = 1
--- a/internal/decide/schedule/queue.go
+++ b/internal/decide/schedule/queue.go
@@ -132,7 +132,7 @@
 }
 
 // freest returns the member with the most free slots that isn't in the set except,
-// replicas first, or -1 if none has a free slot.
+// replicas first and of these the ones nearby, or -1 if none has a free slot.
 func (q *Queue) freest(except memberSet) int {
 	best := -1
 	for i, m := range q.members {
@@ -150,6 +150,9 @@
 	if m.Primary != other.Primary {
 		return other.Primary
 	}
+	if m.Distant != other.Distant && (m.near() || other.near()) {
+		return m.near()
+	}
 	return m.free() > other.free()
 }
 
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -74,9 +74,24 @@
 	if e.Result.Code != chervilladder.CodeNone {
 		o.c.Metrics.GetOrCreateCounter(fmt.Sprintf("chervilladder_command_errors_total{code=%q}", codeName(e.Result.Code))).Inc()
 	}
+	o.countPlaces(e)
 	o.write(e)
 }
 
+// countPlaces counts in which data centre a command was answered.
+func (o *Observer) countPlaces(e session.Ended) {
+	if e.ForwardedTo != "" {
+		o.c.Metrics.GetOrCreateCounter(fmt.Sprintf("chervilladder_forwarded_total{left=%q}", e.Left)).Inc()
+	}
+	if e.Upstream != "" {
+		place := "own"
+		if e.UpstreamElsewhere {
+			place = "other"
+		}
+		o.c.Metrics.GetOrCreateCounter(fmt.Sprintf("chervilladder_upstream_commands_total{data_centre=%q}", place)).Inc()
+	}
+}
+
 // write writes a command's line unless the limit of the current second is
 // reached.
 func (o *Observer) write(e session.Ended) {
@@ -128,6 +143,10 @@
 		b = append(b, `,"host":`...)
 		b = strconv.AppendQuote(b, string(e.ForwardedTo))
 	}
+	if e.Left != session.LeftNot {
+		b = append(b, `,"left":`...)
+		b = strconv.AppendQuote(b, string(e.Left))
+	}
 	b = fmt.Appendf(b, `,"tries":%d,"term":%d,"waited-ms":%.1f,"took-ms":%.1f`,
 		e.Attempts, e.Term, float64(e.Waited.Microseconds())/1000, float64(e.Took.Microseconds())/1000)
 	if e.Result.Code != chervilladder.CodeNone {
--- a/internal/session/hedge.go
+++ b/internal/session/hedge.go
@@ -75,5 +75,6 @@
 // observer.
 func (w *work) adopt(c *work) {
 	w.upstream, w.minMark, w.grantedAt, w.forwardedTo, w.refused = c.upstream, c.minMark, c.grantedAt, c.forwardedTo, c.refused
+	w.targets.leaves = c.targets.leaves
 	w.attempts += c.attempts
 }
--- a/internal/session/manager.go
+++ b/internal/session/manager.go
@@ -51,6 +51,10 @@
 	// ForwardedTo is the VM that the command was last forwarded to; empty if it
 	// ran here.
 	ForwardedTo chervilladder.VMID
+	// Left is why it was forwarded to another data centre; UpstreamElsewhere is set if
+	// the upstream is in another one.
+	Left              LeaveReason
+	UpstreamElsewhere bool
 	// Attempts counts the attempts, including those that ended before the command
 	// was sent. Of a hedged read, only those that led to the returned result are
 	// counted.
--- a/internal/session/target.go
+++ b/internal/session/target.go
@@ -28,6 +28,8 @@
 	// alternatives counts the VMs that it was sent to without a delay after others
 	// refused it.
 	alternatives int
+	// leaves is set if the work of its caller is to leave the data centre.
+	leaves bool
 }
 
 // excluded reports whether the command is to be forwarded to other VMs first.
@@ -42,9 +44,10 @@
 	if len(h.VMs) == 0 {
 		return "", decide.Unresponsive, errNoHostingVM
 	}
+	caller := xxhash.Sum64String(w.session.caller)
+	w.targets.leaves = h.LeavesDataCentre() && w.session.m.c.Board.Locality.Load()[w.kind()].Leaves(caller)
 	var space [16]decide.Host
 	hosts := w.assess(space[:0], h)
-	caller := xxhash.Sum64String(w.session.caller)
 	i := decide.Choose(caller, hosts)
 	if i < 0 {
 		w.targets.tried = nil
@@ -63,24 +66,79 @@
 		t, _ := board.ForwardTargets.Find(vm)
 		s, _ := board.HostStates.Find(blackboard.ServiceHost{VM: vm, Service: w.route.Service})
 		host := decide.Host{VM: vm, Tried: w.targets.excluded(vm)}
-		host.Standing, host.Cost = decide.Assess(baseStanding(h, i), t, s, w.route.Priority, w.access, now)
+		host.Standing, host.Cost = decide.Assess(w.baseStanding(h, i), t, s, w.route.Priority, w.kind().Access, now)
 		hosts = append(hosts, host)
 	}
 	return hosts
 }
 
 // baseStanding returns the standing of the i-th host while nothing is known against it.
-func baseStanding(h blackboard.Hosts, i int) decide.Standing {
+func (w *work) baseStanding(h blackboard.Hosts, i int) decide.Standing {
 	switch {
+	case h.IsSpare(i):
+		return decide.Spare
+	case w.targets.leaves:
+		if i < h.OwnCount {
+			return decide.Fallback
+		}
+		return decide.Preferred
 	case i < max(1, h.FirstCount):
 		return decide.Preferred
-	case !h.IsSpare(i):
+	default:
 		return decide.Fallback
+	}
+}
+
+// kind returns the kind of the work as it is forwarded.
+func (w *work) kind() blackboard.Kind {
+	k := blackboard.Kind{Service: w.route.Service, Priority: w.route.Priority, Access: w.access}
+	if w.inTransaction {
+		k.Access = chervilladder.AccessWrite
+	}
+	return k
+}
+
+// LeaveReason is why work was forwarded to a VM of another data centre.
+type LeaveReason string
+
+// The reasons.
+const (
+	// LeftNot is work that was answered in the VM's data centre.
+	LeftNot LeaveReason = ""
+	// LeftForCost is work that loses less time at another data centre.
+	LeftForCost LeaveReason = "cost"
+	// LeftUnusable is work that no host of the data centre could run.
+	LeftUnusable LeaveReason = "unusable"
+	// LeftNoHost is work of a service without a host in the data centre.
+	LeftNoHost LeaveReason = "no-host"
+)
+
+// left returns why the work was last forwarded to another data centre.
+func (w *work) left() LeaveReason {
+	board := w.session.m.c.Board
+	if w.forwardedTo == "" || board.Members.Load().Members[w.forwardedTo].VM.DataCentre == board.Self.DataCentre {
+		return LeftNot
+	}
+	switch h := board.Hosting.Load().Elsewhere[w.route.Service]; {
+	case h.OwnCount == 0:
+		return LeftNoHost
+	case w.targets.leaves:
+		return LeftForCost
 	default:
-		return decide.Spare
+		return LeftUnusable
 	}
 }
 
+// upstreamElsewhere reports whether the work ran at an upstream of another data centre.
+func (w *work) upstreamElsewhere() bool {
+	board := w.session.m.c.Board
+	if w.upstream == "" || board.Self.DataCentre == "" {
+		return false
+	}
+	u, known := board.Upstreams.Load().ByID[w.upstream]
+	return known && u.DataCentre != "" && u.DataCentre != board.Self.DataCentre
+}
+
 // refusedBy records that a VM didn't run the work, and reports whether to forward it to
 // another VM at once: one that nothing is known against, while the deadline permits.
 func (w *work) refusedBy(vm chervilladder.VMID, r chervilladder.Reason) bool {
@@ -143,11 +201,7 @@
 	}
 	t.Overhead.Add(roundTrip - r.Host.Took)
 	s.ReportPrimary(!r.Host.NoPrimary, now)
-	access := w.access
-	if w.inTransaction {
-		access = chervilladder.AccessWrite // as it was forwarded
-	}
-	s.Wait(w.route.Priority, access).Store(r.Host.Wait, now)
+	s.Wait(w.route.Priority, w.kind().Access).Store(r.Host.Wait, now)
 }
 
 // lastUnanswered returns when a VM last failed to answer; zero if it never did.
--- a/internal/session/work.go
+++ b/internal/session/work.go
@@ -316,7 +316,7 @@
 	}
 	e := Ended{
 		Database: w.session.db, Command: w.command, Priority: w.route.Priority,
-		Upstream: w.upstream, ForwardedTo: w.forwardedTo, Attempts: w.attempts, MinMark: w.minMark, Result: r, Took: time.Since(w.arrived),
+		Upstream: w.upstream, ForwardedTo: w.forwardedTo, Left: w.left(), UpstreamElsewhere: w.upstreamElsewhere(), Attempts: w.attempts, MinMark: w.minMark, Result: r, Took: time.Since(w.arrived),
 	}
 	if !w.grantedAt.IsZero() {
 		e.Waited = w.grantedAt.Sub(w.arrived)
