--- a/internal/control/forwarding/forwarding.go
+++ b/internal/control/forwarding/forwarding.go
@@ -133,33 +133,50 @@
 	})
 }
 
-// probe starts probes of hosts that failed to answer or reported that they don't reach
-// the primary.
+// probe starts probes of the hosts that something is known against.
 func (k *Controller) probe(ctx context.Context, h blackboard.Hosting, members blackboard.Membership) {
 	for service, hosts := range h.Elsewhere {
+		avoided := k.someReachPrimary(service, hosts)
 		for i, vm := range hosts.VMs {
 			host := blackboard.ServiceHost{VM: vm, Service: service}
-			if m, listed := members.Members[vm]; listed && k.needsProbe(host, hosts.IsSpare(i)) && k.start(host) {
-				k.running.Go(func() {
-					defer k.finish(host)
-					_ = recovery.Call(k.c.Log, part, func() { k.probeHost(ctx, host, m.VM.Peer, hosts.IsSpare(i)) }) // the next round tries again
-				})
+			m, listed := members.Members[vm]
+			needed := k.failing(vm) || avoided && !hosts.IsSpare(i) && k.noPrimary(host)
+			if !listed || !needed || !k.start(host) {
+				continue
 			}
+			k.running.Go(func() {
+				defer k.finish(host)
+				_ = recovery.Call(k.c.Log, part, func() { k.probeHost(ctx, host, m.VM.Peer, hosts.IsSpare(i)) }) // the next round tries again
+			})
 		}
 	}
 }
 
-// needsProbe reports whether something is known against a host. A spare host isn't probed
-// for the primary, which it may not reach only because it is not connected.
-func (k *Controller) needsProbe(host blackboard.ServiceHost, spare bool) bool {
-	if t, ok := k.c.Board.ForwardTargets.Find(host.VM); ok && t.Failing() {
-		return true
+// someReachPrimary reports whether some host of a service may reach the primary. If none
+// does, requests go to them all the same, and their answers show it as probes would.
+func (k *Controller) someReachPrimary(service chervilladder.ServiceID, hosts blackboard.Hosts) bool {
+	for i, vm := range hosts.VMs {
+		if !hosts.IsSpare(i) && !k.noPrimary(blackboard.ServiceHost{VM: vm, Service: service}) {
+			return true
+		}
 	}
-	s, ok := k.c.Board.HostStates.Find(host)
-	return ok && !spare && s.NoPrimary()
+	return false
+}
+
+// failing reports whether a VM has failed to answer.
+func (k *Controller) failing(vm chervilladder.VMID) bool {
+	t, known := k.c.Board.ForwardTargets.Find(vm)
+	return known && t.Failing()
+}
+
+// noPrimary reports whether a host has reported that it doesn't reach the primary. A spare
+// host isn't probed for that: it may only not be connected.
+func (k *Controller) noPrimary(host blackboard.ServiceHost) bool {
+	s, known := k.c.Board.HostStates.Find(host)
+	return known && s.NoPrimary()
 }
 
-// start reports whether a probe of a host may start: none of its VM runs, and fewer than
+// start reports whether a probe of a host may start: none of it runs, and fewer than
 // maxProbes in all.
 func (k *Controller) start(host blackboard.ServiceHost) bool {
 	k.mu.Lock()
--- a/internal/session/target.go
+++ b/internal/session/target.go
@@ -149,7 +149,8 @@
 	if w.targets.alternatives >= maxAlternatives || time.Until(w.deadline) <= 0 {
 		return false
 	}
-	if _, standing, err := w.nextTarget(); err != nil || !standing.Usable() || w.targets.tried == nil {
+	_, standing, err := w.nextTarget()
+	if allTried := w.targets.tried == nil; err != nil || allTried || !standing.Usable() {
 		return false
 	}
 	if w.targets.alternatives > 0 && !w.cluster.Retries.Spend() {
