quota: lenders that restart together begin at once

Cause: after a loss of all VMs no quota was lent for half a second: a VM that had not read the list of VMs yet answered that it doesn't know the one that asked, and was asked again half a second later; a lender that can't lend yet was asked again after as long.

Change: a VM without the list says so, which counts as silence; both intervals are shorter.

--- a/internal/control/quota/lend.go
+++ b/internal/control/quota/lend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"time"
 
@@ -15,13 +16,19 @@
 	// maxDemand bounds the operations that are lent at a time.
 	maxDemand = 1 << 32
 	// notLendingRetry is after how long a VM is asked again that may not lend now.
-	notLendingRetry = 500 * time.Millisecond
+	notLendingRetry = 100 * time.Millisecond
 )
 
+// errNoList reports a VM that has not read the list of VMs yet.
+var errNoList = errors.New("quota: the list of VMs isn't known yet")
+
 // Lend lends parts of the quotas that this VM owns. It lends nothing of an account whose
 // lender it isn't.
 func (k *Controller) Lend(_ context.Context, borrower chervilladder.VMID, demands []chervilladder.QuotaDemand) ([]chervilladder.QuotaLoan, error) {
 	listed := k.listed(borrower)
+	if len(demands) == 0 && !listed && k.c.Board.Members.Load().Members == nil {
+		return nil, errNoList // it can't tell yet, and lends nothing either
+	}
 	if len(demands) == 0 && !listed {
 		return nil, &chervilladder.UnknownBorrowerError{VM: borrower}
 	}
--- a/internal/control/quota/standing.go
+++ b/internal/control/quota/standing.go
@@ -18,10 +18,10 @@
 
 const (
 	// standingInterval is the time between two checks whether this VM may lend.
-	standingInterval = 200 * time.Millisecond
+	standingInterval = 100 * time.Millisecond
 	// introduceInterval is the time between two rounds of calls to VMs that may not have
 	// this VM in their lists.
-	introduceInterval = 500 * time.Millisecond
+	introduceInterval = 150 * time.Millisecond
 	// storeLostAfter is after how long without news of the store its list of VMs can't
 	// have been changed by a VM in touch with this one.
 	storeLostAfter = 5 * time.Second
