Quotas: a VM that joins is noticed at once

A VM that is asked by one that its list doesn't contain reads the list again, at most each half second. A VM is ready once it knows the lenders, if there are quotas.

--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -62,6 +62,9 @@
 	// ListedAt is when this VM last read a list of VMs that contains it. Raised by
 	// control/relay.
 	ListedAt LatestTime
+	// ListTrigger carries requests to read the list of VMs soon. control/quota asks when
+	// a VM calls that isn't in the list, and control/relay reads.
+	ListTrigger PollTrigger
 	// ListedBefore is set if the list contained this VM before it announced itself:
 	// it has been restarted. Written by control/relay.
 	ListedBefore atomic.Bool
--- a/internal/blackboard/cluster.go
+++ b/internal/blackboard/cluster.go
@@ -113,7 +113,7 @@
 	}
 }
 
-// PollTrigger wakes the controller that polls a cluster's members.
+// PollTrigger wakes the controller that polls a cluster's members, or reads a list.
 type PollTrigger struct{ signal Section[uint64] }
 
 // Ask requests a new poll. Statuses that were requested before the call don't
--- a/internal/control/quota/lend.go
+++ b/internal/control/quota/lend.go
@@ -22,6 +22,9 @@
 // lender it isn't.
 func (k *Controller) Lend(_ context.Context, borrower chervilladder.VMID, demands []chervilladder.QuotaDemand) ([]chervilladder.QuotaLoan, error) {
 	listed := k.listed(borrower)
+	if !listed && borrower != "" {
+		k.c.Board.ListTrigger.Ask()
+	}
 	if len(demands) == 0 && !listed {
 		return nil, &chervilladder.UnknownBorrowerError{VM: borrower}
 	}
--- a/internal/control/quota/quota.go
+++ b/internal/control/quota/quota.go
@@ -113,6 +113,12 @@
 	parts.Wait()
 }
 
+// Ready reports whether operations can be admitted: without a list of VMs, this VM doesn't
+// know the lenders of quotas.
+func Ready(b *blackboard.Board) bool {
+	return !hasQuotas(b.Routing.Load()) || !b.QuotaLenders.Load().DecidedAt.IsZero()
+}
+
 func hasQuotas(r *chervilladder.Routing) bool {
 	return r != nil && r.Accounts != nil && len(r.Accounts.Quotas) > 0
 }
--- a/internal/control/relay/relay.go
+++ b/internal/control/relay/relay.go
@@ -27,6 +27,8 @@
 	minListEvery   = 10 * time.Second
 	listEveryPerVM = 100 * time.Millisecond
 	firstListEvery = 500 * time.Millisecond
+	// minListPause is the least time between two reads of the list.
+	minListPause = 500 * time.Millisecond
 	// maxListCall is how long a read of the list may take.
 	maxListCall = time.Second
 	// announceRetry is the mean pause after a failed announcement.
@@ -120,12 +122,32 @@
 		} else if ctx.Err() == nil {
 			k.c.Log.WithError(err).Debug("relay: could not read the list of VMs")
 		}
-		if !pause(ctx, retry.Jitter(wait)) {
+		if !k.awaitListRead(ctx, retry.Jitter(wait)) {
 			return
 		}
 	}
 }
 
+// awaitListRead waits for a duration, or until a read of the list is asked for, but at
+// least for minListPause. It returns false if the context ends first.
+func (k *Controller) awaitListRead(ctx context.Context, d time.Duration) bool {
+	asked := k.c.Board.ListTrigger.Watch()
+	first := min(d, minListPause)
+	if !pause(ctx, first) {
+		return false
+	}
+	t := time.NewTimer(d - first)
+	defer t.Stop()
+	select {
+	case <-asked:
+		return true
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // contained reports whether a list contains this VM.
 func (k *Controller) contained(vms []chervilladder.VM) bool {
 	return slices.ContainsFunc(vms, func(v chervilladder.VM) bool { return v.ID == k.c.Board.Self.ID })
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -227,7 +227,7 @@
 // canServe reports whether callers can be served: the configuration is known,
 // and some upstream responds or other VMs host some service.
 func canServe(board *blackboard.Board) bool {
-	if board.Routing.Load() == nil || !board.Upstreams.Load().Known {
+	if board.Routing.Load() == nil || !board.Upstreams.Load().Known || !quota.Ready(board) {
 		return false
 	}
 	if len(board.Hosting.Load().Elsewhere) > 0 {
--- a/internal/decide/quota/lenders.go
+++ b/internal/decide/quota/lenders.go
@@ -40,19 +40,18 @@
 }
 
 // Predecessors returns the VMs that may lend in place of a VM by a list that doesn't
-// contain it yet: those that lend if nothing else has changed, and others.
+// contain it yet: those that lend if nothing else has changed, and those that may if more
+// VMs have joined.
 func Predecessors(g Group, vm chervilladder.VM, vms []chervilladder.VM) (displaced, others []chervilladder.VM) {
 	without := slices.DeleteFunc(slices.Clone(vms), func(v chervilladder.VM) bool { return v.ID == vm.ID })
 	lenders, _ := Lenders(g, vms)
 	before, substitutes := Lenders(g, without)
 	for _, v := range before {
-		if slices.ContainsFunc(lenders, func(l chervilladder.VM) bool { return l.ID == v.ID }) {
-			others = append(others, v)
-		} else {
+		if !slices.ContainsFunc(lenders, func(l chervilladder.VM) bool { return l.ID == v.ID }) {
 			displaced = append(displaced, v)
 		}
 	}
-	return displaced, append(others, substitutes...)
+	return displaced, substitutes
 }
 
 // Order returns the lenders in the order in which a VM asks them: those of its own data
