--- a/internal/control/quota/lend.go
+++ b/internal/control/quota/lend.go
@@ -26,6 +26,9 @@
 // lender it isn't.
 func (k *Controller) Lend(_ context.Context, borrower chervilladder.VMID, demands []chervilladder.QuotaDemand) ([]chervilladder.QuotaLoan, error) {
 	listed := k.listed(borrower)
+	if !listed && borrower != "" {
+		k.c.Board.ListTrigger.Ask()
+	}
 	if len(demands) == 0 && !listed && k.c.Board.Members.Load().Members == nil {
 		return nil, errNoList // it can't tell yet, and lends nothing either
 	}
