--- a/internal/session/forwarded.go
+++ b/internal/session/forwarded.go
@@ -98,21 +98,22 @@
 			break
 		}
 	}
-	payload, err := encode(forwardResponse{Result: r, Upstream: s.lastUpstream, Refused: s.refused, Host: x.report(&p.Route, time.Since(began))})
+	payload, err := encode(x.response(&p.Route, r, time.Since(began)))
 	if err != nil {
 		return chervilladder.Reply{}, &chervilladder.UnknownError{Database: s.db, Err: err}
 	}
 	return chervilladder.Reply{Payload: payload, Last: true, Open: r.State != chervilladder.StateIdle, Seen: r.Mark, Upstream: s.lastUpstream}, nil
 }
 
-// report returns what this VM reports about itself.
-func (x *forwardedExchange) report(r *chervilladder.Route, took time.Duration) *hostReport {
-	m := x.session.m
-	c := m.c.Board.Clusters.Get(r.Service)
-	return &hostReport{
-		NoPrimary: m.checkReachable(x.session.db, c) != nil,
-		Took:      took,
-		Wait:      c.Queue.Backlog(r.Priority, x.access),
+// response returns the answer, with what this VM reports about itself.
+func (x *forwardedExchange) response(route *chervilladder.Route, r chervilladder.Result, took time.Duration) forwardResponse {
+	s := x.session
+	c := s.m.c.Board.Clusters.Get(route.Service)
+	return forwardResponse{
+		Result: r, Upstream: s.lastUpstream, Refused: s.refused,
+		NoPrimary: s.m.checkReachable(s.db, c) != nil,
+		Took:      max(took, 1),
+		Wait:      c.Queue.Backlog(route.Priority, x.access),
 	}
 }
 
--- a/internal/session/forwarding.go
+++ b/internal/session/forwarding.go
@@ -22,21 +22,17 @@
 }
 
 // forwardResponse is the answer: the result and the upstream that returned it. A VM of an
-// earlier build sends and reads only these two.
+// earlier build sends and reads only these two; the other fields are left out when zero.
 type forwardResponse struct {
 	Result   chervilladder.Result
 	Upstream chervilladder.UpstreamID
 	// Refused is why nothing of the transaction was run; empty if something was, or
 	// another VM could run it no better.
 	Refused chervilladder.Reason `msgpack:",omitempty"`
-	Host    *hostReport          `msgpack:",omitempty"`
-}
-
-// hostReport is what the VM that ran the work reports about itself.
-type hostReport struct {
-	// NoPrimary is set if it doesn't reach the primary of the service.
+	// NoPrimary is set if the VM doesn't reach the primary of the service.
 	NoPrimary bool `msgpack:",omitempty"`
-	// Took is the time from the arrival of the commands to their result.
+	// Took is the time from the arrival of the commands to their result; zero in the
+	// answer of an earlier build.
 	Took time.Duration `msgpack:",omitempty"`
 	// Wait is the expected wait for a slot, for work of the same priority and access.
 	Wait time.Duration `msgpack:",omitempty"`
--- a/internal/session/target.go
+++ b/internal/session/target.go
@@ -135,8 +135,8 @@
 	if w.upstream == "" || board.Self.DataCentre == "" {
 		return false
 	}
-	u, known := board.Upstreams.Load().ByID[w.upstream]
-	return known && u.DataCentre != "" && u.DataCentre != board.Self.DataCentre
+	dc := board.Upstreams.Load().ByID[w.upstream].DataCentre
+	return dc != "" && dc != board.Self.DataCentre
 }
 
 // refusedBy records that a VM didn't run the work, and reports whether to forward it to
@@ -197,12 +197,12 @@
 	if w.needsPrimary() && r.Upstream != "" && r.Result.Code != chervilladder.CodeBusy {
 		s.Served(now)
 	}
-	if r.Host == nil {
+	if r.Took == 0 {
 		return // sent by an earlier build
 	}
-	t.Overhead.Add(roundTrip - r.Host.Took)
-	s.ReportPrimary(!r.Host.NoPrimary, now)
-	s.Wait(w.route.Priority, w.kind().Access).Store(r.Host.Wait, now)
+	t.Overhead.Add(roundTrip - r.Took)
+	s.ReportPrimary(!r.NoPrimary, now)
+	s.Wait(w.route.Priority, w.kind().Access).Store(r.Wait, now)
 }
 
 // lastUnanswered returns when a VM last failed to answer; zero if it never did.
--- a/internal/session/wire_test.go
+++ b/internal/session/wire_test.go
@@ -111,7 +111,7 @@
 func TestReportOfAHostIsIgnoredByEarlierBuilds(t *testing.T) {
 	is := is.New(t)
 	sent := wireResponse()
-	sent.Refused, sent.Host = chervilladder.ReasonNoPrimary, &hostReport{NoPrimary: true, Took: time.Millisecond, Wait: time.Second}
+	sent.Refused, sent.NoPrimary, sent.Took, sent.Wait = chervilladder.ReasonNoPrimary, true, time.Millisecond, time.Second
 	b, err := encode(sent)
 	is.NoErr(err)
 	got, err := decodeForwardResponse(b)
