session: an answer says that it was refused only if it failed

Cause: the reason of a refusal rides beside the result; nothing but the path through the code kept it off a success.

Change: it is sent with failures only.

--- a/internal/session/forwarded.go
+++ b/internal/session/forwarded.go
@@ -109,12 +109,16 @@
 func (x *forwardedExchange) response(route *chervilladder.Route, r chervilladder.Result, took time.Duration) forwardResponse {
 	s := x.session
 	c := s.m.c.Board.Clusters.Get(route.Service)
-	return forwardResponse{
-		Result: r, Upstream: s.lastUpstream, Refused: s.refused,
+	response := forwardResponse{
+		Result: r, Upstream: s.lastUpstream,
 		NoPrimary: s.m.checkReachable(s.db, c) != nil,
 		Took:      max(took, 1),
 		Wait:      c.Queue.Backlog(route.Priority, x.access),
 	}
+	if r.Code != chervilladder.CodeNone {
+		response.Refused = s.refused
+	}
+	return response
 }
 
 // Cancel does nothing: a statement that was sent runs to its end.
--- a/internal/session/target.go
+++ b/internal/session/target.go
@@ -169,7 +169,7 @@
 		w.hostState(vm).ReportPrimary(false, now)
 	case chervilladder.ReasonDraining:
 		board.ForwardTargets.Get(vm).DrainingAt.Raise(now)
-	case chervilladder.ReasonNoOwner, chervilladder.ReasonNoProof:
+	case chervilladder.ReasonNoOwner:
 	default:
 		return false
 	}
