session: one reading of the clock for each forwarded command

Cause: the VM's clock is a system call, and forwarding read it three times more than before: when work was sent, when it was answered, and at the host.

Change: the time at which the VM was chosen serves for all; the host judges whether it reaches the primary only for work that failed.

--- a/internal/session/forwarded.go
+++ b/internal/session/forwarded.go
@@ -111,12 +111,11 @@
 	c := s.m.c.Board.Clusters.Get(route.Service)
 	response := forwardResponse{
 		Result: r, Upstream: s.lastUpstream,
-		NoPrimary: s.m.checkReachable(s.db, c) != nil,
-		Took:      max(took, 1),
-		Wait:      c.Queue.Backlog(route.Priority, x.access),
+		Took: max(took, 1),
+		Wait: c.Queue.Backlog(route.Priority, x.access),
 	}
 	if r.Code != chervilladder.CodeNone {
-		response.Refused = s.refused
+		response.Refused, response.NoPrimary = s.refused, s.m.checkReachable(s.db, c) != nil
 	}
 	return response
 }
--- a/internal/session/forwarding.go
+++ b/internal/session/forwarding.go
@@ -29,7 +29,8 @@
 	// Refused is why nothing of the transaction was run; empty if something was, or
 	// another VM could run it no better.
 	Refused chervilladder.Reason `msgpack:",omitempty"`
-	// NoPrimary is set if the VM doesn't reach the primary of the service.
+	// NoPrimary is set if the work failed and the VM doesn't reach the primary of the
+	// service.
 	NoPrimary bool `msgpack:",omitempty"`
 	// Took is the time from the arrival of the commands to their result; zero in the
 	// answer of an earlier build.
--- a/internal/session/remote.go
+++ b/internal/session/remote.go
@@ -93,8 +93,7 @@
 	if err != nil {
 		return forwardResponse{}, err
 	}
-	began := time.Now()
-	w.sent(vm)
+	began, sentAt := time.Now(), w.sent(vm)
 	if w.running != nil {
 		w.running.Store(&running{forwardedTo: vm, sentAt: began})
 	}
@@ -115,7 +114,7 @@
 	r, err := decodeForwardResponse(reply.Payload)
 	w.upstream, w.grantedAt = r.Upstream, w.arrived // it waited for no slot here
 	if err == nil {
-		w.answered(vm, r, time.Since(began))
+		w.answered(vm, r, sentAt, time.Since(began))
 	}
 	return r, err
 }
--- a/internal/session/target.go
+++ b/internal/session/target.go
@@ -30,6 +30,8 @@
 	alternatives int
 	// leaves is set if the work of its caller is to leave the data centre.
 	leaves bool
+	// chosenAt is when the last VM was chosen, by this VM's own clock.
+	chosenAt time.Time
 }
 
 // excluded reports whether the command is to be forwarded to other VMs first.
@@ -62,6 +64,7 @@
 // assess appends the hosts of the work's service as this VM knows them.
 func (w *work) assess(hosts []decide.Host, h blackboard.Hosts) []decide.Host {
 	board, now := w.session.m.c.Board, w.session.m.c.Clock()
+	w.targets.chosenAt = now
 	for i, vm := range h.VMs {
 		t, _ := board.ForwardTargets.Find(vm)
 		s, _ := board.HostStates.Find(blackboard.ServiceHost{VM: vm, Service: w.route.Service})
@@ -176,11 +179,16 @@
 	return true
 }
 
-// sent records that the work is sent to a VM.
-func (w *work) sent(vm chervilladder.VMID) {
+// sent records that the work is sent to a VM, and returns the time by this VM's own clock.
+func (w *work) sent(vm chervilladder.VMID) time.Time {
+	now := w.targets.chosenAt // reading the clock takes a system call
+	if now.IsZero() {
+		now = w.session.m.c.Clock()
+	}
 	if w.needsPrimary() {
-		w.hostState(vm).Sent(w.session.m.c.Clock(), decide.SilentUntil)
+		w.hostState(vm).Sent(now, decide.SilentUntil)
 	}
+	return now
 }
 
 // hostState returns what this VM knows of the work's service at a VM.
@@ -189,9 +197,9 @@
 }
 
 // answered records what the answer of a VM says about it.
-func (w *work) answered(vm chervilladder.VMID, r forwardResponse, roundTrip time.Duration) {
-	board, now := w.session.m.c.Board, w.session.m.c.Clock()
-	t := board.ForwardTargets.Get(vm)
+func (w *work) answered(vm chervilladder.VMID, r forwardResponse, sentAt time.Time, roundTrip time.Duration) {
+	now := sentAt.Add(roundTrip)
+	t := w.session.m.c.Board.ForwardTargets.Get(vm)
 	t.Answered(now)
 	s := w.hostState(vm)
 	if w.needsPrimary() && r.Upstream != "" && r.Result.Code != chervilladder.CodeBusy {
