forwarding: a bound on kept connections, and none is closed while work may run

Cause: with hundreds of services a VM would have kept a connection to each other VM. A VM that had left the list had its connection closed, with work that still ran over it: it may only shut down.

Change: 64 VMs at most, the first hosts of each service in turn.

--- a/internal/clustertest/forwarding.go
+++ b/internal/clustertest/forwarding.go
@@ -95,9 +95,6 @@
 	}
 }
 
-// Disconnect does nothing.
-func (n peerNetwork) Disconnect(chervilladder.Address) {}
-
 // forwardedExchange is an exchange that another VM runs.
 type forwardedExchange struct {
 	vm     *VM
--- a/internal/control/forwarding/forwarding.go
+++ b/internal/control/forwarding/forwarding.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,7 +25,9 @@
 	maxProbes     = 8
 	// probeTimeout is longer than a VM takes to answer that it reaches no primary.
 	probeTimeout = 400 * time.Millisecond
-	// keptPerService bounds the VMs of one service to which connections are kept.
+	// maxKept bounds the VMs to which connections are kept, and keptPerService those of
+	// one service.
+	maxKept        = 64
 	keptPerService = 8
 )
 
@@ -72,42 +76,61 @@
 	defer stop()
 	k.kept = make(map[chervilladder.VMID]keptConnection) // those of a run that panicked have ended
 	k.probing = make(map[blackboard.ServiceHost]bool)
-	t := time.NewTicker(probeInterval)
-	defer t.Stop()
 	for {
 		hosting, changed := k.c.Board.Hosting.Watch()
 		members, listed := k.c.Board.Members.Watch()
-		k.keepConnections(ctx, hosting, members)
+		k.keepConnections(ctx, wantedPeers(hosting, members))
+		if !k.probeUntil(ctx, changed, listed, hosting, members) {
+			return nil
+		}
+	}
+}
+
+// probeUntil starts rounds of probes until the hosts or the VMs change. It returns false
+// if the context ends.
+func (k *Controller) probeUntil(ctx context.Context, changed, listed <-chan struct{}, h blackboard.Hosting, members blackboard.Membership) bool {
+	t := time.NewTicker(probeInterval)
+	defer t.Stop()
+	for {
 		select {
 		case <-changed:
+			return true
 		case <-listed:
+			return true
 		case <-t.C:
-			k.probe(ctx, hosting, members)
+			k.probe(ctx, h, members)
 		case <-ctx.Done():
-			return nil
+			return false
 		}
 	}
 }
 
-// keepConnections starts to keep connections to the first hosts of each service, and stops
-// to keep those that are no longer among them.
-func (k *Controller) keepConnections(ctx context.Context, h blackboard.Hosting, members blackboard.Membership) {
+// wantedPeers returns the VMs to keep connections to: of each service in turn the first
+// host, then the second and so on.
+func wantedPeers(h blackboard.Hosting, members blackboard.Membership) map[chervilladder.VMID]chervilladder.Address {
 	wanted := make(map[chervilladder.VMID]chervilladder.Address)
-	for _, hosts := range h.Elsewhere {
-		for i, vm := range hosts.VMs[:min(len(hosts.VMs), keptPerService)] {
-			if m, listed := members.Members[vm]; listed && !hosts.IsSpare(i) {
-				wanted[vm] = m.VM.Peer
+	services := slices.Sorted(maps.Keys(h.Elsewhere))
+	for i := range keptPerService {
+		for _, service := range services {
+			hosts := h.Elsewhere[service]
+			if i >= len(hosts.VMs) || hosts.IsSpare(i) || len(wanted) >= maxKept {
+				continue
+			}
+			if m, listed := members.Members[hosts.VMs[i]]; listed {
+				wanted[hosts.VMs[i]] = m.VM.Peer
 			}
 		}
 	}
+	return wanted
+}
+
+// keepConnections starts to keep the wanted connections, and stops to keep others. These
+// aren't closed: work may still run over them.
+func (k *Controller) keepConnections(ctx context.Context, wanted map[chervilladder.VMID]chervilladder.Address) {
 	for vm, c := range k.kept {
-		if wanted[vm] == c.peer {
-			continue
-		}
-		c.stop()
-		delete(k.kept, vm)
-		if members.Members[vm].VM.Peer != c.peer {
-			k.c.Connections.Disconnect(c.peer)
+		if wanted[vm] != c.peer {
+			c.stop()
+			delete(k.kept, vm)
 		}
 	}
 	for vm, peer := range wanted {
--- a/internal/peer/connect.go
+++ b/internal/peer/connect.go
@@ -35,14 +35,3 @@
 		}
 	}
 }
-
-// Disconnect closes the connection to a peer that has left the system.
-func (c *Client) Disconnect(peer chervilladder.Address) {
-	c.mu.Lock()
-	conn := c.conns[peer]
-	delete(c.conns, peer)
-	c.mu.Unlock()
-	if conn != nil {
-		_ = conn.Close()
-	}
-}
--- a/reachability.go
+++ b/reachability.go
@@ -28,6 +28,4 @@
 	// KeepConnected keeps the connection to a VM open until the context ends, and calls
 	// report when it has been opened and when an attempt to open it has failed.
 	KeepConnected(ctx context.Context, peer Address, report func(connected bool))
-	// Disconnect closes the connection to a VM that has left the system.
-	Disconnect(peer Address)
 }
