--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -61,8 +61,6 @@
 	// Cost is how much time the work is expected to lose there: beyond its run, and
 	// waiting for a slot.
 	Cost time.Duration
-	// Tried is set if the work was sent there already.
-	Tried bool
 }
 
 // Assess returns a host's standing, which is at least base, and its cost for work of a
@@ -103,27 +101,33 @@
 	return base
 }
 
-// Choose returns the index of the host to forward a caller's work to, or -1 if all have
-// been tried. Among hosts of the best standing the callers are spread by weighted
-// rendezvous hashing: a host's share falls with its cost, and when costs change, no more
-// callers move than the shares require. So VMs that see the same costs don't all move
-// their work to the same host.
-func Choose(caller uint64, hosts []Host) int {
-	best := -1
-	var bestScore float64
-	for i := range hosts {
-		h := &hosts[i]
-		if h.Tried || best >= 0 && h.Standing > hosts[best].Standing {
-			continue
-		}
-		s := score(caller, h)
-		if best < 0 || h.Standing < hosts[best].Standing || s < bestScore {
-			best, bestScore = i, s
-		}
+// Choice chooses the host to forward a caller's work to, out of those that it is offered.
+// Among hosts of the best standing the callers are spread by weighted rendezvous hashing: a
+// host's share falls with its cost, and when costs change, no more callers move than the
+// shares require. So VMs that see the same costs don't all move their work to the same host.
+type Choice struct {
+	// Caller is a hash of the caller.
+	Caller uint64
+
+	best  Host
+	score float64
+	found bool
+}
+
+// Offer offers a host.
+func (c *Choice) Offer(h Host) {
+	if c.found && h.Standing > c.best.Standing {
+		return
+	}
+	s := score(c.Caller, &h)
+	if !c.found || h.Standing < c.best.Standing || s < c.score {
+		c.best, c.score, c.found = h, s, true
 	}
-	return best
 }
 
+// Best returns the chosen host, if there is one.
+func (c *Choice) Best() (Host, bool) { return c.best, c.found }
+
 const (
 	// alikeBelow is the cost below which hosts are alike.
 	alikeBelow = 10 * time.Millisecond
--- a/internal/session/target.go
+++ b/internal/session/target.go
@@ -48,31 +48,30 @@
 	}
 	caller := xxhash.Sum64String(w.session.caller)
 	w.targets.leaves = h.LeavesDataCentre() && w.session.m.c.Board.Locality.Load()[w.kind()].Leaves(caller)
-	var space [16]decide.Host
-	hosts := w.assess(space[:0], h)
-	i := decide.Choose(caller, hosts)
-	if i < 0 {
-		w.targets.tried = nil
-		for i := range hosts {
-			hosts[i].Tried = false
-		}
-		i = decide.Choose(caller, hosts)
+	w.targets.chosenAt = w.session.m.c.Clock()
+	best, untried := w.chooseHost(caller, h)
+	if !untried {
+		w.targets.tried, w.targets.avoid = nil, ""
+		best, _ = w.chooseHost(caller, h)
 	}
-	return hosts[i].VM, hosts[i].Standing, nil
+	return best.VM, best.Standing, nil
 }
 
-// assess appends the hosts of the work's service as this VM knows them.
-func (w *work) assess(hosts []decide.Host, h blackboard.Hosts) []decide.Host {
-	board, now := w.session.m.c.Board, w.session.m.c.Clock()
-	w.targets.chosenAt = now
+// chooseHost chooses among the hosts that the work wasn't sent to, by what this VM knows of
+// each. It returns false if there is none.
+func (w *work) chooseHost(caller uint64, h blackboard.Hosts) (decide.Host, bool) {
+	board, access := w.session.m.c.Board, w.kind().Access
+	choice := decide.Choice{Caller: caller}
 	for i, vm := range h.VMs {
+		if w.targets.excluded(vm) {
+			continue
+		}
 		t, _ := board.ForwardTargets.Find(vm)
 		s, _ := board.HostStates.Find(blackboard.ServiceHost{VM: vm, Service: w.route.Service})
-		host := decide.Host{VM: vm, Tried: w.targets.excluded(vm)}
-		host.Standing, host.Cost = decide.Assess(w.baseStanding(h, i), t, s, w.route.Priority, w.kind().Access, now)
-		hosts = append(hosts, host)
+		standing, cost := decide.Assess(w.baseStanding(h, i), t, s, w.route.Priority, access, w.targets.chosenAt)
+		choice.Offer(decide.Host{VM: vm, Standing: standing, Cost: cost})
 	}
-	return hosts
+	return choice.Best()
 }
 
 // baseStanding returns the standing of the i-th host while nothing is known against it.
