session: local commands carry no state of forwarding

Cause: the state of the choice of a host made each command's record larger, also of commands that run here.

Change: it is made at the first choice. Measured: go test ./internal/session passes.

--- a/internal/session/hedge.go
+++ b/internal/session/hedge.go
@@ -58,7 +58,10 @@
 	c := *w
 	c.running = new(atomic.Pointer[running])
 	c.excluded = nil
-	c.targets = targets{avoid: other.forwardedTo}
+	c.targets = nil
+	if other.forwardedTo != "" {
+		c.targets = &targets{avoid: other.forwardedTo}
+	}
 	if other.upstream != "" {
 		c.exclude(other.upstream)
 	}
@@ -74,7 +77,7 @@
 // adopt copies from the attempt whose result is returned what is reported to the
 // observer.
 func (w *work) adopt(c *work) {
-	w.upstream, w.minMark, w.grantedAt, w.forwardedTo, w.refused = c.upstream, c.minMark, c.grantedAt, c.forwardedTo, c.refused
-	w.targets.leaves = c.targets.leaves
+	w.upstream, w.minMark, w.grantedAt, w.forwardedTo = c.upstream, c.minMark, c.grantedAt, c.forwardedTo
+	w.targets, w.refused = c.targets, c.refused
 	w.attempts += c.attempts
 }
--- a/internal/session/target.go
+++ b/internal/session/target.go
@@ -46,6 +46,9 @@
 	if len(h.VMs) == 0 {
 		return "", decide.Unresponsive, errNoHostingVM
 	}
+	if w.targets == nil {
+		w.targets = new(targets)
+	}
 	caller := xxhash.Sum64String(w.session.caller)
 	w.targets.leaves = h.LeavesDataCentre() && w.session.m.c.Board.Locality.Load()[w.kind()].Leaves(caller)
 	w.targets.chosenAt = w.session.m.c.Clock()
@@ -124,7 +127,7 @@
 	switch h := board.Hosting.Load().Elsewhere[w.route.Service]; {
 	case h.OwnCount == 0:
 		return LeftNoHost
-	case w.targets.leaves:
+	case w.targets != nil && w.targets.leaves:
 		return LeftForCost
 	default:
 		return LeftUnusable
@@ -180,8 +183,10 @@
 
 // sent records that the work is sent to a VM, and returns the time by this VM's own clock.
 func (w *work) sent(vm chervilladder.VMID) time.Time {
-	now := w.targets.chosenAt // reading the clock takes a system call
-	if now.IsZero() {
+	var now time.Time
+	if w.targets != nil {
+		now = w.targets.chosenAt // reading the clock takes a system call
+	} else {
 		now = w.session.m.c.Clock()
 	}
 	if w.needsPrimary() {
--- a/internal/session/work.go
+++ b/internal/session/work.go
@@ -34,8 +34,9 @@
 	// excluded are the members not to send this command to: it has failed there, or
 	// another attempt of it runs there.
 	excluded map[chervilladder.UpstreamID]bool
-	// targets are the VMs that it was forwarded to. refused is why nothing was run.
-	targets targets
+	// targets are the VMs that it was forwarded to; nil if it wasn't. refused is why
+	// nothing was run.
+	targets *targets
 	refused chervilladder.Reason
 	// retryAtOnce is set when a replica has refused a read for its lag, or had
 	// no connection for it.
