--- a/internal/session/target.go
+++ b/internal/session/target.go
@@ -30,6 +30,8 @@
 	alternatives int
 	// leaves is set if the work of its caller is to leave the data centre.
 	leaves bool
+	// chosenAt is when the last VM was chosen, by this VM's own clock.
+	chosenAt time.Time
 }
 
 // excluded reports whether the command is to be forwarded to other VMs first.
@@ -53,32 +55,35 @@
 	if len(h.VMs) == 0 {
 		return "", decide.Unresponsive, errNoHostingVM
 	}
+	if w.targets == nil {
+		w.targets = new(targets)
+	}
 	caller := xxhash.Sum64String(w.spreadKey())
 	w.targets.leaves = h.LeavesDataCentre() && w.session.m.c.Board.Locality.Load()[w.kind()].Leaves(caller)
-	var space [16]decide.Host
-	hosts := w.assess(space[:0], h)
-	i := decide.Choose(caller, hosts)
-	if i < 0 {
-		w.targets.tried = nil
-		for i := range hosts {
-			hosts[i].Tried = false
-		}
-		i = decide.Choose(caller, hosts)
+	w.targets.chosenAt = w.session.m.c.Clock()
+	best, untried := w.chooseHost(caller, h)
+	if !untried {
+		w.targets.tried, w.targets.avoid = nil, ""
+		best, _ = w.chooseHost(caller, h)
 	}
-	return hosts[i].VM, hosts[i].Standing, nil
+	return best.VM, best.Standing, nil
 }
 
-// assess appends the hosts of the work's service as this VM knows them.
-func (w *work) assess(hosts []decide.Host, h blackboard.Hosts) []decide.Host {
-	board, now := w.session.m.c.Board, w.session.m.c.Clock()
+// chooseHost chooses among the hosts that the work wasn't sent to, by what this VM knows of
+// each. It returns false if there is none.
+func (w *work) chooseHost(caller uint64, h blackboard.Hosts) (decide.Host, bool) {
+	board, access := w.session.m.c.Board, w.kind().Access
+	choice := decide.Choice{Caller: caller}
 	for i, vm := range h.VMs {
+		if w.targets.excluded(vm) {
+			continue
+		}
 		t, _ := board.ForwardTargets.Find(vm)
 		s, _ := board.HostStates.Find(blackboard.ServiceHost{VM: vm, Service: w.route.Service})
-		host := decide.Host{VM: vm, Tried: w.targets.excluded(vm)}
-		host.Standing, host.Cost = decide.Assess(w.baseStanding(h, i), t, s, w.route.Priority, w.kind().Access, now)
-		hosts = append(hosts, host)
+		standing, cost := decide.Assess(w.baseStanding(h, i), t, s, w.route.Priority, access, w.targets.chosenAt)
+		choice.Offer(decide.Host{VM: vm, Standing: standing, Cost: cost})
 	}
-	return hosts
+	return choice.Best()
 }
 
 // baseStanding returns the standing of the i-th host while nothing is known against it.
@@ -131,7 +136,7 @@
 	switch h := board.Hosting.Load().Elsewhere[w.route.Service]; {
 	case h.OwnCount == 0:
 		return LeftNoHost
-	case w.targets.leaves:
+	case w.targets != nil && w.targets.leaves:
 		return LeftForCost
 	default:
 		return LeftUnusable
@@ -144,8 +149,8 @@
 	if w.upstream == "" || board.Self.DataCentre == "" {
 		return false
 	}
-	u, known := board.Upstreams.Load().ByID[w.upstream]
-	return known && u.DataCentre != "" && u.DataCentre != board.Self.DataCentre
+	dc := board.Upstreams.Load().ByID[w.upstream].DataCentre
+	return dc != "" && dc != board.Self.DataCentre
 }
 
 // refusedBy records that a VM didn't run the work, and reports whether to forward it to
@@ -178,18 +183,25 @@
 		w.hostState(vm).ReportPrimary(false, now)
 	case chervilladder.ReasonDraining:
 		board.ForwardTargets.Get(vm).DrainingAt.Raise(now)
-	case chervilladder.ReasonNoOwner, chervilladder.ReasonNoProof:
+	case chervilladder.ReasonNoOwner:
 	default:
 		return false
 	}
 	return true
 }
 
-// sent records that the work is sent to a VM.
-func (w *work) sent(vm chervilladder.VMID) {
+// sent records that the work is sent to a VM, and returns the time by this VM's own clock.
+func (w *work) sent(vm chervilladder.VMID) time.Time {
+	var now time.Time
+	if w.targets != nil {
+		now = w.targets.chosenAt // reading the clock takes a system call
+	} else {
+		now = w.session.m.c.Clock()
+	}
 	if w.needsPrimary() {
-		w.hostState(vm).Sent(w.session.m.c.Clock(), decide.SilentUntil)
+		w.hostState(vm).Sent(now, decide.SilentUntil)
 	}
+	return now
 }
 
 // hostState returns what this VM knows of the work's service at a VM.
@@ -198,20 +210,20 @@
 }
 
 // answered records what the answer of a VM says about it.
-func (w *work) answered(vm chervilladder.VMID, r forwardResponse, roundTrip time.Duration) {
-	board, now := w.session.m.c.Board, w.session.m.c.Clock()
-	t := board.ForwardTargets.Get(vm)
+func (w *work) answered(vm chervilladder.VMID, r forwardResponse, sentAt time.Time, roundTrip time.Duration) {
+	now := sentAt.Add(roundTrip)
+	t := w.session.m.c.Board.ForwardTargets.Get(vm)
 	t.Answered(now)
 	s := w.hostState(vm)
 	if w.needsPrimary() && r.Upstream != "" && r.Result.Code != chervilladder.CodeBusy {
 		s.Served(now)
 	}
-	if r.Host == nil {
+	if r.Took == 0 {
 		return // sent by an earlier build
 	}
-	t.Overhead.Add(roundTrip - r.Host.Took)
-	s.ReportPrimary(!r.Host.NoPrimary, now)
-	s.Wait(w.route.Priority, w.kind().Access).Store(r.Host.Wait, now)
+	t.Overhead.Add(roundTrip - r.Took)
+	s.ReportPrimary(!r.NoPrimary, now)
+	s.Wait(w.route.Priority, w.kind().Access).Store(r.Wait, now)
 }
 
 // lastUnanswered returns when a VM last failed to answer; zero if it never did.
