Callers stay within a VM's memory and descriptors

Change: decide/intake keeps one account a VM, sized from memory_mb, for messages beyond a connection's buffer, statements that wait and answers that wait to be read; the caller that holds most is closed first. Connections are bounded by max_fds, which the settings now read: callers, peers and each HTTP server have a share, and near the callers' share one connection that only waits is closed for each that is accepted. First messages and half-sent ones have a time bound, sessions keep a bounded number and size of variables and prepared statements, HTTP requests are small and short.

Not covered: PostgreSQL, the account at the VM that runs forwarded work, answers while they are received (docs/design/caller-limits.md, Open).

--- a/bounds.go
+++ b/bounds.go
@@ -24,6 +24,8 @@
 	// MemoryBytes is the memory that the process may use; zero means no
 	// limit.
 	MemoryBytes int64
+	// Sockets is how many sockets the process may have open; zero means no limit.
+	Sockets int
 }
 
 // BoundsSource provides the bounds.
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -14,6 +14,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/clock"
+	"github.com/chervilladder/chervilladder/internal/connlimit"
 	"github.com/chervilladder/chervilladder/internal/control/bounds"
 	"github.com/chervilladder/chervilladder/internal/control/failover"
 	"github.com/chervilladder/chervilladder/internal/control/hosting"
@@ -23,6 +24,7 @@
 	"github.com/chervilladder/chervilladder/internal/control/routing"
 	"github.com/chervilladder/chervilladder/internal/control/shutdown"
 	"github.com/chervilladder/chervilladder/internal/control/statuspoll"
+	"github.com/chervilladder/chervilladder/internal/decide/intake"
 	"github.com/chervilladder/chervilladder/internal/link"
 	"github.com/chervilladder/chervilladder/internal/logs"
 	"github.com/chervilladder/chervilladder/internal/observe"
@@ -88,11 +90,13 @@
 	if err != nil {
 		return nil, err
 	}
+	memory := intake.NewAccount()
+	memory.SetLimit(intake.Limit(intake.Bytes(c.Settings.Bounds.MemoryBytes)))
 	linker := platform.Linker{Name: c.Settings.VM}
 	pools := link.NewPools(link.PoolsConfig{Board: board, Linker: linker, Log: c.Log})
 	peers := peer.NewClient(board)
 	sessions, err := session.New(session.Config{
-		Board: board, Pools: pools, Log: c.Log, Clock: clock.SinceBoot, Remote: peers,
+		Board: board, Pools: pools, Log: c.Log, Clock: clock.SinceBoot, Remote: peers, Memory: memory,
 		Observer: observe.New(observe.Config{Output: c.LogQueue, Metrics: metricSet}),
 	})
 	if err != nil {
@@ -111,7 +115,10 @@
 		return nil, err
 	}
 	closeIdle := make(chan struct{})
-	front, err := platform.NewFront(platform.FrontConfig{Listener: callers, Sessions: sessions, Log: c.Log, CloseIdle: closeIdle})
+	front, err := platform.NewFront(platform.FrontConfig{
+		Listener: callers, Sessions: sessions, Log: c.Log, CloseIdle: closeIdle, Memory: memory,
+		MaxConnections: func() int { return intake.ShareDescriptors(board.Bounds.Load().Sockets).Callers },
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -121,6 +128,7 @@
 	}
 	signals := &signalHandler{c: c, stopping: stopping, reloadBounds: make(chan struct{}, 1)}
 	metricSet.NewGauge("chervilladder_callers_connected", func() float64 { return float64(front.Connected()) })
+	metricSet.NewGauge("chervilladder_callers_memory_bytes", func() float64 { return float64(memory.Used()) })
 	metricSet.NewGauge("chervilladder_log_writes_dropped", func() float64 { return float64(c.LogQueue.Dropped()) })
 	failovers, err := failover.New(failover.Config{
 		Board: board, Record: client, Promoter: client, Linker: linker, Pools: pools, PeerDemoter: peers,
@@ -129,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	controllers, err := buildControllers(c, board, client, pools, signals.reloadBounds)
+	controllers, err := buildControllers(c, board, client, pools, memory, signals.reloadBounds)
 	if err != nil {
 		return nil, err
 	}
@@ -142,12 +150,12 @@
 		front,
 		signals,
 		failovers,
-		platform.Readiness{Listener: readinessListener, Ready: func() bool { return canServe(board) && !board.ShutsDown() && !recovery.Failing() }},
-		platform.Metrics{Listener: metricsListener, Sets: []*metrics.Set{metricSet, recovery.Metrics, failover.Metrics, link.Metrics}},
+		platform.Readiness{Listener: limited(board, readinessListener), Ready: func() bool { return canServe(board) && !board.ShutsDown() && !recovery.Failing() }},
+		platform.Metrics{Listener: limited(board, metricsListener), Sets: []*metrics.Set{metricSet, recovery.Metrics, failover.Metrics, link.Metrics, platform.LimitMetrics}},
 	}, append(peering, controllers...)...), nil
 }
 
-func buildControllers(c PlatformConfig, board *blackboard.Board, client *platform.Client, pools *link.Pools, reloadBounds <-chan struct{}) ([]actor, error) {
+func buildControllers(c PlatformConfig, board *blackboard.Board, client *platform.Client, pools *link.Pools, memory *intake.Account, reloadBounds <-chan struct{}) ([]actor, error) {
 	routes, err := routing.New(routing.Config{Board: board, Source: client.Routing(), Log: c.Log, Clock: clock.SinceBoot})
 	if err != nil {
 		return nil, err
@@ -164,7 +172,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return []actor{routes, upstreams, statusPolls, boundsReader, memoryLimiter{board}, c.LogQueue}, nil
+	return []actor{routes, upstreams, statusPolls, boundsReader, memoryLimiter{board, memory}, c.LogQueue}, nil
 }
 
 // buildPeering returns the actors by which VMs exchange the contents of the store
@@ -195,18 +203,38 @@
 	if err != nil {
 		return nil, err
 	}
-	server := peer.NewServer(peer.ServerConfig{Board: board, Listener: listener, Executor: executor, Feed: relays, Demoter: failovers, Reachability: reachabilityController, Log: c.Log})
+	server := peer.NewServer(peer.ServerConfig{Board: board, Listener: limitedPeers(board, listener), Executor: executor, Feed: relays, Demoter: failovers, Reachability: reachabilityController, Log: c.Log})
 	return []actor{relays, hostingController, reachabilityController, server}, nil
 }
 
-// memoryLimiter sets the Go runtime's memory limit from the memory that the
-// process may use.
-type memoryLimiter struct{ board *blackboard.Board }
+// limited bounds the connections of an HTTP server. The oldest one is closed for a new one,
+// as who checks the VM connects anew.
+func limited(board *blackboard.Board, l net.Listener) net.Listener {
+	return connlimit.New(connlimit.Config{Listener: l, CloseOldest: true, Max: func() int {
+		return intake.ShareDescriptors(board.Bounds.Load().Sockets).HTTP
+	}})
+}
+
+// limitedPeers bounds the connections from peers. A new one beyond the bound is closed, as
+// those of peers last.
+func limitedPeers(board *blackboard.Board, l net.Listener) net.Listener {
+	return connlimit.New(connlimit.Config{Listener: l, Max: func() int {
+		return intake.ShareDescriptors(board.Bounds.Load().Sockets).Peers
+	}})
+}
+
+// memoryLimiter sets the Go runtime's memory limit, and that of what callers may make the
+// VM hold, from the memory that the process may use.
+type memoryLimiter struct {
+	board   *blackboard.Board
+	callers *intake.Account
+}
 
 // Run applies each change of the bounds until the context ends.
 func (m memoryLimiter) Run(ctx context.Context) error {
 	for {
 		b, changed := m.board.Bounds.Watch()
+		m.callers.SetLimit(intake.Limit(intake.Bytes(b.MemoryBytes)))
 		if b.MemoryBytes > 0 {
 			debug.SetMemoryLimit(int64(float64(b.MemoryBytes) * memoryShare))
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -51,6 +51,9 @@
 // silent, so its transactions aren't ended at once.
 const deadIdleTimeout = 2 * time.Second
 
+// handshakeTimeout bounds the handshake of a peer's connection.
+const handshakeTimeout = 5 * time.Second
+
 // part names this package in reports of panics.
 const part recovery.Part = "peer"
 
@@ -79,6 +82,7 @@
 	s.grpc = grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxFrameBytes),
 		grpc.MaxSendMsgSize(maxFrameBytes),
+		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.UnaryInterceptor(s.recoverUnary),
 		grpc.StreamInterceptor(s.recoverStream),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepAliveEvery / 2, PermitWithoutStream: true}),
--- a/internal/session/manager.go
+++ b/internal/session/manager.go
@@ -11,6 +11,7 @@
 
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
+	"github.com/chervilladder/chervilladder/internal/decide/intake"
 	"github.com/chervilladder/chervilladder/internal/link"
 	"github.com/chervilladder/chervilladder/internal/recovery"
 )
@@ -30,6 +31,9 @@
 	// this VM doesn't, and that of a service hosted here whose primary only a peer
 	// reaches. It is nil if there are no other VMs.
 	Remote chervilladder.Remote
+	// Memory is the account in which large variables and prepared statements of
+	// sessions are counted; nil is one without a limit.
+	Memory *intake.Account
 	// Observer is called after each command; may be nil.
 	Observer Observer
 }
@@ -80,6 +84,9 @@
 	if c.Board == nil || c.Pools == nil || c.Log == nil || c.Clock == nil {
 		return nil, errors.New("session: a manager needs Board, Pools, Log and Clock; set all four")
 	}
+	if c.Memory == nil {
+		c.Memory = intake.NewAccount()
+	}
 	return &Manager{c: c}, nil
 }
 
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -16,6 +16,7 @@
 	caller      string
 	values      map[string]string
 	prepared    map[string]link.Prepared
+	kept        kept
 	minPosition minPosition
 	tx          openTransaction
 	// fromPeer is set if the session's work was forwarded to this VM by another
@@ -103,6 +104,7 @@
 
 // Close ends the session.
 func (s *session) Close() {
+	s.dropKept()
 	if s.tx != nil {
 		s.tx.abandon()
 		s.tx = nil
@@ -114,6 +116,9 @@
 func (s *session) runLocal(c chervilladder.Command) chervilladder.Result {
 	switch c.Kind {
 	case chervilladder.CommandSet:
+		if refusal, ok := s.replaceKept(s.keptVariable(c.Name), entry{c.Name, c.Rest}); !ok {
+			return refusal
+		}
 		// Attempts of earlier commands may still read the old map.
 		values := maps.Clone(s.values)
 		if values == nil {
@@ -122,6 +127,9 @@
 		values[c.Name] = c.Rest
 		s.values = values
 	case chervilladder.CommandPrepare:
+		if refusal, ok := s.replaceKept(s.keptStatement(c.Name), entry{c.Name, c.Rest}); !ok {
+			return refusal
+		}
 		if s.prepared == nil {
 			s.prepared = make(map[string]link.Prepared)
 		}
@@ -130,6 +138,7 @@
 		if _, ok := s.prepared[c.Name]; !ok {
 			return failure(chervilladder.CodeNoStatement, c.Name)
 		}
+		s.replaceKept(s.keptStatement(c.Name), entry{})
 		delete(s.prepared, c.Name)
 	default:
 		return failure(chervilladder.CodeMalformed, "unknown statement")
