--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -19,9 +19,12 @@
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 )
 
-// The timeouts of the HTTP server.
+// The limits of the HTTP server: requests have no body.
 const (
 	headerTimeout   = 5 * time.Second
+	requestTimeout  = 10 * time.Second
+	writeTimeout    = 30 * time.Second
+	maxHeaderBytes  = 16 << 10
 	idleTimeout     = time.Minute
 	shutdownTimeout = time.Second
 )
@@ -55,7 +58,10 @@
 		return nil, errors.New("operator: board, listener, log, drain and vars are required")
 	}
 	s := &Server{Config: c}
-	s.http = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	s.http = &http.Server{
+		Handler: s.Handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
+		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	return s, nil
 }
 
