--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -14,6 +14,7 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/clock"
+	"github.com/chervilladder/chervilladder/internal/connlimit"
 	"github.com/chervilladder/chervilladder/internal/control/bounds"
 	"github.com/chervilladder/chervilladder/internal/control/failover"
 	"github.com/chervilladder/chervilladder/internal/control/forwarding"
@@ -26,6 +27,7 @@
 	"github.com/chervilladder/chervilladder/internal/control/routing"
 	"github.com/chervilladder/chervilladder/internal/control/shutdown"
 	"github.com/chervilladder/chervilladder/internal/control/statuspoll"
+	"github.com/chervilladder/chervilladder/internal/decide/intake"
 	"github.com/chervilladder/chervilladder/internal/identity"
 	"github.com/chervilladder/chervilladder/internal/link"
 	"github.com/chervilladder/chervilladder/internal/logs"
@@ -93,6 +95,8 @@
 	if err != nil {
 		return nil, err
 	}
+	memory := intake.NewAccount()
+	memory.SetLimit(intake.Limit(intake.Bytes(c.Settings.Bounds.MemoryBytes)))
 	linker := platform.Linker{Name: c.Settings.VM}
 	pools := link.NewPools(link.PoolsConfig{Board: board, Linker: linker, Log: c.Log})
 	peers := peer.NewClient(board)
@@ -105,7 +109,7 @@
 		return nil, err
 	}
 	sessions, err := session.New(session.Config{
-		Board: board, Pools: pools, Log: c.Log, Clock: clock.SinceBoot, Remote: peers, Authenticator: authenticator, Admitter: quotas,
+		Board: board, Pools: pools, Log: c.Log, Clock: clock.SinceBoot, Remote: peers, Authenticator: authenticator, Admitter: quotas, Memory: memory,
 		Observer: observe.New(observe.Config{Output: c.LogQueue, Metrics: metricSet}),
 	})
 	if err != nil {
@@ -124,7 +128,10 @@
 		return nil, err
 	}
 	closeIdle := make(chan struct{})
-	front, err := platform.NewFront(platform.FrontConfig{Listener: callers, Sessions: sessions, Log: c.Log, CloseIdle: closeIdle})
+	front, err := platform.NewFront(platform.FrontConfig{
+		Listener: callers, Sessions: sessions, Log: c.Log, CloseIdle: closeIdle, Memory: memory,
+		MaxConnections: func() int { return intake.ShareDescriptors(board.Bounds.Load().Sockets).Callers },
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -134,6 +141,7 @@
 	}
 	signals := &signalHandler{c: c, stopping: stopping, reloadBounds: make(chan struct{}, 1)}
 	metricSet.NewGauge("chervilladder_callers_connected", func() float64 { return float64(front.Connected()) })
+	metricSet.NewGauge("chervilladder_callers_memory_bytes", func() float64 { return float64(memory.Used()) })
 	metricSet.NewGauge("chervilladder_log_writes_dropped", func() float64 { return float64(c.LogQueue.Dropped()) })
 	failovers, err := failover.New(failover.Config{
 		Board: board, Record: client, Promoter: client, Linker: linker, Pools: pools, PeerDemoter: peers,
@@ -142,7 +150,7 @@
 	if err != nil {
 		return nil, err
 	}
-	controllers, err := buildControllers(c, board, client, pools, signals.reloadBounds)
+	controllers, err := buildControllers(c, board, client, pools, memory, signals.reloadBounds)
 	if err != nil {
 		return nil, err
 	}
@@ -156,8 +164,8 @@
 		signals,
 		failovers,
 		quotas,
-		platform.Readiness{Listener: readinessListener, Ready: func() bool { return canServe(board) && !board.ShutsDown() && !recovery.Failing() }},
-		platform.Metrics{Listener: metricsListener, Sets: []*metrics.Set{metricSet, recovery.Metrics, failover.Metrics, link.Metrics, identity.Metrics, quota.Metrics}},
+		platform.Readiness{Listener: limited(board, readinessListener), Ready: func() bool { return canServe(board) && !board.ShutsDown() && !recovery.Failing() }},
+		platform.Metrics{Listener: limited(board, metricsListener), Sets: []*metrics.Set{metricSet, recovery.Metrics, failover.Metrics, link.Metrics, identity.Metrics, quota.Metrics, platform.LimitMetrics}},
 	}, append(peering, controllers...)...), nil
 }
 
@@ -169,7 +177,7 @@
 	return nil
 }
 
-func buildControllers(c PlatformConfig, board *blackboard.Board, client *platform.Client, pools *link.Pools, reloadBounds <-chan struct{}) ([]actor, error) {
+func buildControllers(c PlatformConfig, board *blackboard.Board, client *platform.Client, pools *link.Pools, memory *intake.Account, reloadBounds <-chan struct{}) ([]actor, error) {
 	routes, err := routing.New(routing.Config{Board: board, Source: client.Routing(), Log: c.Log, Clock: clock.SinceBoot})
 	if err != nil {
 		return nil, err
@@ -186,7 +194,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return []actor{routes, upstreams, statusPolls, boundsReader, memoryLimiter{board}, c.LogQueue}, nil
+	return []actor{routes, upstreams, statusPolls, boundsReader, memoryLimiter{board, memory}, c.LogQueue}, nil
 }
 
 // buildPeering returns the actors by which VMs exchange the contents of the store
@@ -225,18 +233,38 @@
 	if err != nil {
 		return nil, err
 	}
-	server := peer.NewServer(peer.ServerConfig{Board: board, Listener: listener, Executor: executor, Feed: relays, Demoter: failovers, Reachability: reachabilityController, QuotaLender: quotas, Log: c.Log})
+	server := peer.NewServer(peer.ServerConfig{Board: board, Listener: limitedPeers(board, listener), Executor: executor, Feed: relays, Demoter: failovers, Reachability: reachabilityController, QuotaLender: quotas, Log: c.Log})
 	return []actor{relays, hostingController, reachabilityController, forwardingController, localityController, server}, nil
 }
 
-// memoryLimiter sets the Go runtime's memory limit from the memory that the
-// process may use.
-type memoryLimiter struct{ board *blackboard.Board }
+// limited bounds the connections of an HTTP server. The oldest one is closed for a new one,
+// as who checks the VM connects anew.
+func limited(board *blackboard.Board, l net.Listener) net.Listener {
+	return connlimit.New(connlimit.Config{Listener: l, CloseOldest: true, Max: func() int {
+		return intake.ShareDescriptors(board.Bounds.Load().Sockets).HTTP
+	}})
+}
+
+// limitedPeers bounds the connections from peers. A new one beyond the bound is closed, as
+// those of peers last.
+func limitedPeers(board *blackboard.Board, l net.Listener) net.Listener {
+	return connlimit.New(connlimit.Config{Listener: l, Max: func() int {
+		return intake.ShareDescriptors(board.Bounds.Load().Sockets).Peers
+	}})
+}
+
+// memoryLimiter sets the Go runtime's memory limit, and that of what callers may make the
+// VM hold, from the memory that the process may use.
+type memoryLimiter struct {
+	board   *blackboard.Board
+	callers *intake.Account
+}
 
 // Run applies each change of the bounds until the context ends.
 func (m memoryLimiter) Run(ctx context.Context) error {
 	for {
 		b, changed := m.board.Bounds.Watch()
+		m.callers.SetLimit(intake.Limit(intake.Bytes(b.MemoryBytes)))
 		if b.MemoryBytes > 0 {
 			debug.SetMemoryLimit(int64(float64(b.MemoryBytes) * memoryShare))
 		}
