--- a/internal/control/quota/history_test.go
+++ b/internal/control/quota/history_test.go
@@ -14,14 +14,15 @@
 	"github.com/chervilladder/chervilladder"
 )
 
-// TestMain fixes the seed of the property tests unless another one is given.
+// TestMain fixes the seed of the property tests and the number of their histories, unless
+// others are given.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		if err := flag.Set("rapid.seed", "1"); err != nil {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "40"} {
+		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
 	}
+	flag.Parse()
 	os.Exit(m.Run())
 }
 
@@ -277,3 +278,40 @@
 		})
 	}
 }
+
+// VMs that don't reach the store can't learn that new ones lend in their place. They stop
+// before these begin.
+func TestVMsWithoutTheStoreAreReplacedAsLenders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := chervilladder.Quota{Rate: 100, Burst: 30}
+		quotas := make(map[chervilladder.AccountID]chervilladder.Quota)
+		for i := range 6 {
+			quotas[chervilladder.AccountID(fmt.Sprint("tenant-", i))] = q
+		}
+		w := newWorld(6, quotas, 1)
+		defer w.end()
+		time.Sleep(trafficFrom)
+		for id := range quotas {
+			for _, v := range w.vms {
+				v.setLoad(id, 2*float64(q.Rate)/float64(len(w.vms)))
+			}
+		}
+		time.Sleep(20 * time.Second)
+		for i := range 5 { // the last one still reaches the store
+			w.happen(event{fault: cutFromStore, vm: i, lasts: time.Minute})
+		}
+		for range 3 {
+			v := w.add()
+			for id := range quotas {
+				v.setLoad(id, float64(q.Rate)/3)
+			}
+		}
+		time.Sleep(2 * time.Minute)
+		for id, a := range w.accounts {
+			most := a.most()
+			t.Log(id, most)
+			is.True(float64(most) <= 1.1*(float64(q.Rate)*window.Seconds()+float64(q.Burst)))
+		}
+	})
+}
