--- a/internal/control/quota/history_test.go
+++ b/internal/control/quota/history_test.go
@@ -236,16 +236,17 @@
 				if e.fault == cutFromVMs { // callers of a VM that is alone are refused
 					w.vms[e.vm%len(w.vms)].setLoad(tenant, 0)
 				}
-				before := w.accounts[tenant].refused
+				_, before := w.accounts[tenant].counts()
 				for range int((e.lasts + recovers) / time.Second) {
 					time.Sleep(time.Second)
-					if now := w.accounts[tenant].refused; now > before {
+					if _, now := w.accounts[tenant].counts(); now > before {
 						timeline = append(timeline, fmt.Sprint(time.Since(w.began), ": ", now-before))
 						before = now
 					}
 				}
 			}
-			offered, refused = w.accounts[tenant].offered, w.accounts[tenant].wronglyRefused()
+			offered, _ = w.accounts[tenant].counts()
+			refused = w.accounts[tenant].wronglyRefused()
 		})
 		is := is.New(r)
 		if refused*100 > offered {
@@ -273,8 +274,9 @@
 			}
 			time.Sleep(3 * time.Second)
 			a := load(w, tenant, 0.5*float64(q.Rate), even(vms), 10*time.Second)
-			t.Logf("%d VMs: offered %d, refused %d", vms, a.offered, a.refused)
-			is.True(a.refused*50 <= a.offered)
+			offered, refused := a.counts()
+			t.Logf("%d VMs: offered %d, refused %d", vms, offered, refused)
+			is.True(refused*50 <= offered)
 		})
 	}
 }
--- a/internal/control/quota/world_test.go
+++ b/internal/control/quota/world_test.go
@@ -80,6 +80,13 @@
 	}
 }
 
+// counts returns how many operations were offered and refused.
+func (a *account) counts() (offered, refused int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.offered, a.refused
+}
+
 // wronglyRefused returns how many more operations were refused than lie beyond the quota.
 func (a *account) wronglyRefused() int {
 	a.mu.Lock()
