chervilladderctl explain: where a request would go now, and why

Cause: the users' operators want to see where a request would go without sending it.

Change: session.Manager.Explain asks the decisions of the path (forwardTargets, nextTarget, assessHost, readable, checkReachable); a VM on the prepared platform serves it at its metrics address, and the command shows it as tables or JSON.

Measured: tests of session (-run Explain), of ctl's scripts and lint pass; the path of a request is unchanged but for a loop body that is a function now.

--- a/account.go
+++ b/account.go
@@ -108,6 +108,19 @@
 	return id, ok
 }
 
+// Names reports whether an account holds a key.
+func (a *Accounts) Names(id AccountID) bool {
+	if a == nil {
+		return false
+	}
+	for _, holder := range a.Keys {
+		if holder == id {
+			return true
+		}
+	}
+	return false
+}
+
 // Identity is whose a caller is.
 type Identity struct {
 	// Account is empty if the configuration names no client accounts, or if the route
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -76,7 +76,7 @@
 func run(ctx context.Context, config Config) error {
 	c := &console{ctx: ctx, out: config.Out, user: config.User}
 	parser := flags.NewNamedParser("chervilladderctl", flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = "Checks, publishes and rolls back service files, shows the configuration in force, the status of VMs and the error budgets, and drains VMs."
+	parser.LongDescription = "Checks, publishes and rolls back service files, shows the configuration in force, the status of VMs, where requests would go and the error budgets, and drains VMs."
 	if _, err := parser.AddGroup("Options of all commands", "", &c.global); err != nil {
 		return err
 	}
@@ -97,6 +97,7 @@
 		historyCommand(c),
 		rollbackCommand(c),
 		statusCommand(c),
+		explainCommand(c),
 		burnCommand(c),
 		drainCommand(c),
 	}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"runtime/debug"
 	"strconv"
 
@@ -32,6 +33,7 @@
 	"github.com/chervilladder/chervilladder/internal/link"
 	"github.com/chervilladder/chervilladder/internal/logs"
 	"github.com/chervilladder/chervilladder/internal/observe"
+	"github.com/chervilladder/chervilladder/internal/operator"
 	"github.com/chervilladder/chervilladder/internal/peer"
 	"github.com/chervilladder/chervilladder/internal/recovery"
 	"github.com/chervilladder/chervilladder/internal/session"
@@ -165,7 +167,7 @@
 		failovers,
 		quotas,
 		platform.Readiness{Listener: limited(board, readinessListener), Ready: func() bool { return canServe(board) && !board.ShutsDown() && !recovery.Failing() }},
-		platform.Metrics{Listener: limited(board, metricsListener), Sets: []*metrics.Set{metricSet, recovery.Metrics, failover.Metrics, link.Metrics, identity.Metrics, quota.Metrics, platform.LimitMetrics}},
+		platform.Metrics{Listener: limited(board, metricsListener), Sets: []*metrics.Set{metricSet, recovery.Metrics, failover.Metrics, link.Metrics, identity.Metrics, quota.Metrics, platform.LimitMetrics}, Handlers: map[string]http.Handler{"GET " + operator.ExplainPath: operator.ExplainHandler(sessions)}},
 	}, append(peering, controllers...)...), nil
 }
 
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -51,6 +51,28 @@
 	Unresponsive
 )
 
+// String returns the name that explanations for operators use.
+func (s Standing) String() string {
+	switch s {
+	case Preferred:
+		return "preferred"
+	case Fallback:
+		return "fallback"
+	case Silent:
+		return "silent"
+	case Spare:
+		return "spare"
+	case Disconnected:
+		return "disconnected"
+	case NoPrimary:
+		return "no-primary"
+	case Draining:
+		return "draining"
+	default:
+		return "unresponsive"
+	}
+}
+
 // Usable reports whether nothing is known that keeps the host from running work.
 func (s Standing) Usable() bool { return s <= Spare }
 
--- a/internal/session/target.go
+++ b/internal/session/target.go
@@ -72,20 +72,24 @@
 // chooseHost chooses among the hosts that the work wasn't sent to, by what this VM knows of
 // each. It returns false if there is none.
 func (w *work) chooseHost(caller uint64, h blackboard.Hosts) (decide.Host, bool) {
-	board, access := w.session.m.c.Board, w.kind().Access
 	choice := decide.Choice{Caller: caller}
 	for i, vm := range h.VMs {
-		if w.targets.excluded(vm) {
-			continue
+		if !w.targets.excluded(vm) {
+			choice.Offer(w.assessHost(h, i))
 		}
-		t, _ := board.ForwardTargets.Find(vm)
-		s, _ := board.HostStates.Find(blackboard.ServiceHost{VM: vm, Service: w.route.Service})
-		standing, cost := decide.Assess(w.baseStanding(h, i), t, s, w.route.Priority, access, w.targets.chosenAt)
-		choice.Offer(decide.Host{VM: vm, Standing: standing, Cost: cost})
 	}
 	return choice.Best()
 }
 
+// assessHost returns the i-th host as this VM knows it.
+func (w *work) assessHost(h blackboard.Hosts, i int) decide.Host {
+	board, vm := w.session.m.c.Board, h.VMs[i]
+	t, _ := board.ForwardTargets.Find(vm)
+	s, _ := board.HostStates.Find(blackboard.ServiceHost{VM: vm, Service: w.route.Service})
+	standing, cost := decide.Assess(w.baseStanding(h, i), t, s, w.route.Priority, w.kind().Access, w.targets.chosenAt)
+	return decide.Host{VM: vm, Standing: standing, Cost: cost}
+}
+
 // baseStanding returns the standing of the i-th host while nothing is known against it.
 func (w *work) baseStanding(h blackboard.Hosts, i int) decide.Standing {
 	switch {
