Quota, placement, intake: wording of comments and unexported names

Some comments didn't say what the code does: the demands of a bucket's periods, the candidates of a group, when Take refuses, how long a host counts as silent. Some names misled: offeredAt is a count, lentNow a sum since the last observation.

These comments are corrected, offeredBefore, lentSince, maxShortage, awaitLoan, noteShortage, forgetCalls, shrink and the divisors named for what they are, and the parameter that refusal didn't use is gone. No behaviour changes.

--- a/internal/control/forwarding/forwarding.go
+++ b/internal/control/forwarding/forwarding.go
@@ -176,7 +176,8 @@
 }
 
 // someReachPrimary reports whether some host of a service may reach the primary. If none
-// does, requests go to them all the same, and their answers show it as probes would.
+// may, requests are sent to hosts that reported they don't, and the answers to these show
+// what probes would.
 func (k *Controller) someReachPrimary(service chervilladder.ServiceID, hosts blackboard.Hosts) bool {
 	for i, vm := range hosts.VMs {
 		if !hosts.IsSpare(i) && !k.noPrimary(blackboard.ServiceHost{VM: vm, Service: service}) {
@@ -199,7 +200,7 @@
 	return known && s.NoPrimary()
 }
 
-// start reports whether a probe of a host may start: none of it runs, and fewer than
+// start registers a probe of a host. It returns false if one of that host is running, or
 // maxProbes in all.
 func (k *Controller) start(host blackboard.ServiceHost) bool {
 	k.mu.Lock()
@@ -211,6 +212,7 @@
 	return true
 }
 
+// finish removes a probe that has ended.
 func (k *Controller) finish(host blackboard.ServiceHost) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/control/locality/locality.go
+++ b/internal/control/locality/locality.go
@@ -38,8 +38,8 @@
 	return &Controller{c: c}, nil
 }
 
-// Run decides until the context ends. VMs decide at different times, so that each sees what
-// the others have changed.
+// Run decides until the context ends. The interval is random, so that VMs decide at
+// different times and each sees what the others have changed.
 func (k *Controller) Run(ctx context.Context) error {
 	last := k.c.Clock()
 	t := time.NewTimer(retry.Jitter(interval))
@@ -91,7 +91,7 @@
 	return locality.Costs{Own: mean(own), Other: mean(other)}
 }
 
-// hostCosts returns the costs of the usable hosts among some.
+// hostCosts returns the costs of those of the VMs that are usable.
 func (k *Controller) hostCosts(kind blackboard.Kind, vms []chervilladder.VMID, now time.Time) []time.Duration {
 	var list []time.Duration
 	for _, vm := range vms {
--- a/internal/control/quota/admit.go
+++ b/internal/control/quota/admit.go
@@ -27,14 +27,15 @@
 	if q.Loans.Take(k.c.Clock()) {
 		return nil
 	}
-	return k.admitLate(ctx, a, q)
+	return k.awaitLoan(ctx, a, q)
 }
 
-// admitLate waits for a loan.
-func (k *Controller) admitLate(ctx context.Context, a chervilladder.AccountID, q *blackboard.Quota) error {
+// awaitLoan waits for a loan and takes one operation from it. It refuses at once if too
+// many operations wait, or if no lender has more before the wait would end.
+func (k *Controller) awaitLoan(ctx context.Context, a chervilladder.AccountID, q *blackboard.Quota) error {
 	defer q.Waiting.Add(-1)
 	if q.Waiting.Add(1) > max(minWaiting, q.Supply.Load().MaxWaiting) {
-		return k.refusal(a, q)
+		return k.refusal(q)
 	}
 	deadline := k.c.Clock().Add(maxWait)
 	timeout := time.NewTimer(maxWait)
@@ -46,7 +47,7 @@
 			return nil
 		}
 		if !now.Before(deadline) || supply.ShortUntil.After(deadline) {
-			return k.refusal(a, q)
+			return k.refusal(q)
 		}
 		if !supply.ShortUntil.After(now) {
 			k.queue(a, q)
@@ -54,9 +55,9 @@
 		select {
 		case <-changed:
 		case <-timeout.C:
-			return k.refusal(a, q)
+			return k.refusal(q)
 		case <-ctx.Done():
-			return k.refusal(a, q)
+			return k.refusal(q)
 		}
 	}
 }
@@ -76,7 +77,7 @@
 }
 
 // refusal returns the error of an operation that isn't admitted.
-func (k *Controller) refusal(_ chervilladder.AccountID, q *blackboard.Quota) error {
+func (k *Controller) refusal(q *blackboard.Quota) error {
 	q.Refused.Add(1)
 	wait := q.Supply.Load().ShortUntil.Sub(k.c.Clock())
 	return &chervilladder.NotRunError{Reason: chervilladder.ReasonQuota, RetryAfter: max(minRetryAfter, wait)}
--- a/internal/control/quota/borrow.go
+++ b/internal/control/quota/borrow.go
@@ -22,9 +22,9 @@
 	callTimeout = 200 * time.Millisecond
 	// avoidFor is how long a lender isn't asked that didn't answer, or doesn't lend.
 	avoidFor = time.Second
-	// maxShort bounds how long no lender is asked that has too little.
-	maxShort = time.Second
-	// floodFactor is how many times what is lent callers must ask for to flood a VM.
+	// maxShortage bounds how long no lender is asked after all had too little.
+	maxShortage = time.Second
+	// A VM is flooded if its callers ask for more than floodFactor times what is lent.
 	floodFactor = 2
 	// minWaiting is the number of operations of an account that may wait in any case.
 	minWaiting = 4
@@ -35,11 +35,12 @@
 	account chervilladder.AccountID
 	quota   *blackboard.Quota
 	// offered and granted are the rates of the operations that callers ask for and of
-	// those that lenders lend.
-	offered, granted   quota.Rate
-	offeredAt, lentNow int64
+	// those that lenders lend. offeredBefore is how many operations had been offered at
+	// the last observation, and lentSince how many have been lent since.
+	offered, granted         quota.Rate
+	offeredBefore, lentSince int64
 	// next is the index of the lender to ask next, and asked how many have been asked
-	// since one had enough. retryAfter is the least time that these told to wait.
+	// since one had enough. retryAfter is the shortest wait that these returned.
 	next, asked int
 	retryAfter  time.Duration
 	// call is the unanswered call that asks for this account; nil if there is none.
@@ -71,7 +72,7 @@
 // borrow asks lenders for what operations wait for, and ahead for accounts with steady
 // demand.
 func (k *Controller) borrow(ctx context.Context) {
-	k.resume()
+	k.forgetCalls()
 	refilledAt := k.c.Clock()
 	refill := time.NewTicker(k.terms().RefillInterval())
 	defer refill.Stop()
@@ -95,9 +96,9 @@
 	}
 }
 
-// resume discards what a run has left behind that ended, by a panic or since the
-// configuration had no quotas: the calls that it waited for, and what it was told.
-func (k *Controller) resume() {
+// forgetCalls discards the calls and the queue entries of an earlier run. A run ends by a
+// panic, or when the configuration has no quotas.
+func (k *Controller) forgetCalls() {
 	for _, b := range k.borrowings {
 		b.call = nil
 	}
@@ -135,13 +136,13 @@
 	list := make([]*borrowing, 0, len(k.borrowings))
 	for _, b := range k.borrowings {
 		offered := b.quota.Offered.Load()
-		b.offered.Observe(offered-b.offeredAt, interval)
-		b.granted.Observe(b.lentNow, interval)
-		b.report.offered.Add(int(offered - b.offeredAt))
-		b.report.borrowed.Add(int(b.lentNow))
+		b.offered.Observe(offered-b.offeredBefore, interval)
+		b.granted.Observe(b.lentSince, interval)
+		b.report.offered.Add(int(offered - b.offeredBefore))
+		b.report.borrowed.Add(int(b.lentSince))
 		limit, _ := k.quotaOf(b.account)
 		b.report.update(k.c.Log.WithField("account", b.account), b.quota.Refused.Load(), limit, now)
-		b.offeredAt, b.lentNow = offered, 0
+		b.offeredBefore, b.lentSince = offered, 0
 		list = append(list, b)
 	}
 	return list
@@ -245,7 +246,7 @@
 		case lent >= int64(d.Operations):
 			b.asked, b.retryAfter = 0, 0
 		case loan.Lifetime > 0 || k.allAvoided(quota.GroupOf(b.account), now):
-			k.short(ctx, b, loan.RetryAfter, now)
+			k.noteShortage(ctx, b, loan.RetryAfter, now)
 		}
 		b.quota.Supply.Update(func(s blackboard.QuotaSupply) blackboard.QuotaSupply {
 			s.MaxWaiting = int64(math.Ceil(b.granted.Over(maxWait)))
@@ -263,13 +264,14 @@
 	}
 	lent := int64(min(l.Operations, d.Operations))
 	expires := sentAt.Add(min(l.Lifetime, k.terms().Lifetime))
-	b.lentNow += lent
+	b.lentSince += lent
 	b.quota.Loans.Add(lent, expires, now)
 	return lent
 }
 
-// short has the next lender asked. Once all have been, none is asked for a time.
-func (k *Controller) short(ctx context.Context, b *borrowing, retryAfter time.Duration, now time.Time) {
+// noteShortage records that a lender had too little, so that the next one is asked. Once
+// all have been asked, none is asked for a time.
+func (k *Controller) noteShortage(ctx context.Context, b *borrowing, retryAfter time.Duration, now time.Time) {
 	lenders := len(k.candidates(k.c.Board.QuotaLenders.Load(), quota.GroupOf(b.account), now))
 	if b.asked == 0 || retryAfter < b.retryAfter {
 		b.retryAfter = retryAfter
@@ -278,10 +280,10 @@
 	if b.asked < lenders {
 		return
 	}
-	wait := min(max(b.retryAfter, k.terms().RetryInterval()), maxShort)
+	wait := min(max(b.retryAfter, k.terms().RetryInterval()), maxShortage)
 	b.asked, b.retryAfter = 0, 0
 	if b.flooded() {
-		b.asked, b.retryAfter = lenders-1, maxShort // one lender at a time will do
+		b.asked, b.retryAfter = lenders-1, maxShortage // asking a single lender is enough until the next wait
 	}
 	b.quota.Supply.Update(func(s blackboard.QuotaSupply) blackboard.QuotaSupply {
 		s.ShortUntil = now.Add(wait)
--- a/internal/control/quota/lend.go
+++ b/internal/control/quota/lend.go
@@ -30,13 +30,13 @@
 		k.c.Board.ListTrigger.Ask()
 	}
 	if len(demands) == 0 && !listed && k.c.Board.Members.Load().Members == nil {
-		return nil, errNoList // it can't tell yet, and lends nothing either
+		return nil, errNoList // this VM can't tell yet whether the borrower is listed
 	}
 	if len(demands) == 0 && !listed {
 		return nil, &chervilladder.UnknownBorrowerError{VM: borrower}
 	}
 	if !listed {
-		borrower = "" // unlisted ones are counted as one, so that their number is bounded
+		borrower = "" // unlisted borrowers count as one, which bounds their number
 	}
 	loans := make([]chervilladder.QuotaLoan, 0, min(len(demands), maxDemands))
 	for i, d := range demands {
@@ -49,6 +49,7 @@
 	return loans, nil
 }
 
+// lend lends a part of one account's quota.
 func (k *Controller) lend(borrower chervilladder.VMID, d chervilladder.QuotaDemand) chervilladder.QuotaLoan {
 	terms := k.terms()
 	loan := chervilladder.QuotaLoan{Account: d.Account, RetryAfter: notLendingRetry}
--- a/internal/control/quota/quota.go
+++ b/internal/control/quota/quota.go
@@ -28,8 +28,8 @@
 	Log   *logrus.Logger
 	// Clock returns the VM's own time.
 	Clock func() time.Time
-	// MaxListAge returns how old the list of VMs of a VM may be that reaches the store,
-	// given the number of VMs.
+	// MaxListAge returns the greatest age of a VM's list of VMs while the VM reaches the
+	// store, given the number of VMs.
 	MaxListAge func(vms int) time.Duration
 }
 
@@ -113,12 +113,13 @@
 	parts.Wait()
 }
 
-// Ready reports whether operations can be admitted: without a list of VMs, this VM doesn't
-// know the lenders of quotas.
+// Ready reports whether operations can be admitted. They can't while there are quotas and
+// this VM doesn't know their lenders, since it has read no list of VMs.
 func Ready(b *blackboard.Board) bool {
 	return !hasQuotas(b.Routing.Load()) || !b.QuotaLenders.Load().DecidedAt.IsZero()
 }
 
+// hasQuotas reports whether a configuration limits any client account.
 func hasQuotas(r *chervilladder.Routing) bool {
 	return r != nil && r.Accounts != nil && len(r.Accounts.Quotas) > 0
 }
--- a/internal/control/quota/report.go
+++ b/internal/control/quota/report.go
@@ -29,8 +29,9 @@
 type report struct {
 	named                      bool
 	offered, borrowed, refused *metrics.Counter
-	// reported is how many refusals have been counted. refusingSince is when they
-	// began, zero while there are none; atFirst is how many had been counted then.
+	// reported is how many refusals have been counted. refusingSince is when the current
+	// series of refusals began, zero without one; atFirst is how many had been counted
+	// then.
 	reported, atFirst            int64
 	refusingSince, lastRefusedAt time.Time
 }
--- a/internal/control/quota/standing.go
+++ b/internal/control/quota/standing.go
@@ -92,8 +92,8 @@
 	}
 }
 
-// notePause notes whether the VM has stood still since the last check. What it knew
-// before counts no more.
+// notePause detects that the VM was suspended since the last check, and discards what it
+// knew before.
 func (k *Controller) notePause() {
 	s, now := &k.standing, k.c.Clock()
 	if now.Sub(s.checkedAt) >= blackboard.MaxTenureAge {
@@ -161,10 +161,10 @@
 	}
 }
 
-// current reports whether this VM would know if its list of VMs had changed. It would
-// not if it had been cut off from the store for as long as a list may be old, while
-// others weren't. While nobody reaches the store, the list can't change; that is assumed
-// if most VMs answer this one.
+// current reports whether this VM would know if its list of VMs had changed. It would not
+// know if it has been cut off from the store for longer than the greatest age of a list,
+// while others haven't. While no VM reaches the store, the list can't change; this is
+// assumed if the store is lost and at least half of a sample of VMs answer this one.
 func (k *Controller) current(now time.Time, vms int) bool {
 	s, maxAge := &k.standing, k.c.MaxListAge(vms)
 	unread := now.Sub(k.c.Board.ListedAt.Load())
@@ -203,7 +203,7 @@
 }
 
 // introduce asks the VMs that may lend in this VM's place whether they have it in their
-// lists, until they do. Then it needn't wait.
+// lists, until they do. Once they do, this VM may lend without waiting.
 func (k *Controller) introduce(ctx context.Context) {
 	s, now := &k.standing, k.c.Clock()
 	if k.alone() || k.c.Board.ListedAt.Load().IsZero() || now.Sub(s.introducedAt) < introduceInterval {
--- a/internal/control/relay/relay.go
+++ b/internal/control/relay/relay.go
@@ -50,8 +50,8 @@
 
 // Controller is the one writer of the board's Published, Members, Peers, ListedAt,
 // ListedBefore, StoreAccess, PeerConfirmedAt and PeerKnowledge in a VM started with
-// daemon.RunOnPlatform. It sends peers what the blackboard holds of the store, and follows them while this VM
-// doesn't read the store itself.
+// daemon.RunOnPlatform. It sends peers what the blackboard holds of the store, and follows
+// them while this VM doesn't read the store itself.
 type Controller struct {
 	c Config
 
@@ -167,13 +167,13 @@
 // listEvery returns the mean time between two reads of the list of VMs.
 func (k *Controller) listEvery() time.Duration { return listEvery(len(k.c.Board.Peers.Load())) }
 
-// listEvery returns the mean time between two reads of a list of VMs. The longer it is,
-// the more VMs read it.
+// listEvery returns the mean time between two reads of a list of VMs. It grows with the
+// list, which is then longer and read by more VMs.
 func listEvery(vms int) time.Duration {
 	return max(minListEvery, time.Duration(vms)*listEveryPerVM)
 }
 
-// MaxListAge returns how old the list of VMs of a VM may be that reaches the store.
+// MaxListAge returns the greatest age of a VM's list of VMs while the VM reaches the store.
 func MaxListAge(vms int) time.Duration {
 	return listEvery(vms)*3/2 + maxListCall // retry.Jitter adds up to half
 }
--- a/internal/decide/intake/connections.go
+++ b/internal/decide/intake/connections.go
@@ -34,8 +34,8 @@
 // maxEvicting is how many connections are closed at once to make room.
 const maxEvicting = 32
 
-// EvictFrom returns from how many connections on one is closed for each that is accepted,
-// so that callers can connect while others are being closed.
+// EvictFrom returns the number of connections from which on one is closed for each that is
+// accepted. It is below the limit, so that callers can connect while others are closed.
 func EvictFrom(limit int) int { return limit - min(maxEvicting, limit/4) }
 
 // Phase is what a caller's connection is doing.
@@ -57,7 +57,7 @@
 	PhaseWorking
 )
 
-// Waiting describes a caller's connection.
+// Waiting describes a caller's connection for the choice of which to close.
 type Waiting struct {
 	Phase Phase
 	// Since orders connections by when their phase began.
--- a/internal/decide/intake/intake.go
+++ b/internal/decide/intake/intake.go
@@ -8,14 +8,13 @@
 )
 
 const (
-	// accountShare is the part of the VM's memory, as a divisor, that callers may make
-	// it hold. The rest is for idle sessions, links, control and garbage.
-	accountShare = 6
+	// accountDivisor divides the VM's memory into what callers may make it hold. The rest
+	// is for idle sessions, links, control and garbage.
+	accountDivisor = 6
 	// minLimit lets a message of the largest legal size through in any case.
 	minLimit Bytes = 16 << 20
-	// keptShare is the part of the limit, as a divisor, that sessions may keep for as
-	// long as they last.
-	keptShare = 2
+	// keptDivisor divides the limit into what sessions may keep for as long as they last.
+	keptDivisor = 2
 )
 
 // Bytes is an amount of memory.
@@ -26,7 +25,7 @@
 	if memory <= 0 {
 		return 0
 	}
-	return max(minLimit, memory/accountShare)
+	return max(minLimit, memory/accountDivisor)
 }
 
 // Account is the memory that callers make a VM hold: requests that are being read, work
@@ -44,7 +43,7 @@
 	mu      sync.Mutex
 	changed sync.Cond
 	kept    Bytes
-	// leaving is what those that are being closed still hold.
+	// leaving is what the callers that are being closed still hold.
 	leaving Bytes
 	holders map[*Holder]struct{}
 	// serial orders the holders by when they last began to hold something.
@@ -78,7 +77,7 @@
 func (a *Account) Keep(n Bytes) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if limit := a.Limit(); limit > 0 && (a.kept+n > limit/keptShare || !a.fits(n)) {
+	if limit := a.Limit(); limit > 0 && (a.kept+n > limit/keptDivisor || !a.fits(n)) {
 		return false
 	}
 	a.kept += n
@@ -117,8 +116,9 @@
 func (a *Account) NewHolder(close func()) *Holder { return &Holder{account: a, close: close} }
 
 // Take takes n more bytes and reports whether the caller may go on. If they don't fit,
-// the callers that hold most are closed; if that is this one, it is refused, and if all
-// others are at work, too.
+// it closes the callers that hold most and waits until they have released it. It returns
+// false if this caller would hold most, if all others are pinned, or if this one is
+// closed.
 func (h *Holder) Take(n Bytes) bool {
 	a := h.account
 	a.mu.Lock()
@@ -164,13 +164,13 @@
 	}
 }
 
-// closeLargest closes the caller that holds most, of equal ones that which has held
-// something for the longest time. It returns false if that is the one that asks, which
-// would then hold size, or if there is none. The lock is held.
-func (a *Account) closeLargest(asks *Holder, size Bytes) bool {
+// closeLargest closes the caller that holds most; of equal ones, the one that has held
+// something for the longest time. It returns false if there is none, or if it holds less
+// than size, which is what the asking caller would hold. The lock is held.
+func (a *Account) closeLargest(asking *Holder, size Bytes) bool {
 	var largest *Holder
 	for h := range a.holders {
-		if h != asks && !h.pinned && !h.closed && (largest == nil || h.before(largest)) {
+		if h != asking && !h.pinned && !h.closed && (largest == nil || h.before(largest)) {
 			largest = h
 		}
 	}
@@ -180,7 +180,7 @@
 	largest.closed = true
 	a.leaving += largest.held
 	largest.close()
-	a.changed.Broadcast() // it may wait itself
+	a.changed.Broadcast() // the closed caller may be waiting in Take
 	return true
 }
 
--- a/internal/decide/locality/locality.go
+++ b/internal/decide/locality/locality.go
@@ -1,7 +1,7 @@
 // Package locality decides which share of a service's work leaves the VM's data centre: none
-// until work loses more time at the data centre's own hosts than at those of the others,
-// the way there and back included, and then as little as evens that out. It answers the
-// load under which one data centre has too few hosts, or slow ones.
+// until work loses more time at the data centre's own hosts than at those of others, the
+// network included, and then just enough to make the two equal. It is for a data centre
+// with too few hosts, or slow ones.
 package locality
 
 import "time"
@@ -9,20 +9,19 @@
 const (
 	// leaveAfter is how long leaving must pay before any work leaves.
 	leaveAfter = 500 * time.Millisecond
-	// stepEvery is the time in which the share changes by step. Both are small, so that
-	// the costs follow before the next change.
+	// The share changes by step in stepEvery. That is slow enough for the measured costs
+	// to follow before the next change.
 	stepEvery = 250 * time.Millisecond
 	step      = 0.05
 	maxShare  = 0.8
-	// backPart is how many times slower work comes back than it leaves: what left is
-	// needed again if it comes back too fast.
-	backPart = 4
-	// minGain is the least time that leaving must save for more work to leave, and
-	// gainPart the part of the own cost that it must save. Between that and no gain the
-	// share stays as it is.
-	minGain  = 3 * time.Millisecond
-	gainPart = 4
-	// stayFor is for how long no work leaves after it turned out not to pay.
+	// returnDivisor is how many times slower the share falls than it grows. If it fell
+	// faster, the own hosts would be overloaded again and the share would oscillate.
+	returnDivisor = 4
+	// For more work to leave, leaving must save more than minGain and more than the own
+	// cost divided by gainDivisor. Between that and no gain the share stays as it is.
+	minGain     = 3 * time.Millisecond
+	gainDivisor = 4
+	// stayFor is for how long no work leaves after the share has fallen to zero.
 	stayFor = 5 * time.Second
 )
 
@@ -37,33 +36,34 @@
 type State struct {
 	// Share is the share of the callers whose work leaves.
 	Share float64
-	// paysFor is for how long leaving has paid; staysFor for how long no work leaves yet.
+	// paysFor is for how long leaving has saved enough time; staysFor is for how much
+	// longer no work may leave.
 	paysFor, staysFor time.Duration
-	// own is the own cost before. While it falls, enough work has left.
+	// own is the own cost at the previous decision. While it falls, enough work leaves.
 	own time.Duration
 }
 
-// Next returns the state after a time in which the costs were as given.
+// Next returns the next state, given the costs now and the time since the last decision.
 func (s State) Next(c Costs, passed time.Duration) State {
 	s.staysFor = max(0, s.staysFor-passed)
 	change := step * float64(passed) / float64(stepEvery)
 	falls := c.Own < s.own
 	s.own = c.Own
 	switch gain := c.Own - c.Other; {
-	case gain > max(minGain, c.Own/gainPart):
+	case gain > max(minGain, c.Own/gainDivisor):
 		s.paysFor += passed
 		if s.paysFor >= leaveAfter && s.staysFor == 0 && !falls {
 			s.Share = min(maxShare, s.Share+change)
 		}
 	case gain < 0:
 		s.paysFor = 0
-		s = s.back(change / backPart)
+		s = s.shrink(change / returnDivisor)
 	}
 	return s
 }
 
-// back lets less work leave.
-func (s State) back(change float64) State {
+// shrink reduces the share. Once it is zero, no work leaves for stayFor.
+func (s State) shrink(change float64) State {
 	if s.Share == 0 {
 		return s
 	}
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -1,6 +1,6 @@
 // Package placement decides to which VM work is forwarded, from what this VM knows of
-// each host of the service. It answers the load under which hosts differ: some don't
-// reach the primary, some don't answer or shut down, some are slow.
+// each host of the service. Hosts differ: some don't reach the primary, some don't answer
+// or shut down, some are slow.
 package placement
 
 import (
@@ -21,9 +21,9 @@
 	drainingFor     = 3 * time.Second
 	noPrimaryFor    = time.Second
 	waitFor         = 500 * time.Millisecond
-	// SilentUntil is how long a host that serves none of its work is asked only if the
-	// others are no better, from silentAfter on. By then it knows itself whether it
-	// reaches the primary.
+	// SilentUntil is how long after the first unserved work a host stops being Silent,
+	// which it is from silentAfter on. By then the host itself has found out whether it
+	// reaches the primary, and reports it.
 	SilentUntil = 1500 * time.Millisecond
 	silentAfter = 200 * time.Millisecond
 )
@@ -58,8 +58,8 @@
 type Host struct {
 	VM       chervilladder.VMID
 	Standing Standing
-	// Cost is how much time the work is expected to lose there: beyond its run, and
-	// waiting for a slot.
+	// Cost is how much time the work is expected to take there beyond its run: on the
+	// network and waiting for a slot.
 	Cost time.Duration
 }
 
@@ -101,7 +101,7 @@
 	return base
 }
 
-// Choice chooses the host to forward a caller's work to, out of those that it is offered.
+// Choice chooses the host to forward a caller's work to, out of those passed to Offer.
 // Among hosts of the best standing the callers are spread by weighted rendezvous hashing: a
 // host's share falls with its cost, and when costs change, no more callers move than the
 // shares require. So VMs that see the same costs don't all move their work to the same host.
@@ -129,7 +129,7 @@
 func (c *Choice) Best() (Host, bool) { return c.best, c.found }
 
 const (
-	// alikeBelow is the cost below which hosts are alike.
+	// alikeBelow is the cost below which hosts have the same weight.
 	alikeBelow = 10 * time.Millisecond
 	// minWeight is the least weight of a host, relative to one without cost. Even a
 	// very slow host gets some work, which shows when it is no longer slow.
--- a/internal/decide/quota/bucket.go
+++ b/internal/decide/quota/bucket.go
@@ -22,7 +22,8 @@
 	// lasts as long as a loan.
 	period            time.Time
 	current, previous map[chervilladder.VMID]use
-	// demanded is the sum of the demands of both periods.
+	// demanded is the sum of the demands of the running period, demandedBefore that of
+	// the one before.
 	demanded, demandedBefore float64
 }
 
@@ -41,7 +42,7 @@
 	Terms        Terms
 }
 
-// Lend lends whole operations, at most the demand. If it is less, it returns the time
+// Lend lends whole operations, at most the demand. If it lends less, it returns the time
 // after which more can be lent.
 func (b *Bucket) Lend(r Request, now time.Time) (lent chervilladder.Operations, retryAfter time.Duration) {
 	s := shareOf(r.Quota, r.Lenders, r.Terms)
@@ -123,8 +124,8 @@
 	return min(1, unmet)
 }
 
-// fairLevel returns the greatest amount for each that a supply allows by max-min
-// fairness.
+// fairLevel returns the max-min fair share: a supply meets all demands up to it in full,
+// and each greater one up to it.
 func fairLevel(demands []float64, supply float64) float64 {
 	slices.Sort(demands)
 	for i, d := range demands {
--- a/internal/decide/quota/lenders.go
+++ b/internal/decide/quota/lenders.go
@@ -14,8 +14,8 @@
 const (
 	// lendersPerGroup is the number of VMs among which a quota is divided.
 	lendersPerGroup = 3
-	// candidates is the number of VMs that may lend in place of the lenders by an older
-	// list of VMs.
+	// candidates is the number of lenders and substitutes together. A VM with an older
+	// list may take a substitute for a lender.
 	candidates = 2 * lendersPerGroup
 	// Groups is the number of groups of accounts. The accounts of a group have the
 	// same lenders, so that a VM calls no more than Groups of them at a time.
@@ -31,8 +31,8 @@
 // GroupOf returns the group of an account.
 func GroupOf(a chervilladder.AccountID) Group { return Group(xxhash.Sum64String(string(a)) % Groups) }
 
-// Lenders returns the VMs that lend the quotas of a group's accounts, and those that may
-// still do so by an older list of VMs.
+// Lenders returns the VMs that lend the quotas of a group's accounts, and the substitutes,
+// which may still be lenders by an older list of VMs.
 func Lenders(g Group, vms []chervilladder.VM) (lenders, substitutes []chervilladder.VM) {
 	ranked := rendezvous.Spread(rendezvous.Task("quota/"+strconv.Itoa(int(g))), vms, candidates)
 	n := min(len(ranked), lendersPerGroup)
@@ -133,7 +133,7 @@
 	switch {
 	case t.ListedSince.IsZero():
 	case !e.Current:
-		// Others may have taken over. It begins anew once it knows the list.
+		// Others may have taken over. The VM waits again once its list is current.
 		t.LendingSince, t.ListedSince, t.Joined = time.Time{}, e.Now, true
 	case t.LendingSince.IsZero() && waited:
 		t.LendingSince = e.Now
