Session, link, blackboard: wording of comments

The comment of runsElsewhere named another function, those of the reasons why work wasn't run promised a choice that the forwarding VM makes, and waiterFor didn't say when it returns nothing. Missing comments are added. No behaviour changes.

--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -63,7 +63,7 @@
 	// control/relay.
 	ListedAt LatestTime
 	// ListTrigger carries requests to read the list of VMs soon. control/quota asks when
-	// a VM calls that isn't in the list, and control/relay reads.
+	// it is called by a VM that isn't in the list, and control/relay reads the list.
 	ListTrigger PollTrigger
 	// ListedBefore is set if the list contained this VM before it announced itself:
 	// it has been restarted. Written by control/relay.
--- a/internal/blackboard/forwarding.go
+++ b/internal/blackboard/forwarding.go
@@ -78,8 +78,8 @@
 // NoPrimary reports whether the host's last report was that it doesn't reach the primary.
 func (s *HostState) NoPrimary() bool { return s.NoPrimaryAt.Load().After(s.ReachedAt.Load()) }
 
-// Sent records that work which needs the primary is sent to the host. Work that the host
-// left unanswered for longer than a time no longer counts.
+// Sent records that work which needs the primary is sent to the host. Earlier unserved
+// work is forgotten once it is older than the duration counts.
 func (s *HostState) Sent(now time.Time, counts time.Duration) {
 	sent, served, at := s.sentAt.Load(), s.servedAt.Load(), now.UnixNano()
 	if sent <= served || at-sent > int64(counts) {
@@ -90,8 +90,8 @@
 // Served records that the host has served such work.
 func (s *HostState) Served(now time.Time) { s.servedAt.Store(now.UnixNano()) }
 
-// SilentFor returns for how long the host has served none of the work that was sent to it
-// and needs the primary; zero if none waits.
+// SilentFor returns the time since unserved work that needs the primary was first sent to
+// the host; zero if there is none.
 func (s *HostState) SilentFor(now time.Time) time.Duration {
 	if sent := s.sentAt.Load(); sent > s.servedAt.Load() {
 		return time.Duration(now.UnixNano() - sent)
@@ -108,7 +108,7 @@
 	r.at.Store(now.UnixNano())
 }
 
-// Load returns the wait and its age; the age of none is very long.
+// Load returns the wait and its age. If none was reported, the age is very long.
 func (r *ReportedWait) Load(now time.Time) (wait, age time.Duration) {
 	return time.Duration(r.wait.Load()), time.Duration(now.UnixNano() - r.at.Load())
 }
--- a/internal/blackboard/quota.go
+++ b/internal/blackboard/quota.go
@@ -16,8 +16,8 @@
 	DecidedAt time.Time
 }
 
-// MaxTenureAge is how old the tenures may be for the VM to lend. They are older if it
-// has stood still, and others may have taken over.
+// MaxTenureAge is the age from which the tenures no longer allow the VM to lend. They
+// reach it if the VM was suspended; others may have taken over since.
 const MaxTenureAge = 2 * time.Second
 
 // LendingSince returns since when the VM may lend the quotas of a group; zero if it may
--- a/internal/link/answer.go
+++ b/internal/link/answer.go
@@ -72,7 +72,7 @@
 	return r, err
 }
 
-// receiveJudged is receive, and returns the judgement on the answer too.
+// receiveJudged is like receive, and also returns the judgement on the answer.
 func (c *Conn) receiveJudged(deadline time.Time) (chervilladder.Result, repeat.Judgement, error) {
 	for {
 		r, err := c.link.Receive(deadline)
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -67,8 +67,10 @@
 // waryFor is how long an upstream counts as one that repeats answers.
 const waryFor = time.Minute
 
+// noteRepeat records that the upstream has repeated an answer.
 func (p *Pool) noteRepeat(now time.Time) { p.repeatedAt.Store(now.UnixNano()) }
 
+// repeatsAnswers reports whether the upstream has repeated an answer lately.
 func (p *Pool) repeatsAnswers(now time.Time) bool {
 	at := p.repeatedAt.Load()
 	return at != 0 && now.Sub(time.Unix(0, at)) < waryFor
@@ -106,9 +108,9 @@
 	return p.await(ctx, w)
 }
 
-// mayOpen reports whether one more connection may be opened for an account. A VM that
-// has none always tries. Those without an account, which carry the status requests, and
-// those with one count separately in this.
+// mayOpen reports whether one more connection may be opened for an account. The first
+// connection of client accounts is always tried, and so is the first without an account,
+// which carries the status requests.
 func (p *Pool) mayOpen(account chervilladder.AccountID) bool {
 	if account == "" && p.unnamed == 0 || account != "" && p.unnamed == p.open {
 		return true
--- a/internal/link/waiter.go
+++ b/internal/link/waiter.go
@@ -8,8 +8,8 @@
 	"github.com/chervilladder/chervilladder"
 )
 
-// maxPassedOver is how long waiters of other accounts may be served before the one that
-// came first. Connections of the same account can be handed over as they are; for another
+// maxPassedOver is how long later waiters may be served before the first one because a
+// returned connection is of their account. Connections of the same account can be handed over as they are; for another
 // account, one is closed and one opened.
 const maxPassedOver = 50 * time.Millisecond
 
@@ -27,7 +27,7 @@
 	mayDial bool
 }
 
-// enqueue adds a waiter.
+// enqueue adds a waiter. The pool's lock is held.
 func (p *Pool) enqueue(account chervilladder.AccountID) *waiter {
 	w := &waiter{account: account, since: time.Now(), served: make(chan grant, 1)}
 	p.waiters = append(p.waiters, w)
@@ -53,8 +53,9 @@
 	}
 }
 
-// waiterFor returns the waiter that a returned connection is for, or nil if it is for
-// none as it is.
+// waiterFor returns the first waiter of a returned connection's account. It returns nil if
+// there is none, or if another account's waiter has been passed over for too long: then
+// the connection is to be closed and one opened in its place.
 func (p *Pool) waiterFor(c *Conn) *waiter {
 	for i, w := range p.waiters {
 		if w.account == c.account {
@@ -67,7 +68,7 @@
 	return nil
 }
 
-// serve removes a waiter and gives it a grant.
+// serve removes a waiter and gives it a grant. The pool's lock is held.
 func (p *Pool) serve(w *waiter, g grant) {
 	p.waiters = slices.DeleteFunc(p.waiters, func(other *waiter) bool { return other == w })
 	w.served <- g
--- a/internal/session/forwarding.go
+++ b/internal/session/forwarding.go
@@ -26,8 +26,8 @@
 type forwardResponse struct {
 	Result   chervilladder.Result
 	Upstream chervilladder.UpstreamID
-	// Refused is why nothing of the transaction was run; empty if something was, or
-	// another VM could run it no better.
+	// Refused is why the last command wasn't run; empty if it was. The VM that forwarded
+	// it decides whether another VM may run it.
 	Refused chervilladder.Reason `msgpack:",omitempty"`
 	// NoPrimary is set if the work failed and the VM doesn't reach the primary of the
 	// service.
--- a/internal/session/manager.go
+++ b/internal/session/manager.go
@@ -31,7 +31,7 @@
 	// this VM doesn't, and that of a service hosted here whose primary only a peer
 	// reaches. It is nil if there are no other VMs.
 	Remote chervilladder.Remote
-	// Authenticator says whose callers are. If it is nil, a caller's key only tells
+	// Authenticator identifies callers by their keys. If it is nil, a caller's key only tells
 	// callers apart.
 	Authenticator chervilladder.Authenticator
 	// Admitter admits the operations of client accounts; nil admits all.
--- a/internal/session/remote.go
+++ b/internal/session/remote.go
@@ -40,7 +40,7 @@
 	return blackboard.Hosts{VMs: []chervilladder.VMID{peer}, FirstCount: 1}, true
 }
 
-// isForwarded reports whether the work is to be forwarded to another VM.
+// runsElsewhere reports whether the work is to be forwarded to another VM.
 func (w *work) runsElsewhere() bool {
 	_, elsewhere := w.forwardTargets()
 	return elsewhere
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -32,7 +32,7 @@
 	// lastUpstream is the member at which the last command was placed; empty if it
 	// was placed at none.
 	lastUpstream chervilladder.UpstreamID
-	// refused is why nothing of the last command was run, if another VM may run it.
+	// refused is why the last command wasn't run; empty if it was.
 	refused chervilladder.Reason
 }
 
--- a/internal/session/target.go
+++ b/internal/session/target.go
@@ -12,8 +12,9 @@
 	decide "github.com/chervilladder/chervilladder/internal/decide/placement"
 )
 
-// maxAlternatives is how many VMs a command is sent to at once after others refused it.
-// The first costs nothing of the retry budget.
+// maxAlternatives is how many further VMs a command is sent to, one after another and
+// without a delay, after others refused it. The first of them isn't charged to the retry
+// budget.
 const maxAlternatives = 3
 
 // errNoHostingVM reports a service without a VM to forward its work to.
@@ -21,8 +22,8 @@
 
 // targets are the VMs to which a command was forwarded.
 type targets struct {
-	// tried are the VMs that failed to run it. avoid is the VM that another attempt was
-	// forwarded to.
+	// tried are the VMs that failed to run it. avoid is the VM that the other attempt of a
+	// hedged read was forwarded to.
 	tried []chervilladder.VMID
 	avoid chervilladder.VMID
 	// alternatives counts the VMs that it was sent to without a delay after others
@@ -34,13 +35,13 @@
 	chosenAt time.Time
 }
 
-// excluded reports whether the command is to be forwarded to other VMs first.
+// excluded reports whether the command is to be forwarded to other VMs before this one.
 func (t *targets) excluded(vm chervilladder.VMID) bool {
 	return vm == t.avoid || slices.Contains(t.tried, vm)
 }
 
-// spreadKey returns the text by whose hash work is spread over VMs. An account has a
-// single one, so that few VMs hold connections for it.
+// spreadKey returns the text by whose hash work is spread over VMs. All callers of an
+// account share one, so that few VMs hold connections for the account.
 func (w *work) spreadKey() string {
 	if w.identity.Account != "" {
 		return string(w.identity.Account)
@@ -49,7 +50,7 @@
 }
 
 // nextTarget returns the VM to forward the next attempt to, and its standing. Once all
-// have been tried, they are tried again.
+// VMs have been tried, it forgets that and starts over.
 func (w *work) nextTarget() (chervilladder.VMID, decide.Standing, error) {
 	h, _ := w.forwardTargets()
 	if len(h.VMs) == 0 {
@@ -190,7 +191,7 @@
 	return true
 }
 
-// sent records that the work is sent to a VM, and returns the time by this VM's own clock.
+// sent records that the work is sent to a VM, and returns when, by this VM's own clock.
 func (w *work) sent(vm chervilladder.VMID) time.Time {
 	var now time.Time
 	if w.targets != nil {
@@ -219,7 +220,7 @@
 		s.Served(now)
 	}
 	if r.Took == 0 {
-		return // sent by an earlier build
+		return // an earlier build, which reports nothing about itself
 	}
 	t.Overhead.Add(roundTrip - r.Took)
 	s.ReportPrimary(!r.NoPrimary, now)
--- a/internal/session/work.go
+++ b/internal/session/work.go
@@ -35,7 +35,7 @@
 	// another attempt of it runs there.
 	excluded map[chervilladder.UpstreamID]bool
 	// targets are the VMs that it was forwarded to; nil if it wasn't. refused is why
-	// nothing was run.
+	// it wasn't run; empty if it was.
 	targets *targets
 	refused chervilladder.Reason
 	// retryAtOnce is set when a replica has refused a read for its lag, or had
