Platform, daemon, accounts: wording of comments

The comments on making room for callers, on fresh connections and on the limits of listeners could be read in more than one way. No behaviour changes.

--- a/account.go
+++ b/account.go
@@ -23,8 +23,7 @@
 // GoString hides the key from %#v.
 func (Key) GoString() string { return "[key]" }
 
-// KeySalt is the random value with which a VM digests the keys of a configuration that
-// it has read.
+// KeySalt is the random value with which a VM that reads a configuration digests its keys.
 type KeySalt []byte
 
 // KeyDigest identifies a key without revealing it. It depends on a KeySalt.
@@ -73,8 +72,8 @@
 // entry no longer lists is withdrawn.
 func (i InvalidAccount) retains(d KeyDigest) bool { return i.KeysUnknown || i.Listed[d] }
 
-// KeepLast returns the accounts with each invalid one as it was in the configuration
-// before, without the keys that are withdrawn or that another account holds now. An
+// KeepLast returns the accounts with each invalid one as it was in the previous
+// configuration, without the keys that are withdrawn or that another account holds now. An
 // account that was unknown before, or whose digests have another salt, gets no keys.
 func (a *Accounts) KeepLast(before *Accounts) *Accounts {
 	if a == nil || len(a.Invalid) == 0 {
@@ -108,7 +107,7 @@
 	return id, ok
 }
 
-// Identity is whose a caller is.
+// Identity tells to which client account a caller belongs.
 type Identity struct {
 	// Account is empty if the configuration names no client accounts, or if the route
 	// admits callers without one.
@@ -117,7 +116,7 @@
 	Name string
 }
 
-// Authenticator says whose callers are.
+// Authenticator identifies callers by their keys.
 type Authenticator interface {
 	// Authenticate returns the identity of a caller that presents a key at a
 	// database. Its error is a *DeniedError.
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -12,7 +12,7 @@
 	Listener net.Listener
 	// Max returns how many connections may be open; zero means any number.
 	Max func() int
-	// CloseOldest closes the oldest connection for a new one beyond Max. Otherwise the
+	// CloseOldest makes a new connection beyond Max close the oldest one. Otherwise the
 	// new one is closed.
 	CloseOldest bool
 }
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -237,16 +237,16 @@
 	return []actor{relays, hostingController, reachabilityController, forwardingController, localityController, server}, nil
 }
 
-// limited bounds the connections of an HTTP server. The oldest one is closed for a new one,
-// as who checks the VM connects anew.
+// limited bounds the connections of an HTTP server. The oldest one is closed for a new
+// one, since clients that check the VM can connect again.
 func limited(board *blackboard.Board, l net.Listener) net.Listener {
 	return connlimit.New(connlimit.Config{Listener: l, CloseOldest: true, Max: func() int {
 		return intake.ShareDescriptors(board.Bounds.Load().Sockets).HTTP
 	}})
 }
 
-// limitedPeers bounds the connections from peers. A new one beyond the bound is closed, as
-// those of peers last.
+// limitedPeers bounds the connections from peers. A new one beyond the bound is closed,
+// since the open ones are long-lived and carry forwarded work.
 func limitedPeers(board *blackboard.Board, l net.Listener) net.Listener {
 	return connlimit.New(connlimit.Config{Listener: l, Max: func() int {
 		return intake.ShareDescriptors(board.Bounds.Load().Sockets).Peers
