link: a waiter that gives up passes on its chance

Cause: when a waiter's context ended just as it was told to try again, nobody else was told; the next waiter waited on although a connection might be opened.

Change: it wakes the next one.

Measured: TestWaiterThatGivesUpWakesTheNext failed before and passes; tests of link pass.

--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -249,9 +249,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.count(account, -1)
-	if len(p.waiters) > 0 {
-		p.serve(p.waiters[0], grant{})
-	}
+	p.wakeNext()
 }
 
 // put returns a connection to the pool.
--- a/internal/link/waiter.go
+++ b/internal/link/waiter.go
@@ -90,5 +90,16 @@
 		p.put(g.conn)
 	case g.mayDial:
 		p.countClosed(w.account)
+	default:
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.wakeNext()
+	}
+}
+
+// wakeNext tells the first waiter to try again. The pool's lock is held.
+func (p *Pool) wakeNext() {
+	if len(p.waiters) > 0 {
+		p.serve(p.waiters[0], grant{})
 	}
 }
