session: the test of an outdated view starts between polls

A poll that ended at the virtual instant in which the test made the view outdated corrected it before the write, which then ran at once, rightly.

Change: the test waits until all goroutines are blocked before it changes the view. What it checks stays.

--- a/internal/session/reach_test.go
+++ b/internal/session/reach_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -179,6 +180,7 @@
 	bubble(t, clustertest.Config{}, func(is *is.I, w *clustertest.World) {
 		s := w.Open(t, 0, clustertest.PrimaryDB)
 		do(t, s, write("first"))
+		synctest.Wait() // a poll that ends at this instant would correct the view at once
 		view := &w.VMs[0].Board.Clusters.Get(clustertest.Service).View
 		view.Update(func(v blackboard.ClusterView) blackboard.ClusterView {
 			v.Term = 0
