quota: a lender that was only late isn't avoided

Cause: an answer that came 70 ms late had its lender avoided for a second, also when it then lent. On a busy machine all lenders of a group could be avoided, and the demand went to substitutes that lend nothing.

Change: an answer that lends ends it.

--- a/internal/control/quota/borrow.go
+++ b/internal/control/quota/borrow.go
@@ -234,8 +234,11 @@
 		if i < len(a.loans) && a.loans[i].Account == d.Account {
 			loan = a.loans[i]
 		}
-		if loan.Lifetime <= 0 {
-			k.avoided[avoidance{a.call.lender.ID, quota.GroupOf(d.Account)}] = now.Add(avoidFor)
+		key := avoidance{a.call.lender.ID, quota.GroupOf(d.Account)}
+		if loan.Lifetime > 0 {
+			delete(k.avoided, key) // it was only late
+		} else {
+			k.avoided[key] = now.Add(avoidFor)
 		}
 		lent := k.add(b, d, loan, a.call.sentAt, now)
 		if b.call != a.call {
