tests: files by concept, one copy of a check

Cause: quota's world_test.go had 515 lines and two readers of the same counts; two tests of repeated statuses repeated the same requests.

--- a/internal/control/quota/history_test.go
+++ b/internal/control/quota/history_test.go
@@ -236,16 +236,16 @@
 				if e.fault == cutFromVMs { // callers of a VM that is alone are refused
 					w.vms[e.vm%len(w.vms)].setLoad(tenant, 0)
 				}
-				_, before := w.accounts[tenant].counts()
+				before := w.accounts[tenant].totals().refused
 				for range int((e.lasts + recovers) / time.Second) {
 					time.Sleep(time.Second)
-					if _, now := w.accounts[tenant].counts(); now > before {
+					if now := w.accounts[tenant].totals().refused; now > before {
 						timeline = append(timeline, fmt.Sprint(time.Since(w.began), ": ", now-before))
 						before = now
 					}
 				}
 			}
-			offered, _ = w.accounts[tenant].counts()
+			offered = w.accounts[tenant].totals().offered
 			refused = w.accounts[tenant].wronglyRefused()
 		})
 		is := is.New(r)
@@ -274,7 +274,8 @@
 			}
 			time.Sleep(3 * time.Second)
 			a := load(w, tenant, 0.5*float64(q.Rate), even(vms), 10*time.Second)
-			offered, refused := a.counts()
+			sum := a.totals()
+			offered, refused := sum.offered, sum.refused
 			t.Logf("%d VMs: offered %d, refused %d", vms, offered, refused)
 			is.True(refused*50 <= offered)
 		})
--- a/internal/control/quota/world_test.go
+++ b/internal/control/quota/world_test.go
@@ -5,19 +5,17 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/control/quota"
 	"github.com/chervilladder/chervilladder/internal/control/relay"
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -52,48 +50,6 @@
 	storeDown bool
 }
 
-// account counts the operations of a client account.
-type account struct {
-	mu       sync.Mutex
-	admitted []time.Time
-	offered  int
-	refused  int
-	waited   time.Duration
-	// beyond counts the operations that one token bucket of the whole quota wouldn't
-	// have admitted: tokens is what it held at the time at.
-	beyond int
-	tokens float64
-	at     time.Time
-}
-
-// offer applies an operation to the token bucket of the whole quota.
-func (a *account) offer(q chervilladder.Quota) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := time.Now()
-	a.tokens = min(float64(q.Burst), a.tokens+now.Sub(a.at).Seconds()*float64(q.Rate))
-	a.at = now
-	if a.tokens >= 1 {
-		a.tokens--
-	} else {
-		a.beyond++
-	}
-}
-
-// counts returns how many operations were offered and refused.
-func (a *account) counts() (offered, refused int) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.offered, a.refused
-}
-
-// wronglyRefused returns how many more operations were refused than lie beyond the quota.
-func (a *account) wronglyRefused() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return max(0, a.refused-a.beyond)
-}
-
 // vm is one VM. Its controller is replaced when it restarts.
 type vm struct {
 	w    *world
@@ -249,120 +205,12 @@
 	}
 }
 
-func (v *vm) reachesStore() bool {
-	v.w.mu.Lock()
-	defer v.w.mu.Unlock()
-	return !v.storeCut && !v.w.storeDown
-}
-
 func (v *vm) reaches(other *vm) bool {
 	v.w.mu.Lock()
 	defer v.w.mu.Unlock()
 	return v.side == other.side
 }
 
-// followList reads the list of VMs as control/relay does.
-func (v *vm) followList(ctx context.Context, b *blackboard.Board) {
-	for !v.reachesStore() {
-		if !sleep(ctx, time.Second) {
-			return
-		}
-	}
-	b.ListedBefore.Store(!v.w.announce(v.self))
-	for wait := 500 * time.Millisecond; awaitListRead(ctx, b, wait/2+rand.N(wait)); wait = min(2*wait, 10*time.Second) {
-		v.awaitThaw()
-		if !v.reachesStore() {
-			continue
-		}
-		at := time.Now()
-		v.w.mu.Lock()
-		listed := slices.Clone(v.w.listed)
-		v.w.mu.Unlock()
-		members := make(map[chervilladder.VMID]blackboard.Member)
-		for _, other := range listed {
-			members[other.ID] = blackboard.Member{VM: other}
-		}
-		if _, ok := members[v.self.ID]; ok {
-			b.ListedAt.Raise(at)
-		} else {
-			v.w.announce(v.self)
-		}
-		delete(members, v.self.ID)
-		if known := b.Members.Load().Members; known == nil || !maps.Equal(known, members) {
-			b.Members.Store(blackboard.Membership{Members: members})
-		}
-	}
-}
-
-// awaitListRead waits for a duration, or until the list is asked for.
-func awaitListRead(ctx context.Context, b *blackboard.Board, d time.Duration) bool {
-	asked, first := b.ListTrigger.Watch(), min(d, 500*time.Millisecond)
-	if !sleep(ctx, first) {
-		return false
-	}
-	t := time.NewTimer(d - first)
-	defer t.Stop()
-	select {
-	case <-asked:
-	case <-t.C:
-	case <-ctx.Done():
-	}
-	return ctx.Err() == nil
-}
-
-// followStore keeps the board's evidence of the store, its own or a peer's.
-func (v *vm) followStore(ctx context.Context, b *blackboard.Board) {
-	for sleep(ctx, 300*time.Millisecond) {
-		v.awaitThaw()
-		v.w.mu.Lock()
-		vms := slices.Clone(v.w.vms)
-		v.w.mu.Unlock()
-		for _, other := range vms {
-			if other == v || other.current() != nil && !other.frozen() && v.reaches(other) {
-				if other.reachesStore() {
-					b.PeerConfirmedAt.Raise(time.Now().Add(-300 * time.Millisecond))
-				}
-			}
-		}
-	}
-}
-
-// announce adds a VM to the list, and reports whether it wasn't in it.
-func (w *world) announce(vm chervilladder.VM) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if slices.Contains(w.listed, vm) {
-		return false
-	}
-	w.listed = append(w.listed, vm)
-	return true
-}
-
-// removeGone removes the entries of VMs that most others can't reach.
-func (w *world) removeGone() {
-	for sleep(w.ctx, time.Second) {
-		w.mu.Lock()
-		vms, down := slices.Clone(w.vms), w.storeDown
-		w.mu.Unlock()
-		for _, v := range vms {
-			reached := 0
-			for _, other := range vms {
-				if v != other && v.current() != nil && !v.frozen() && other.current() != nil && !other.frozen() && v.reaches(other) {
-					reached++
-				}
-			}
-			if 2*reached+1 >= len(vms)/2 || v.unreachable.IsZero() {
-				v.unreachable = time.Now()
-			}
-			if time.Since(v.unreachable) >= goneAfter && !down {
-				w.mu.Lock()
-				w.listed = slices.DeleteFunc(w.listed, func(l chervilladder.VM) bool { return l.ID == v.self.ID })
-				w.mu.Unlock()
-			}
-		}
-	}
-}
-
 // link is a VM's network.
 type link struct{ v *vm }
 
@@ -461,36 +309,6 @@
 	}
 }
 
-// totals are the counts of an account at one moment.
-type totals struct {
-	offered, refused, beyond, admitted int
-	meanWait                           time.Duration
-}
-
-// totals returns the counts. Operations may still be running.
-func (a *account) totals() totals {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return totals{
-		offered: a.offered, refused: a.refused, beyond: a.beyond, admitted: len(a.admitted),
-		meanWait: a.waited / time.Duration(max(1, a.offered)),
-	}
-}
-
-// most returns the greatest number of operations admitted in any window.
-func (a *account) most() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	most, first := 0, 0
-	for i, at := range a.admitted {
-		for at.Sub(a.admitted[first]) >= window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // wronglyRefused returns the sum over all accounts but one.
 func (w *world) wronglyRefused(except chervilladder.AccountID) int {
 	sum := 0
--- a/internal/link/repeated_pair_test.go
+++ b/internal/link/repeated_pair_test.go
@@ -70,7 +70,13 @@
 		statusAnswer("primary"), idleAnswer, statusAnswer("primary"), // repeats
 		statusAnswer("replica"), idleAnswer, statusAnswer("replica"),
 	}}
-	c := open(t, s)
+	requireNewerStatus(is, open(t, s))
+}
+
+// requireNewerStatus requests a status three times: the member still leads at the first two
+// requests, and no longer at the third.
+func requireNewerStatus(is *is.I, c *link.Conn) {
+	is.Helper()
 	command := chervilladder.Command{Kind: chervilladder.CommandStatus}
 	for range 2 {
 		status, err := c.Status(time.Time{}, command)
--- a/internal/link/repeated_status_test.go
+++ b/internal/link/repeated_status_test.go
@@ -152,15 +152,7 @@
 		statusAnswer("primary"), idleAnswer, statusAnswer("primary"), // repeats
 		statusAnswer("replica"), idleAnswer, statusAnswer("replica"),
 	}}
-	c := open(t, s)
-	command := chervilladder.Command{Kind: chervilladder.CommandStatus}
-	for range 2 {
-		status, err := c.Status(time.Time{}, command)
-		is.NoErr(err)
-		is.True(status.Primary)
-	}
-	status, err := c.Status(time.Time{}, command)
-	is.True(err != nil || !status.Primary)
+	requireNewerStatus(is, open(t, s))
 }
 
 // An idle upstream's status stays the same; asking for it again costs no connection while
