--- /dev/null
+++ b/review/6/main.go
@@ -0,0 +1,106 @@
+// Command 6 shows that after the store has come back from a copy the duty of promotions is
+// performed with an epoch number below one that the platform has seen.
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/chervilladder/chervilladder/review/lab"
+)
+
+const service = "agenda"
+
+func main() {
+	record, err := lab.NewRecord(os.Args[1])
+	if err != nil {
+		os.Exit(lab.NotRun)
+	}
+	c := lab.Config{Record: record, VMs: 3, Services: []string{service}, Spares: 2}
+	os.Exit(lab.Run(c, play))
+}
+
+func play(w *lab.World) bool {
+	w.Configure(map[string]any{
+		"version":  7,
+		"services": []any{map[string]any{"name": service, "max_conns": 22, "sync_replicas": 1}},
+		"routes": []any{map[string]any{
+			"name": "r-1", "host": "salas", "route_type": "primary", "timeout_ms": 1000, "target_latency_ms": 200,
+			"priority": 0, "service": service, "max_attempts": 2,
+		}},
+		"limits": map[string]any{"tx_idle_ms": 3000},
+	})
+	w.StartVMs()
+	time.Sleep(lab.Stability)
+	first := holder(w)
+
+	// Planned work: the holder is restarted, and meanwhile a primary is replaced.
+	w.Join(service, 3)
+	before := w.Store.Copy()
+	first.Stop()
+	w.DrainPrimary(service)
+	first.Start()
+	first.AwaitReady()
+
+	if os.Getenv("TROUBLE") != "0" {
+		w.Store.Drill(before, time.Second)
+		w.ConfigureAgain()
+	}
+	time.Sleep(2 * lab.Stability)
+	write(w)
+
+	// Planned work once more.
+	w.Join(service, 4)
+	w.DrainPrimary(service)
+	write(w)
+	return judge(w)
+}
+
+// holder returns the VM that holds the duty by the store's record.
+func holder(w *lab.World) *lab.VM {
+	text, _ := w.Store.Get("duties", "failover")
+	var record struct{ Holder string }
+	if json.Unmarshal(text, &record) == nil {
+		for _, v := range w.VMs {
+			if v.Name == record.Holder {
+				return v
+			}
+		}
+	}
+	lab.Abort("no VM holds the duty")
+	return nil
+}
+
+// write shows that the system serves.
+func write(w *lab.World) {
+	for _, v := range w.VMs {
+		client, _ := lab.Dial(v, "salas", "u1")
+		if client == nil {
+			continue
+		}
+		id := lab.NextID()
+		w.Record.Notef("client of %s: QUERY %s WRITE 1a4 hold -> %q", v.Name, id, client.Query(id, "WRITE 1a4 hold").Last)
+		client.Close()
+	}
+}
+
+// judge reports whether rule ONE held: no two holders share an epoch number, and none is
+// lower than one that the platform has seen.
+func judge(w *lab.World) bool {
+	held := true
+	holders := make(map[uint64]string)
+	var highest uint64
+	for _, o := range w.Orders() {
+		if o.Epoch < highest {
+			w.Record.Notef("ONE: %s sends the epoch number %d after the platform has seen %d", o.Holder, o.Epoch, highest)
+			held = false
+		}
+		if h, ok := holders[o.Epoch]; ok && h != o.Holder {
+			w.Record.Notef("ONE: %s and %s promote with the same epoch number %d", h, o.Holder, o.Epoch)
+			held = false
+		}
+		highest, holders[o.Epoch] = max(highest, o.Epoch), o.Holder
+	}
+	return held
+}
--- /dev/null
+++ b/review/lab/world.go
@@ -0,0 +1,484 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+	"github.com/chervilladder/chervilladder/internal/standin/cluster"
+	"github.com/chervilladder/chervilladder/internal/standin/lineserver"
+)
+
+// The bounds of the settings, as those of a small deployment.
+const (
+	Stability   = 4 * time.Second
+	Drain       = 7 * time.Second
+	Grace       = 6 * time.Second
+	ConfigApply = 3 * time.Second
+	Outer       = 12 * time.Second
+)
+
+// The ports of each VM, which has a loopback address of its own.
+const (
+	frontPort   = 8784
+	readyPort   = 8785
+	metricsPort = 9464
+	firstPort   = 7440
+	lastPort    = 7455
+)
+
+// heartbeat is how often a backend writes its entry; the entry is removed after
+// missedHeartbeats without one.
+const (
+	heartbeat        = 1200 * time.Millisecond
+	missedHeartbeats = 3
+)
+
+// startTimeout bounds the wait for a VM to become ready, or for a promotion.
+const startTimeout = 15 * time.Second
+
+// Config configures a World.
+type Config struct {
+	Record *Record
+	// VMs is how many VMs run.
+	VMs int
+	// Services are the services; Spares is how many members more than three each has,
+	// which are not up at the start.
+	Services []string
+	Spares   int
+	// Contracts are further parts of the rules that are in force.
+	Contracts []string
+}
+
+// World is the system and its surroundings.
+type World struct {
+	Record   *Record
+	Store    *Store
+	Services map[string]*Service
+	VMs      []*VM
+
+	c      Config
+	dir    string
+	ctx    context.Context
+	cancel context.CancelFunc
+	server net.Listener
+
+	mu     sync.Mutex
+	orders []Order
+	spec   any
+}
+
+// Order is a promotion that the platform was asked for.
+type Order struct {
+	Service, ID, Holder string
+	Epoch               uint64
+}
+
+// Service is a replicated service.
+type Service struct {
+	Name    string
+	Cluster *cluster.Cluster
+	members []chervilladder.Registered
+
+	// born is when each member started, in Unix milliseconds.
+	born map[chervilladder.UpstreamID]int64
+
+	mu       sync.Mutex
+	draining map[chervilladder.UpstreamID]bool
+}
+
+// Run runs a case and returns its exit code. It ends all processes that the case started.
+func Run(c Config, play func(*World) bool) (code int) {
+	w := &World{Record: c.Record, Store: NewStore(c.Record), Services: make(map[string]*Service), c: c}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
+	defer w.close()
+	defer func() {
+		switch failure := recover().(type) {
+		case nil:
+		case *NotRunError:
+			c.Record.Notef("%v", failure)
+			code = NotRun
+		default:
+			panic(failure)
+		}
+	}()
+	w.start()
+	if play(w) {
+		return Held
+	}
+	return Broken
+}
+
+func (w *World) start() {
+	var err error
+	if w.dir, err = os.MkdirTemp("", "review-"); err != nil {
+		Abort("%v", err)
+	}
+	if w.server, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		Abort("%v", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(objectsPath, w.Store)
+	mux.HandleFunc("POST /promotion", w.servePromotion)
+	go func() { _ = (&http.Server{Handler: mux}).Serve(w.server) }() // it ends with the listener
+	for _, name := range w.c.Services {
+		w.startService(name)
+	}
+	prefix := fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
+	for i := range w.c.VMs {
+		w.VMs = append(w.VMs, w.newVM(i, fmt.Sprintf("%s.%d", prefix, 1+i)))
+	}
+}
+
+// startService starts the members of a service, the first of them as its primary.
+func (w *World) startService(name string) {
+	const members = 3
+	c := cluster.Config{
+		Service: chervilladder.ServiceID(name), Confirmations: 1, Connections: 22, Queue: 24, Lag: 60 * time.Millisecond,
+		ConnectTime: 12 * time.Millisecond, WorkTime: 8 * time.Millisecond, PromoteTime: time.Second,
+		EntryTerms: true, StepsDownAfter: time.Second,
+	}
+	s := &Service{Name: name, born: make(map[chervilladder.UpstreamID]int64), draining: make(map[chervilladder.UpstreamID]bool)}
+	var listeners []net.Listener
+	for i := range members + w.c.Spares {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			Abort("%v", err)
+		}
+		listeners = append(listeners, l)
+		s.members = append(s.members, chervilladder.Registered{
+			ID: chervilladder.UpstreamID(fmt.Sprintf("i-%s-%d", name, i)), Service: c.Service,
+			Address: chervilladder.Address(l.Addr().String()), DataCentre: "zone-a", Slots: 3,
+		})
+	}
+	c.Members = s.members
+	k, err := cluster.New(c)
+	if err != nil {
+		Abort("%v", err)
+	}
+	s.Cluster = k
+	for _, m := range s.members[members:] {
+		k.Remove(m.ID)
+	}
+	w.Services[name] = s
+	for _, m := range s.members {
+		s.born[m.ID] = time.Now().UnixMilli()
+	}
+	for i, m := range s.members {
+		go func() { _ = lineserver.Serve(w.ctx, listeners[i], k, m.ID) }() // it ends with the context
+		go w.beat(s, m)
+	}
+}
+
+// beat writes a member's entry as long as the member is up.
+func (w *World) beat(s *Service, m chervilladder.Registered) {
+	missed := missedHeartbeats
+	for seq := 1; w.ctx.Err() == nil; seq++ {
+		if s.Cluster.Down(m.ID) {
+			missed++
+			if missed == missedHeartbeats {
+				w.Store.Remove("servers", string(m.ID))
+			}
+		} else {
+			missed = 0
+			w.writeEntry(s, m, seq, s.born[m.ID])
+		}
+		time.Sleep(heartbeat)
+	}
+}
+
+func (w *World) writeEntry(s *Service, m chervilladder.Registered, seq int, born int64) {
+	primary, _ := s.Cluster.Primary()
+	entry := map[string]any{
+		"service": s.Name, "address": m.Address, "zone": m.DataCentre, "version": "v1", "slots": m.Slots, "state": "ready",
+		"cold_remaining_ms": 0, "db_role": "replica", "seq_no": seq, "born": born,
+	}
+	if primary == m.ID {
+		entry["db_role"] = "primary"
+	}
+	s.mu.Lock()
+	if s.draining[m.ID] {
+		entry["state"] = "draining"
+	}
+	s.mu.Unlock()
+	w.Store.Put("servers", string(m.ID), entry)
+}
+
+// Join starts a member of a service that was not up at the start, and waits until it has
+// registered and follows the primary.
+func (w *World) Join(service string, i int) {
+	s := w.Services[service]
+	s.Cluster.Add(s.members[i])
+	w.Record.Notef("backend %s starts", s.members[i].ID)
+	time.Sleep(3 * heartbeat)
+}
+
+// DrainPrimary has the primary of a service report that it leaves, and waits until a
+// promotion has taken effect. The old primary leaves once its drain is over.
+func (w *World) DrainPrimary(service string) {
+	s := w.Services[service]
+	leaving, term := s.Cluster.Primary()
+	s.mu.Lock()
+	s.draining[leaving] = true
+	s.mu.Unlock()
+	for _, m := range s.members {
+		if m.ID == leaving {
+			w.writeEntry(s, m, 0, s.born[m.ID]) // a change is reported at once
+		}
+	}
+	w.Record.Notef("backend %s, primary of term %d, reports that it is draining", leaving, term)
+	if !w.Await(startTimeout, func() bool { _, t := s.Cluster.Primary(); return t > term }) {
+		Abort("no other primary of %s came", service)
+	}
+	primary, term := s.Cluster.Primary()
+	w.Record.Notef("backend %s leads term %d", primary, term)
+	time.AfterFunc(Drain, func() {
+		s.Cluster.Remove(leaving)
+		w.Record.Notef("backend %s has left", leaving)
+	})
+}
+
+// Await polls a condition and reports whether it came true in time.
+func (w *World) Await(limit time.Duration, condition func() bool) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if condition() {
+			return true
+		}
+	}
+	return false
+}
+
+// servePromotion carries out a promotion. As fences are not checked, any epoch is taken.
+func (w *World) servePromotion(rw http.ResponseWriter, r *http.Request) {
+	var o Order
+	var body struct{ Service, ID string }
+	epoch, err := strconv.ParseUint(r.Header.Get("X-Chervilladder-Fencing-Token"), 10, 64)
+	if json.NewDecoder(r.Body).Decode(&body) != nil || err != nil || w.Services[body.Service] == nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	o = Order{Service: body.Service, ID: body.ID, Holder: r.Header.Get("X-Chervilladder-Duty-Holder"), Epoch: epoch}
+	w.mu.Lock()
+	w.orders = append(w.orders, o)
+	w.mu.Unlock()
+	w.Record.Notef("platform: POST /promotion of %s in %s by holder %s with epoch number %d", o.ID, o.Service, o.Holder, o.Epoch)
+	err = w.Services[o.Service].Cluster.Promote(chervilladder.VMID(o.Holder), chervilladder.Epoch(o.Epoch), chervilladder.UpstreamID(o.ID))
+	if err != nil {
+		rw.WriteHeader(http.StatusConflict)
+	}
+}
+
+// Orders returns the promotions that the platform was asked for, in order.
+func (w *World) Orders() []Order {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Order(nil), w.orders...)
+}
+
+// Configure writes a version of the operator's config, and returns once the store has
+// acknowledged it.
+func (w *World) Configure(spec map[string]any) {
+	revision, ok := w.Store.Put("config", "main", spec)
+	if !ok {
+		Abort("the operator's config was not acknowledged")
+	}
+	w.spec = spec
+	w.Record.Notef("operator: version %v of the config is acknowledged at revision %d", spec["version"], revision)
+}
+
+// ConfigureAgain writes the operator's last config again, as it does after a drill.
+func (w *World) ConfigureAgain() {
+	revision, ok := w.Store.Put("config", "main", w.spec)
+	if !ok {
+		Abort("the operator's config was not acknowledged")
+	}
+	w.Record.Notef("operator: the last config is written again; its revision is %d", revision)
+}
+
+func (w *World) close() {
+	for _, v := range w.VMs {
+		v.Kill()
+	}
+	w.cancel()
+	if w.server != nil {
+		w.server.Close()
+	}
+	if w.dir != "" {
+		_ = os.RemoveAll(w.dir) // a folder that stays does no harm
+	}
+}
+
+// VM is one VM. It keeps its address when its process is started again.
+type VM struct {
+	Name, IP string
+
+	w        *World
+	settings string
+	process  *exec.Cmd
+	ended    chan struct{}
+}
+
+const settings = `node_name = %q
+role = "chervilladder"
+machine_class = "front"
+serves = ["front"]
+ip = %q
+zone = "zone-a"
+region = "region-a"
+port_range = [%d, %d]
+bootstrap = true
+discovery = "platform"
+entry = "vip"
+heartbeat_ms = 1200
+contracts = %s
+[zones]
+zone-a = "region-a"
+[listen]
+front = "%s:%d"
+ready = "%s:%d"
+[limits]
+cpu_share = 0.608
+cores = 1
+memory_mb = 414
+max_fds = 6300
+link_mbps = 1500.0
+disk_mb = 0
+[bounds]
+seed_lag_s = 3
+reuse_after_s = 2
+stability_window_ms = 4000
+ack_ms = 5000
+catch_up_s = 4
+drain_ms = 7000
+grace_s = 6
+loss_slack_ms = 200
+config_apply_ms = 3000
+revert_slack_ms = 250
+outer_ms = 12000
+recovery_s = 12
+fencing_required = false
+thaw_ms = 300
+[platform]
+address = %q
+form = "objects"
+writes_per_s = 400
+reads_per_s = 2000
+history_s = 20
+value_bytes = 1048576
+ttl_min_ms = 1000
+[cloud]
+address = %q
+rate_per_s = 50.0
+duties = ["failover"]
+duty_per_s = 50.0
+`
+
+func (w *World) newVM(i int, ip string) *VM {
+	for _, port := range []int{frontPort, readyPort, metricsPort, firstPort} {
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
+		if err != nil {
+			Abort("%v", err)
+		}
+		l.Close()
+	}
+	contracts, err := json.Marshal(append([]string{"base", "drain", "config", "cost", "recover", "sql", "platform"}, w.c.Contracts...))
+	if err != nil {
+		Abort("%v", err)
+	}
+	v := &VM{w: w, Name: fmt.Sprintf("front-zone-a-%d", i+1), IP: ip}
+	v.settings = filepath.Join(w.dir, v.Name+".toml")
+	address := w.server.Addr().String()
+	text := fmt.Sprintf(settings, v.Name, ip, firstPort, lastPort, contracts, ip, frontPort, ip, readyPort, address, address)
+	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
+		Abort("%v", err)
+	}
+	return v
+}
+
+// StartVMs starts all VMs and waits until they are ready.
+func (w *World) StartVMs() {
+	for _, v := range w.VMs {
+		v.Start()
+	}
+	for _, v := range w.VMs {
+		v.AwaitReady()
+	}
+}
+
+// Start starts the VM's process with the command of the deploy file.
+func (v *VM) Start() {
+	log, err := os.OpenFile(filepath.Join(os.TempDir(), "review-"+v.Name+".log"), os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+	if err != nil {
+		Abort("%v", err)
+	}
+	defer func() { _ = log.Close() }() // the process has its own
+	cmd := exec.Command("target/chervilladder", "platform")
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CHERVILLADDER_NODE_FILE=" + v.settings}
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		Abort("%v", err)
+	}
+	v.process, v.ended = cmd, make(chan struct{})
+	go func() {
+		_ = cmd.Wait() // it was stopped or killed
+		close(v.ended)
+	}()
+	v.w.Record.Notef("VM %s starts as process %d", v.Name, cmd.Process.Pid)
+}
+
+// AwaitReady waits until the VM says that it is ready.
+func (v *VM) AwaitReady() {
+	client := &http.Client{Timeout: time.Second}
+	ready := v.w.Await(startTimeout, func() bool {
+		resp, err := client.Get(fmt.Sprintf("http://%s:%d/chervilladder/readiness", v.IP, readyPort))
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	if !ready {
+		Abort("%s does not become ready", v.Name)
+	}
+	v.w.Record.Notef("VM %s is ready", v.Name)
+}
+
+// Signal sends a signal to the VM's process.
+func (v *VM) Signal(s syscall.Signal) {
+	if v.process != nil {
+		_ = v.process.Process.Signal(s) // it may have ended
+	}
+}
+
+// Stop sends SIGTERM and waits until the process has ended.
+func (v *VM) Stop() {
+	v.Signal(syscall.SIGTERM)
+	v.w.Record.Notef("VM %s gets SIGTERM", v.Name)
+	select {
+	case <-v.ended:
+	case <-time.After(Grace):
+		Abort("%s does not end within its grace", v.Name)
+	}
+	v.w.Record.Notef("VM %s has ended", v.Name)
+}
+
+// Kill ends the process, if it runs, and waits for its end.
+func (v *VM) Kill() {
+	if v.process == nil {
+		return
+	}
+	v.Signal(syscall.SIGCONT)
+	v.Signal(syscall.SIGKILL)
+	<-v.ended
+}
