Review: cases 6 to 9 with their claims

Case 6: acknowledged commits lost by a failover with an outdated list of members. Case 9: a VM that starts during a drain.

--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -47,15 +47,21 @@
 	return strings.HasPrefix(a.Last, "COMPLETE") || strings.HasPrefix(a.Last, "READY")
 }
 
-// Dial opens a session at a VM.
+// Dial opens a session at a VM, and records it.
 func Dial(v *VM, database, who string) (*Client, Answer) {
+	c, a := DialQuietly(v, database, who)
+	v.w.Record.Notef("client of %s: CONNECT %s %s -> %q", v.Name, database, who, a.Last)
+	return c, a
+}
+
+// DialQuietly opens a session at a VM.
+func DialQuietly(v *VM, database, who string) (*Client, Answer) {
 	conn, err := net.DialTimeout("tcp", net.JoinHostPort(v.IP, strconv.Itoa(frontPort)), time.Second)
 	if err != nil {
 		return nil, Answer{}
 	}
 	c := &Client{conn: conn, in: bufio.NewReader(conn)}
 	a := Answer{Last: c.roundTrip("CONNECT " + database + " " + who)}
-	v.w.Record.Notef("client of %s: CONNECT %s %s -> %q", v.Name, database, who, a.Last)
 	if !a.OK() {
 		c.Close()
 		return nil, a
--- a/review/lab/world.go
+++ b/review/lab/world.go
@@ -57,6 +57,11 @@
 	// which are not up at the start.
 	Services []string
 	Spares   int
+	// Groups are the ids of the members of further services, which may come back under
+	// another id.
+	Groups map[string][]string
+	// BeatGap is the time between the first and the last member's heartbeats.
+	BeatGap time.Duration
 	// Contracts are further parts of the rules that are in force.
 	Contracts []string
 }
@@ -66,6 +71,7 @@
 	Record   *Record
 	Store    *Store
 	Services map[string]*Service
+	Groups   map[string]*Group
 	VMs      []*VM
 
 	c      Config
@@ -100,7 +106,7 @@
 
 // Run runs a case and returns its exit code. It ends all processes that the case started.
 func Run(c Config, play func(*World) bool) (code int) {
-	w := &World{Record: c.Record, Store: NewStore(c.Record), Services: make(map[string]*Service), c: c}
+	w := &World{Record: c.Record, Store: NewStore(c.Record), Services: make(map[string]*Service), Groups: make(map[string]*Group), c: c}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	defer w.close()
 	defer func() {
@@ -135,6 +141,9 @@
 	for _, name := range w.c.Services {
 		w.startService(name)
 	}
+	for name, ids := range w.c.Groups {
+		w.Groups[name] = newGroup(w, name, ids, w.c.BeatGap)
+	}
 	prefix := fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
 	for i := range w.c.VMs {
 		w.VMs = append(w.VMs, w.newVM(i, fmt.Sprintf("%s.%d", prefix, 1+i)))
@@ -264,7 +273,7 @@
 	var o Order
 	var body struct{ Service, ID string }
 	epoch, err := strconv.ParseUint(r.Header.Get("X-Chervilladder-Fencing-Token"), 10, 64)
-	if json.NewDecoder(r.Body).Decode(&body) != nil || err != nil || w.Services[body.Service] == nil {
+	if json.NewDecoder(r.Body).Decode(&body) != nil || err != nil {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -273,12 +282,20 @@
 	w.orders = append(w.orders, o)
 	w.mu.Unlock()
 	w.Record.Notef("platform: POST /promotion of %s in %s by holder %s with epoch number %d", o.ID, o.Service, o.Holder, o.Epoch)
-	err = w.Services[o.Service].Cluster.Promote(chervilladder.VMID(o.Holder), chervilladder.Epoch(o.Epoch), chervilladder.UpstreamID(o.ID))
-	if err != nil {
+	if !w.promote(o) {
 		rw.WriteHeader(http.StatusConflict)
 	}
 }
 
+// promote carries out an order, and reports whether the backend runs.
+func (w *World) promote(o Order) bool {
+	if g, ok := w.Groups[o.Service]; ok {
+		return g.promote(o.ID)
+	}
+	s, ok := w.Services[o.Service]
+	return ok && s.Cluster.Promote(chervilladder.VMID(o.Holder), chervilladder.Epoch(o.Epoch), chervilladder.UpstreamID(o.ID)) == nil
+}
+
 // Orders returns the promotions that the platform was asked for, in order.
 func (w *World) Orders() []Order {
 	w.mu.Lock()
@@ -309,6 +326,7 @@
 func (w *World) close() {
 	for _, v := range w.VMs {
 		v.Kill()
+		v.Store.Close()
 	}
 	w.cancel()
 	if w.server != nil {
@@ -322,6 +340,8 @@
 // VM is one VM. It keeps its address when its process is started again.
 type VM struct {
 	Name, IP string
+	// Store is the VM's way to the store.
+	Store *Proxy
 
 	w        *World
 	settings string
@@ -399,7 +419,9 @@
 	v := &VM{w: w, Name: fmt.Sprintf("front-zone-a-%d", i+1), IP: ip}
 	v.settings = filepath.Join(w.dir, v.Name+".toml")
 	address := w.server.Addr().String()
-	text := fmt.Sprintf(settings, v.Name, ip, firstPort, lastPort, contracts, ip, frontPort, ip, readyPort, address, address)
+	v.Store = NewProxy(address)
+	store := v.Store.Address()
+	text := fmt.Sprintf(settings, v.Name, ip, firstPort, lastPort, contracts, ip, frontPort, ip, readyPort, store, address)
 	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
 		Abort("%v", err)
 	}
@@ -416,9 +438,18 @@
 	}
 }
 
+// logs returns the folder for the logs of the VMs: that of the case, or the one that
+// REVIEW_LOGS names.
+func (w *World) logs() string {
+	if dir := os.Getenv("REVIEW_LOGS"); dir != "" {
+		return dir
+	}
+	return w.dir
+}
+
 // Start starts the VM's process with the command of the deploy file.
 func (v *VM) Start() {
-	log, err := os.OpenFile(filepath.Join(os.TempDir(), "review-"+v.Name+".log"), os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+	log, err := os.OpenFile(filepath.Join(v.w.logs(), v.Name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		Abort("%v", err)
 	}
@@ -437,6 +468,21 @@
 	v.w.Record.Notef("VM %s starts as process %d", v.Name, cmd.Process.Pid)
 }
 
+// Holder returns the VM that holds the duty by the store's record.
+func (w *World) Holder() *VM {
+	text, _ := w.Store.Get("duties", "failover")
+	var record struct{ Holder string }
+	if json.Unmarshal(text, &record) == nil {
+		for _, v := range w.VMs {
+			if v.Name == record.Holder {
+				return v
+			}
+		}
+	}
+	Abort("no VM holds the duty")
+	return nil
+}
+
 // AwaitReady waits until the VM says that it is ready.
 func (v *VM) AwaitReady() {
 	client := &http.Client{Timeout: time.Second}
@@ -461,10 +507,25 @@
 	}
 }
 
-// Stop sends SIGTERM and waits until the process has ended.
-func (v *VM) Stop() {
+// Terminate sends SIGTERM.
+func (v *VM) Terminate() {
 	v.Signal(syscall.SIGTERM)
 	v.w.Record.Notef("VM %s gets SIGTERM", v.Name)
+}
+
+// Restart waits until a VM that got SIGTERM has ended, and starts it again.
+func (v *VM) Restart() {
+	select {
+	case <-v.ended:
+	case <-time.After(Grace):
+		Abort("%s does not end within its grace", v.Name)
+	}
+	v.Start()
+}
+
+// Stop sends SIGTERM and waits until the process has ended.
+func (v *VM) Stop() {
+	v.Terminate()
 	select {
 	case <-v.ended:
 	case <-time.After(Grace):
