--- a/review/6/main.go
+++ b/review/6/main.go
@@ -25,7 +25,7 @@
 // Times of the clients and of the end.
 const (
 	writersPerVM = 3
-	writePause   = 10 * time.Millisecond
+	writePause   = 40 * time.Millisecond
 	settledAfter = 16 * time.Second
 	// beatGap is the time between the heartbeats of the replica that crashes and of the
 	// primary.
