--- a/review/6/main.go
+++ b/review/6/main.go
@@ -43,15 +43,7 @@
 
 func play(w *lab.World) bool {
 	trouble := os.Getenv("TROUBLE") != "0"
-	w.Configure(map[string]any{
-		"version":  7,
-		"services": []any{map[string]any{"name": service, "max_conns": 22, "sync_replicas": 1}},
-		"routes": []any{map[string]any{
-			"name": "r-1", "host": "salas", "route_type": "primary", "timeout_ms": 1000, "target_latency_ms": 200,
-			"priority": 0, "service": service, "max_attempts": 2,
-		}},
-		"limits": map[string]any{"tx_idle_ms": 3000},
-	})
+	w.Configure(lab.Configuration{Version: 7, Services: []string{service}, Routes: []lab.Route{{Host: "salas", Service: service}}})
 	w.StartVMs()
 	time.Sleep(lab.Stability)
 	holder := w.Holder()
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -62,26 +62,18 @@
 
 // config returns a version of the config. The last one moves a database to another
 // service, drops a route, adds one, and takes a key away.
-func config(version, timeoutMS int, last bool) map[string]any {
-	route := func(host, service string) any {
-		return map[string]any{
-			"name": "r-" + host, "host": host, "route_type": "primary", "timeout_ms": timeoutMS, "target_latency_ms": 200,
-			"priority": 0, "service": service, "max_attempts": 2, "auth_exempt": false,
-		}
-	}
-	service := func(name string) any { return map[string]any{"name": name, "max_conns": 22, "sync_replicas": 1} }
-	tenant := func(name string, keys ...string) any {
-		return map[string]any{"name": name, "api_keys": keys, "priority": 1, "rate_per_s": 300, "burst_size": 300}
+func config(version, timeoutMS int, last bool) lab.Configuration {
+	route := func(host, service string) lab.Route {
+		return lab.Route{Host: host, Service: service, TimeoutMS: timeoutMS}
 	}
-	c := map[string]any{
-		"version": version, "services": []any{service(oldService), service(newService)},
-		"limits":  map[string]any{"tx_idle_ms": 3000},
-		"routes":  []any{route("salas", oldService), route("dropped", oldService)},
-		"tenants": []any{tenant("ana", "key-ana"), tenant("bea", "key-bea")},
+	c := lab.Configuration{
+		Version: version, Services: []string{oldService, newService},
+		Routes:  []lab.Route{route("salas", oldService), route("dropped", oldService)},
+		Tenants: []lab.Tenant{{Name: "ana", Keys: []string{"key-ana"}}, {Name: "bea", Keys: []string{"key-bea"}}},
 	}
 	if last {
-		c["routes"] = []any{route("salas", newService), route("added", newService)}
-		c["tenants"] = []any{tenant("ana", "key-ana"), tenant("bea")}
+		c.Routes = []lab.Route{route("salas", newService), route("added", newService)}
+		c.Tenants[1].Keys = nil
 	}
 	return c
 }
--- a/review/lab/group.go
+++ b/review/lab/group.go
@@ -309,10 +309,10 @@
 	m.group.mu.Lock()
 	entry := map[string]any{
 		"service": m.group.Name, "address": m.Address, "zone": "zone-a", "version": "v1", "slots": 3, "state": "ready",
-		"cold_remaining_ms": 0, "db_role": "replica", "seq_no": seq, "born": m.born,
+		names["cold"]: 0, names["role"]: "replica", "seq_no": seq, "born": m.born,
 	}
 	if m.primary {
-		entry["db_role"] = "primary"
+		entry[names["role"]] = "primary"
 	}
 	if m.draining {
 		entry["state"] = "draining"
@@ -349,7 +349,7 @@
 		return
 	}
 	if f[1] != m.group.Name || len(f) > 3 && f[3] != m.ID {
-		_, _ = fmt.Fprintf(conn, "ERROR WRONGNODE %s\r\n", m.ID) // the caller may have gone
+		_, _ = fmt.Fprintf(conn, "ERROR %s %s\r\n", names["other-id"], m.ID) // the caller may have gone
 		return
 	}
 	time.Sleep(connectTime)
@@ -406,8 +406,8 @@
 		m.group.replicate()
 		m.group.mu.Unlock()
 		return m.status(), true
-	case "STEPDOWN":
-		m.w().Record.Notef("backend %s gets STEPDOWN %d", m.ID, term)
+	case names["step-down"]:
+		m.w().Record.Notef("backend %s gets %s %d", m.ID, word, term)
 		m.group.stepDown(m, term)
 		return m.status(), true
 	case "RESET", "SET":
@@ -467,7 +467,7 @@
 	at := m.applied()
 	if _, number, ok := strings.Cut(since, "."); ok {
 		if n, _ := strconv.Atoi(number); n > len(at) {
-			return "ERROR LAGGING " + m.ID
+			return "ERROR " + names["behind"] + " " + m.ID
 		}
 	}
 	return fmt.Sprintf("ROW %s\r\nCOMPLETE %s", item, m.digest(id))
@@ -480,7 +480,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !m.primary {
-		return "ERROR READONLY " + m.ID, true
+		return "ERROR " + names["not-primary"] + " " + m.ID, true
 	}
 	term := m.term
 	m.log = append(m.log, commit{term: term, id: id, arrived: time.Now()})
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -12,9 +12,6 @@
 	"time"
 )
 
-// objectsPath is where the store keeps its objects, by kind and name.
-const objectsPath = "/chervilladder/objects/"
-
 // eraHeader is the header that counts how often the store came back from a copy.
 const eraHeader = "Store-Era"
 
@@ -198,23 +195,12 @@
 	Status json.RawMessage `json:"status,omitempty"`
 }
 
-// listJSON and watchJSON are the answers to a list and to a watch.
-type listJSON struct {
-	Items    []objectJSON `json:"items"`
-	HasMore  bool         `json:"has_more"`
-	Revision uint64       `json:"store_revision"`
-}
-
+// eventJSON is a change on the wire.
 type eventJSON struct {
 	Removed bool       `json:"removed"`
 	Object  objectJSON `json:"object"`
 }
 
-type watchJSON struct {
-	Events   []eventJSON `json:"events"`
-	Revision uint64      `json:"store_revision"`
-}
-
 func encode(k key, o stored) objectJSON {
 	return objectJSON{Meta: metaJSON{Name: k.name, Revision: o.revision, Created: o.created, Finalizers: []string{}}, Spec: o.spec}
 }
@@ -222,7 +208,7 @@
 // ServeHTTP answers the calls of the system to the store. While the store is away each
 // call gets 503.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, objectsPath), "/")
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, names["objects"]), "/")
 	s.mu.Lock()
 	away, era := s.away, s.era
 	s.mu.Unlock()
@@ -262,43 +248,45 @@
 
 func (s *Store) serveList(w http.ResponseWriter, kind string) {
 	s.mu.Lock()
-	list := listJSON{Items: []objectJSON{}, Revision: s.content.revision}
+	items, revision := []objectJSON{}, s.content.revision
 	for k, o := range s.content.objects {
 		if k.kind == kind {
-			list.Items = append(list.Items, encode(k, o))
+			items = append(items, encode(k, o))
 		}
 	}
 	s.mu.Unlock()
-	slices.SortFunc(list.Items, func(a, b objectJSON) int { return strings.Compare(a.Meta.Name, b.Meta.Name) })
-	reply(w, http.StatusOK, list)
+	slices.SortFunc(items, func(a, b objectJSON) int { return strings.Compare(a.Meta.Name, b.Meta.Name) })
+	reply(w, http.StatusOK, map[string]any{"items": items, names["more"]: false, names["revision"]: revision})
 }
 
 // serveWatch answers with the changes after a revision as soon as there is one. A revision
 // that the store doesn't have gets 410.
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request, kind string) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
-	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	wait, _ := strconv.Atoi(r.URL.Query().Get(names["wait"]))
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	s.mu.Lock()
 	era := s.era
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		changed, answer := s.changed, watchJSON{Events: []eventJSON{}, Revision: s.content.revision}
+		changed, events := s.changed, []eventJSON{}
+		answer := map[string]any{names["revision"]: s.content.revision}
 		gone, cut := after > s.content.revision, s.away || s.era != era
 		for _, c := range s.content.history {
 			if c.key.kind == kind && c.revision > after {
-				answer.Events = append(answer.Events, eventJSON{Removed: c.removed, Object: encode(c.key, c.object)})
+				events = append(events, eventJSON{Removed: c.removed, Object: encode(c.key, c.object)})
 			}
 		}
 		s.mu.Unlock()
+		answer["events"] = events
 		switch {
 		case cut:
 			panic(http.ErrAbortHandler) // the store went away with the watch
 		case gone:
 			w.WriteHeader(http.StatusGone)
 			return
-		case len(answer.Events) > 0:
+		case len(events) > 0:
 			reply(w, http.StatusOK, answer)
 			return
 		}
--- a/review/lab/world.go
+++ b/review/lab/world.go
@@ -135,8 +135,8 @@
 		Abort("%v", err)
 	}
 	mux := http.NewServeMux()
-	mux.Handle(objectsPath, w.Store)
-	mux.HandleFunc("POST /promotion", w.servePromotion)
+	mux.Handle(names["objects"], w.Store)
+	mux.HandleFunc(names["promotion"], w.servePromotion)
 	go func() { _ = (&http.Server{Handler: mux}).Serve(w.server) }() // it ends with the listener
 	for _, name := range w.c.Services {
 		w.startService(name)
@@ -211,10 +211,10 @@
 	primary, _ := s.Cluster.Primary()
 	entry := map[string]any{
 		"service": s.Name, "address": m.Address, "zone": m.DataCentre, "version": "v1", "slots": m.Slots, "state": "ready",
-		"cold_remaining_ms": 0, "db_role": "replica", "seq_no": seq, "born": born,
+		names["cold"]: 0, names["role"]: "replica", "seq_no": seq, "born": born,
 	}
 	if primary == m.ID {
-		entry["db_role"] = "primary"
+		entry[names["role"]] = "primary"
 	}
 	s.mu.Lock()
 	if s.draining[m.ID] {
@@ -272,12 +272,12 @@
 func (w *World) servePromotion(rw http.ResponseWriter, r *http.Request) {
 	var o Order
 	var body struct{ Service, ID string }
-	epoch, err := strconv.ParseUint(r.Header.Get("X-Chervilladder-Fencing-Token"), 10, 64)
+	epoch, err := strconv.ParseUint(r.Header.Get(names["fence"]), 10, 64)
 	if json.NewDecoder(r.Body).Decode(&body) != nil || err != nil {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	o = Order{Service: body.Service, ID: body.ID, Holder: r.Header.Get("X-Chervilladder-Duty-Holder"), Epoch: epoch}
+	o = Order{Service: body.Service, ID: body.ID, Holder: r.Header.Get(names["holder"]), Epoch: epoch}
 	w.mu.Lock()
 	w.orders = append(w.orders, o)
 	w.mu.Unlock()
@@ -305,13 +305,14 @@
 
 // Configure writes a version of the operator's config, and returns once the store has
 // acknowledged it.
-func (w *World) Configure(spec map[string]any) {
+func (w *World) Configure(c Configuration) {
+	spec := c.spec()
 	revision, ok := w.Store.Put("config", "main", spec)
 	if !ok {
 		Abort("the operator's config was not acknowledged")
 	}
 	w.spec = spec
-	w.Record.Notef("operator: version %v of the config is acknowledged at revision %d", spec["version"], revision)
+	w.Record.Notef("operator: version %v of the config is acknowledged at revision %d", c.Version, revision)
 }
 
 // ConfigureAgain writes the operator's last config again, as it does after a drill.
@@ -349,61 +350,6 @@
 	ended    chan struct{}
 }
 
-const settings = `node_name = %q
-role = "chervilladder"
-machine_class = "front"
-serves = ["front"]
-ip = %q
-zone = "zone-a"
-region = "region-a"
-port_range = [%d, %d]
-bootstrap = true
-discovery = "platform"
-entry = "vip"
-heartbeat_ms = 1200
-contracts = %s
-[zones]
-zone-a = "region-a"
-[listen]
-front = "%s:%d"
-ready = "%s:%d"
-[limits]
-cpu_share = 0.608
-cores = 1
-memory_mb = 414
-max_fds = 6300
-link_mbps = 1500.0
-disk_mb = 0
-[bounds]
-seed_lag_s = 3
-reuse_after_s = 2
-stability_window_ms = 4000
-ack_ms = 5000
-catch_up_s = 4
-drain_ms = 7000
-grace_s = 6
-loss_slack_ms = 200
-config_apply_ms = 3000
-revert_slack_ms = 250
-outer_ms = 12000
-recovery_s = 12
-fencing_required = false
-thaw_ms = 300
-[platform]
-address = %q
-form = "objects"
-writes_per_s = 400
-reads_per_s = 2000
-history_s = 20
-value_bytes = 1048576
-ttl_min_ms = 1000
-[cloud]
-address = %q
-rate_per_s = 50.0
-duties = ["failover"]
-duty_per_s = 50.0
-`
-
 func (w *World) newVM(i int, ip string) *VM {
 	for _, port := range []int{frontPort, readyPort, metricsPort, firstPort} {
 		l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
@@ -487,7 +433,7 @@
 func (v *VM) AwaitReady() {
 	client := &http.Client{Timeout: time.Second}
 	ready := v.w.Await(startTimeout, func() bool {
-		resp, err := client.Get(fmt.Sprintf("http://%s:%d/chervilladder/readiness", v.IP, readyPort))
+		resp, err := client.Get(fmt.Sprintf("http://%s:%d%s", v.IP, readyPort, names["ready"]))
 		if err != nil {
 			return false
 		}
