failover: the list of members is read anew before a promotion

Cause: a VM passes a success on if a replica confirmed it that was a member before others were paused, and counts on a failover that knows each such replica. The failover had the statuses of its members read anew, and not the list of the members, which is as old as a watch that reports nothing. Shown by the record: the replica was in the other VMs' lists for 1.1 s and not in the holder's, whose watch was silent; it was the one that wasn't paused.

Change: half a second after the pause the attempt has the registry read the list from the store, beside the waiting watch; an upstream that isn't part of the attempt is paused too before anything is promoted. A late answer of the watch, or a list that was read before a newer one arrived, no longer brings an older list back.

TestPromotionOrderLogsTheStateOfEachMember had a promotion go on beside an upstream that was registered and not reached, which is what this forbids. Its upstream's entry is gone again before the list is read; it checks the same line.

--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -46,6 +46,10 @@
 	// Upstreams holds the upstreams that have registered at the platform.
 	// Written by control/registry.
 	Upstreams Section[Upstreams]
+	// UpstreamsTrigger carries requests to read the upstreams from the store at once, as
+	// what this VM's watch has reported may be seconds old. control/failover asks, and
+	// control/registry reads and sets Upstreams.ReadAt.
+	UpstreamsTrigger PollTrigger
 	// RoutingAnswered and UpstreamsAnswered are when the platform's store last
 	// answered a request for each, by the VM's own clock. Raised by
 	// control/routing and control/registry.
--- a/internal/blackboard/cluster.go
+++ b/internal/blackboard/cluster.go
@@ -18,6 +18,9 @@
 	Known bool
 	// Revision is the store's revision up to which the list is current.
 	Revision chervilladder.Revision
+	// ReadAt is when this VM last requested the list by UpstreamsTrigger and got it, by
+	// the VM's own clock: the list reflects the store at that time or later.
+	ReadAt time.Time
 }
 
 // KnownUpstream is one registered upstream.
--- a/internal/clustertest/world.go
+++ b/internal/clustertest/world.go
@@ -83,6 +83,8 @@
 	Linker   *FaultyLinker
 	Record   *FaultyRecord
 	Promoter *FaultyPromoter
+	// listed is what the store lists when the VM reads it anew.
+	listed blackboard.Section[[]chervilladder.Registered]
 	// ResignLeadership is closed to make the VM give up failover leadership.
 	ResignLeadership chan struct{}
 	// suspended is the total time for which the VM was suspended, in
@@ -228,6 +230,7 @@
 	controllers.Go(func() error { return reachabilityController.Run(ctx) })
 	controllers.Go(func() error { return forwardingController.Run(ctx) })
 	controllers.Go(func() error { return localityController.Run(ctx) })
+	controllers.Go(func() error { return vm.readOnRequest(ctx) })
 	go func() { vm.ended <- controllers.Wait() }()
 	return vm
 }
@@ -292,19 +295,6 @@
 	return nil
 }
 
-// SetMembers replaces the registered upstreams.
-func (vm *VM) SetMembers(members ...chervilladder.Registered) {
-	u := blackboard.Upstreams{ByID: make(map[chervilladder.UpstreamID]blackboard.KnownUpstream), Known: true}
-	for _, m := range members {
-		e := blackboard.KnownUpstream{Registered: m}
-		if m.Draining {
-			e.DrainingSince = time.Now()
-		}
-		u.ByID[m.ID] = e
-	}
-	vm.Board.Upstreams.Store(u)
-}
-
 func routing() *chervilladder.Routing {
 	r := &chervilladder.Routing{
 		Version: 1, Revision: 1,
--- a/internal/control/failover/evidence_test.go
+++ b/internal/control/failover/evidence_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,11 +36,17 @@
 	bubble(t, clustertest.Config{VMs: 1, Log: &log}, func(t *testing.T, is *is.I, w *clustertest.World) {
 		is.Equal(write(w, w.Open(t, 0, clustertest.PrimaryDB), "before").Code, chervilladder.CodeNone)
 		old, late := clustertest.MemberID(0), clustertest.Member(3)
+		w.Cluster.Add(late)
+		w.Cluster.Set(late.ID, func(f *cluster.Faults) { f.Silent, f.NoReplication = true, true })
 		w.Cluster.Set(old, func(f *cluster.Faults) { f.NoReplication = true })
 		go write(w, w.Open(t, 0, clustertest.PrimaryDB), "unconfirmed")
+		var registered atomic.Bool
 		w.VMs[0].Linker.OnStatus(func(_ chervilladder.UpstreamID, c chervilladder.Command) {
-			if c.Kind == chervilladder.CommandPause { // a member registers during the attempt
+			if c.Kind == chervilladder.CommandPause && !registered.Swap(true) { // a member registers during the attempt, and leaves
 				w.VMs[0].SetMembers(clustertest.Member(0), clustertest.Member(1), clustertest.Member(2), late)
+				time.AfterFunc(450*time.Millisecond, func() {
+					w.VMs[0].SetMembers(clustertest.Member(0), clustertest.Member(1), clustertest.Member(2))
+				})
 			}
 		})
 		primary, _ := awaitPrimary(t, w, old)
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -51,6 +51,7 @@
 	errChanged           = errors.New("the state of the cluster has changed since it was assessed")
 	errNotAllPaused      = errors.New("a member has joined, started again or been resumed since the replicas were paused")
 	errNotObserved       = errors.New("no primary of the expected term was observed")
+	errUpstreamsNotRead  = errors.New("the list of upstreams could not be read from the store, and the known one may lack a replica that confirms commits")
 )
 
 // supersededError reports a member that leads a later term: an earlier order has taken
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -31,6 +31,9 @@
 	// Entries that expired while the store was unavailable are registered
 	// again within about two seconds of its recovery.
 	missingGrace = 2500 * time.Millisecond
+	// readNowWait is how long a read on request waits for a change: the least wait that
+	// the store knows.
+	readNowWait = time.Millisecond
 	// sweepEvery is how often missing entries are checked.
 	sweepEvery = 250 * time.Millisecond
 )
@@ -49,9 +52,13 @@
 	c Config
 	// applying serialises updates from the store and from peers.
 	applying sync.Mutex
-	// after is the revision from which the watch continues; zero means that
-	// all upstreams are to be listed again.
-	after chervilladder.Revision
+	// current is the revision up to which the list on the blackboard is current. It may be
+	// later than that list's own, which rises with changes of upstreams only. Guarded by
+	// applying.
+	current chervilladder.Revision
+	// relist is set if changes may have been missed, so that all upstreams are to be
+	// listed again. Written by Run's loop only.
+	relist bool
 }
 
 // New returns a controller.
@@ -65,9 +72,10 @@
 // Run follows the registry until the context ends.
 func (k *Controller) Run(ctx context.Context) error {
 	ctx, stop := context.WithCancel(ctx)
-	var sweeping sync.WaitGroup
-	recovery.Go(ctx, &sweeping, k.c.Log, "registry", k.sweep)
-	defer sweeping.Wait()
+	var parts sync.WaitGroup
+	recovery.Go(ctx, &parts, k.c.Log, "registry", k.sweep)
+	recovery.Go(ctx, &parts, k.c.Log, "registry", k.readOnRequest)
+	defer parts.Wait()
 	defer stop()
 	loop := follow.Loop{
 		Name: "registry", Log: k.c.Log, RetryAfter: retryAfter, Step: k.step,
@@ -87,38 +95,113 @@
 	}
 }
 
+// step reads the store once, and waits for a change if there is none.
 func (k *Controller) step(ctx context.Context) error {
-	if k.after == 0 {
-		list, revision, err := k.c.Source.List(ctx)
-		if err != nil {
+	after := k.position()
+	if k.relist || after == 0 {
+		if err := k.list(ctx, after); err != nil {
 			return err
 		}
-		k.after = revision
-		k.applying.Lock()
-		defer k.applying.Unlock()
-		k.replace(list, revision)
+		k.relist = false
 		return nil
 	}
-	events, revision, err := k.c.Source.Watch(ctx, k.after, k.watchWait())
+	err := k.watch(ctx, after, k.watchWait())
 	var historyLost *chervilladder.HistoryLostError
 	if errors.As(err, &historyLost) {
-		k.c.Log.WithField("after", k.after).Info("registry: the store no longer has the changes since this revision; listing the upstreams again")
-		k.after = 0
+		k.c.Log.WithField("after", after).Info("registry: the store no longer has the changes since this revision; listing the upstreams again")
+		k.relist = true
 		return nil
 	}
+	k.relist = err != nil // as changes may have been missed
+	return err
+}
+
+// position returns the revision up to which the list on the blackboard is current; zero
+// if there is no list.
+func (k *Controller) position() chervilladder.Revision {
+	k.applying.Lock()
+	defer k.applying.Unlock()
+	return k.current
+}
+
+// list reads the whole list and applies it, unless a newer one than that of revision after
+// has been applied meanwhile.
+func (k *Controller) list(ctx context.Context, after chervilladder.Revision) error {
+	list, revision, err := k.c.Source.List(ctx)
 	if err != nil {
-		k.after = 0 // list all upstreams, as changes may have been missed
 		return err
 	}
-	k.after = revision
+	k.applying.Lock()
+	defer k.applying.Unlock()
+	if k.current != after && k.current > revision {
+		return nil
+	}
+	k.replace(list, revision)
+	return nil
+}
+
+// watch reads the changes after a revision, and applies them unless newer ones have been
+// applied meanwhile.
+func (k *Controller) watch(ctx context.Context, after chervilladder.Revision, wait time.Duration) error {
+	events, revision, err := k.c.Source.Watch(ctx, after, wait)
+	if err != nil {
+		return err
+	}
+	k.applying.Lock()
+	defer k.applying.Unlock()
+	if revision < k.current {
+		return nil
+	}
 	if len(events) > 0 {
-		k.applying.Lock()
-		defer k.applying.Unlock()
 		k.change(events, revision)
 	}
+	k.current = revision
 	return nil
 }
 
+// readOnRequest reads the changes without waiting for one, whenever another controller
+// asks for it.
+func (k *Controller) readOnRequest(ctx context.Context) {
+	asked := k.c.Board.UpstreamsTrigger.Watch()
+	for {
+		select {
+		case <-asked:
+		case <-ctx.Done():
+			return
+		}
+		asked = k.c.Board.UpstreamsTrigger.Watch() // before the read: a later request isn't satisfied by it
+		requestedAt := k.c.Clock()
+		if err := k.readNow(ctx); err != nil {
+			k.c.Log.WithError(err).Info("registry: upstreams not read on request")
+			continue
+		}
+		k.setReadAt(requestedAt)
+	}
+}
+
+func (k *Controller) setReadAt(requestedAt time.Time) {
+	k.applying.Lock()
+	defer k.applying.Unlock()
+	k.c.Board.Upstreams.Update(func(u blackboard.Upstreams) blackboard.Upstreams {
+		u.ReadAt = requestedAt
+		return u
+	})
+}
+
+// readNow reads the changes, or the whole list if the store no longer has them.
+func (k *Controller) readNow(ctx context.Context) error {
+	after := k.position()
+	if after == 0 {
+		return k.list(ctx, after)
+	}
+	err := k.watch(ctx, after, readNowWait)
+	var historyLost *chervilladder.HistoryLostError
+	if errors.As(err, &historyLost) {
+		return k.list(ctx, after)
+	}
+	return err
+}
+
 // watchWait returns how long a watch waits. A watch that no longer reports changes
 // is noticed only after that.
 func (k *Controller) watchWait() time.Duration {
@@ -148,32 +231,29 @@
 	k.change(events, revision)
 }
 
-// change applies events in order. Events that change no entry are ignored.
+// change applies events in order, and stores the list that results, which is that of a
+// revision.
 func (k *Controller) change(events []chervilladder.RegistryEvent, revision chervilladder.Revision) {
 	now := k.c.Clock()
 	old := k.c.Board.Upstreams.Load()
-	next := blackboard.Upstreams{ByID: maps.Clone(old.ByID), Known: true, Revision: max(old.Revision, revision)}
+	next := blackboard.Upstreams{ByID: maps.Clone(old.ByID), Known: true, Revision: revision, ReadAt: old.ReadAt}
 	if next.ByID == nil {
 		next.ByID = make(map[chervilladder.UpstreamID]blackboard.KnownUpstream)
 	}
-	changed := !old.Known || next.Revision != old.Revision
 	for _, e := range events {
 		before, known := next.ByID[e.ID]
 		entry, keep := k.apply(before, known, e, now)
 		switch {
 		case keep && (!known || entry != before):
 			next.ByID[e.ID] = entry
-			changed = true
 			k.logChange(e.ID, before, known, entry)
 		case !keep && known:
 			delete(next.ByID, e.ID)
-			changed = true
 			k.c.Log.WithField("upstream", e.ID).Info("registry: upstream left")
 		}
 	}
-	if changed {
-		k.c.Board.Upstreams.Store(next)
-	}
+	k.c.Board.Upstreams.Store(next)
+	k.current = revision
 }
 
 // apply returns an entry as changed by an event, and whether the upstream is kept.
@@ -242,7 +322,8 @@
 		return
 	}
 	k.c.Board.Upstreams.Update(func(u blackboard.Upstreams) blackboard.Upstreams {
-		next := blackboard.Upstreams{ByID: maps.Clone(u.ByID), Known: u.Known, Revision: u.Revision}
+		next := u
+		next.ByID = maps.Clone(u.ByID)
 		for id, e := range next.ByID {
 			if expired(e) {
 				delete(next.ByID, id)
