store: a revision bears the era in which the store gave it out

Nothing read the header that tells the era.

Change: StoreRevision, a pair of era and revision that is ordered by era first, takes the place of the bare revision in the registry, the routing, the leadership record, what peers know and a lost history, so that the compiler shows each place that keeps or compares one.

Messages between VMs are unchanged (golden files).

--- a/feed.go
+++ b/feed.go
@@ -8,17 +8,17 @@
 // KnownRevisions holds the store's revisions of the routing and the upstreams
 // that a VM knows.
 type KnownRevisions struct {
-	Routing, Upstreams Revision
+	Routing, Upstreams StoreRevision
 }
 
 // Covers reports whether both revisions are at least those of other.
 func (k KnownRevisions) Covers(other KnownRevisions) bool {
-	return k.Routing >= other.Routing && k.Upstreams >= other.Upstreams
+	return k.Routing.Covers(other.Routing) && k.Upstreams.Covers(other.Upstreams)
 }
 
 // Later returns the later revision of each part.
 func (k KnownRevisions) Later(other KnownRevisions) KnownRevisions {
-	return KnownRevisions{Routing: max(k.Routing, other.Routing), Upstreams: max(k.Upstreams, other.Upstreams)}
+	return KnownRevisions{Routing: k.Routing.Later(other.Routing), Upstreams: k.Upstreams.Later(other.Upstreams)}
 }
 
 // Following holds the parameters with which a VM follows the feed of another.
--- a/internal/blackboard/cluster.go
+++ b/internal/blackboard/cluster.go
@@ -17,7 +17,7 @@
 	// Known is set once a list has been read.
 	Known bool
 	// Revision is the store's revision up to which the list is current.
-	Revision chervilladder.Revision
+	Revision chervilladder.StoreRevision
 	// ReadAt is when this VM last requested the list by UpstreamsTrigger and got it, by
 	// the VM's own clock: the list reflects the store at that time or later.
 	ReadAt time.Time
--- a/internal/blackboard/knowledge.go
+++ b/internal/blackboard/knowledge.go
@@ -12,7 +12,7 @@
 	Routing *chervilladder.Routing
 	// Upstreams are the ones registered as of revision UpstreamsRevision.
 	Upstreams         []chervilladder.Registered
-	UpstreamsRevision chervilladder.Revision
+	UpstreamsRevision chervilladder.StoreRevision
 }
 
 // KnownRevisions returns the store's revisions of the routing and the upstreams
--- a/internal/clustertest/record.go
+++ b/internal/clustertest/record.go
@@ -36,7 +36,7 @@
 	if l == r.current {
 		return l, nil // like the platform's store: a write without a change doesn't increase the revision
 	}
-	l.Revision++
+	l.Revision.Revision++
 	r.current = l
 	return l, nil
 }
--- a/internal/clustertest/world.go
+++ b/internal/clustertest/world.go
@@ -297,7 +297,7 @@
 
 func routing() *chervilladder.Routing {
 	r := &chervilladder.Routing{
-		Version: 1, Revision: 1,
+		Version: 1, Revision: chervilladder.StoreRevision{Revision: 1},
 		Routes:          make(map[chervilladder.DatabaseID]chervilladder.Route),
 		Services:        map[chervilladder.ServiceID]chervilladder.ServiceLimits{Service: {ID: Service, MaxConnections: 22, SyncReplicas: 1}},
 		TransactionIdle: 3 * time.Second,
@@ -318,7 +318,7 @@
 func (w *World) SetAccounts(keys map[chervilladder.Key]chervilladder.AccountID) {
 	for _, vm := range w.VMs {
 		r := *vm.Board.Routing.Load()
-		r.Revision++
+		r.Revision.Revision++
 		r.Accounts = nil
 		if keys != nil {
 			salt := chervilladder.NewKeySalt()
--- a/internal/control/failover/acquire_internal_test.go
+++ b/internal/control/failover/acquire_internal_test.go
@@ -38,7 +38,7 @@
 	if l.Revision != r.current.Revision {
 		return l, &chervilladder.LeadershipConflictError{Current: r.current}
 	}
-	l.Revision++
+	l.Revision.Revision++
 	r.current = l
 	return l, nil
 }
--- a/internal/control/failover/leadership_test.go
+++ b/internal/control/failover/leadership_test.go
@@ -35,7 +35,7 @@
 func TestEachWriteChangesTheRevision(t *testing.T) {
 	bubble(t, clustertest.Config{VMs: 2}, func(t *testing.T, is *is.I, w *clustertest.World) {
 		var mu sync.Mutex
-		var revisions []chervilladder.Revision
+		var revisions []chervilladder.StoreRevision
 		for _, vm := range w.VMs {
 			vm.Record.OnWrite(func(l chervilladder.Leadership) {
 				mu.Lock()
@@ -50,7 +50,7 @@
 		defer mu.Unlock()
 		is.True(len(revisions) >= 2)
 		for i := range revisions[1:] {
-			is.True(revisions[i+1] > revisions[i])
+			is.True(revisions[i+1].After(revisions[i]))
 		}
 	})
 }
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -55,7 +55,7 @@
 	// current is the revision up to which the list on the blackboard is current. It may be
 	// later than that list's own, which rises with changes of upstreams only. Guarded by
 	// applying.
-	current chervilladder.Revision
+	current chervilladder.StoreRevision
 	// relist is set if changes may have been missed, so that all upstreams are to be
 	// listed again. Written by Run's loop only.
 	relist bool
@@ -90,7 +90,7 @@
 func (k *Controller) applyFromPeer(received blackboard.Knowledge) {
 	k.applying.Lock()
 	defer k.applying.Unlock()
-	if received.UpstreamsRevision > k.c.Board.Upstreams.Load().Revision {
+	if received.UpstreamsRevision.Revision > k.c.Board.Upstreams.Load().Revision.Revision {
 		k.replace(received.Upstreams, received.UpstreamsRevision)
 	}
 }
@@ -98,7 +98,7 @@
 // step reads the store once, and waits for a change if there is none.
 func (k *Controller) step(ctx context.Context) error {
 	after := k.position()
-	if k.relist || after == 0 {
+	if k.relist || after.Revision == 0 {
 		if err := k.list(ctx, after); err != nil {
 			return err
 		}
@@ -118,7 +118,7 @@
 
 // position returns the revision up to which the list on the blackboard is current; zero
 // if there is no list.
-func (k *Controller) position() chervilladder.Revision {
+func (k *Controller) position() chervilladder.StoreRevision {
 	k.applying.Lock()
 	defer k.applying.Unlock()
 	return k.current
@@ -126,14 +126,14 @@
 
 // list reads the whole list and applies it, unless a newer one than that of revision after
 // has been applied meanwhile.
-func (k *Controller) list(ctx context.Context, after chervilladder.Revision) error {
+func (k *Controller) list(ctx context.Context, after chervilladder.StoreRevision) error {
 	list, revision, err := k.c.Source.List(ctx)
 	if err != nil {
 		return err
 	}
 	k.applying.Lock()
 	defer k.applying.Unlock()
-	if k.current != after && k.current > revision {
+	if k.current != after && k.current.After(revision) {
 		return nil
 	}
 	k.replace(list, revision)
@@ -142,14 +142,14 @@
 
 // watch reads the changes after a revision, and applies them unless newer ones have been
 // applied meanwhile.
-func (k *Controller) watch(ctx context.Context, after chervilladder.Revision, wait time.Duration) error {
+func (k *Controller) watch(ctx context.Context, after chervilladder.StoreRevision, wait time.Duration) error {
 	events, revision, err := k.c.Source.Watch(ctx, after, wait)
 	if err != nil {
 		return err
 	}
 	k.applying.Lock()
 	defer k.applying.Unlock()
-	if revision < k.current {
+	if k.current.After(revision) {
 		return nil
 	}
 	if len(events) > 0 {
@@ -191,7 +191,7 @@
 // readNow reads the changes, or the whole list if the store no longer has them.
 func (k *Controller) readNow(ctx context.Context) error {
 	after := k.position()
-	if after == 0 {
+	if after.Revision == 0 {
 		return k.list(ctx, after)
 	}
 	err := k.watch(ctx, after, readNowWait)
@@ -216,7 +216,7 @@
 }
 
 // replace applies a whole list.
-func (k *Controller) replace(list []chervilladder.Registered, revision chervilladder.Revision) {
+func (k *Controller) replace(list []chervilladder.Registered, revision chervilladder.StoreRevision) {
 	events := make([]chervilladder.RegistryEvent, 0, len(list))
 	listed := make(map[chervilladder.UpstreamID]bool, len(list))
 	for i := range list {
@@ -233,7 +233,7 @@
 
 // change applies events in order, and stores the list that results, which is that of a
 // revision.
-func (k *Controller) change(events []chervilladder.RegistryEvent, revision chervilladder.Revision) {
+func (k *Controller) change(events []chervilladder.RegistryEvent, revision chervilladder.StoreRevision) {
 	now := k.c.Clock()
 	old := k.c.Board.Upstreams.Load()
 	next := blackboard.Upstreams{ByID: maps.Clone(old.ByID), Known: true, Revision: revision, ReadAt: old.ReadAt}
--- a/internal/control/registry/registry_test.go
+++ b/internal/control/registry/registry_test.go
@@ -42,14 +42,15 @@
 	}
 }
 
-func (s source) List(ctx context.Context) ([]chervilladder.Registered, chervilladder.Revision, error) {
+func (s source) List(ctx context.Context) ([]chervilladder.Registered, chervilladder.StoreRevision, error) {
 	a := s.next(ctx)
-	return a.list, 1, a.err
+	return a.list, chervilladder.StoreRevision{Revision: 1}, a.err
 }
 
-func (s source) Watch(ctx context.Context, after chervilladder.Revision, _ time.Duration) ([]chervilladder.RegistryEvent, chervilladder.Revision, error) {
+func (s source) Watch(ctx context.Context, after chervilladder.StoreRevision, _ time.Duration) ([]chervilladder.RegistryEvent, chervilladder.StoreRevision, error) {
 	a := s.next(ctx)
-	return a.events, after + 1, a.err
+	after.Revision++
+	return a.events, after, a.err
 }
 
 func upstream(id string, change ...func(*chervilladder.Registered)) chervilladder.Registered {
--- a/internal/control/registry/requested_read_test.go
+++ b/internal/control/registry/requested_read_test.go
@@ -24,21 +24,21 @@
 	down    atomic.Bool
 }
 
-func (s *hangingSource) List(context.Context) ([]chervilladder.Registered, chervilladder.Revision, error) {
-	return []chervilladder.Registered{upstream("first")}, 10, nil
+func (s *hangingSource) List(context.Context) ([]chervilladder.Registered, chervilladder.StoreRevision, error) {
+	return []chervilladder.Registered{upstream("first")}, chervilladder.StoreRevision{Revision: 10}, nil
 }
 
-func (s *hangingSource) Watch(ctx context.Context, after chervilladder.Revision, wait time.Duration) ([]chervilladder.RegistryEvent, chervilladder.Revision, error) {
+func (s *hangingSource) Watch(ctx context.Context, after chervilladder.StoreRevision, wait time.Duration) ([]chervilladder.RegistryEvent, chervilladder.StoreRevision, error) {
 	switch {
 	case s.down.Load():
 		return nil, after, errDown
 	case wait <= time.Millisecond:
 		second := upstream("second")
-		return []chervilladder.RegistryEvent{{ID: second.ID, Upstream: &second}}, 12, nil
+		return []chervilladder.RegistryEvent{{ID: second.ID, Upstream: &second}}, chervilladder.StoreRevision{Revision: 12}, nil
 	}
 	select {
 	case <-s.release:
-		return []chervilladder.RegistryEvent{{ID: "second", Removed: true}}, 11, nil
+		return []chervilladder.RegistryEvent{{ID: "second", Removed: true}}, chervilladder.StoreRevision{Revision: 11}, nil
 	case <-ctx.Done():
 		return nil, after, ctx.Err()
 	}
--- a/internal/control/relay/encoding.go
+++ b/internal/control/relay/encoding.go
@@ -61,7 +61,7 @@
 	if err := decode(b, &r); err != nil {
 		return nil, err
 	}
-	if r == nil || r.Revision == 0 {
+	if r == nil || r.Revision.Revision == 0 {
 		return nil, errNoRouting
 	}
 	return r, nil
@@ -70,7 +70,7 @@
 // listChange is a change of the list of upstreams, or the whole list.
 type listChange struct {
 	// At is the store's revision of the list after the change.
-	At      chervilladder.Revision
+	At      chervilladder.StoreRevision
 	Whole   bool
 	Entries []chervilladder.Registered
 	Removed []chervilladder.UpstreamID
@@ -83,13 +83,13 @@
 type upstreams map[chervilladder.UpstreamID]chervilladder.Registered
 
 // apply returns the list after a change.
-func (u upstreams) apply(b []byte) (upstreams, chervilladder.Revision, error) {
+func (u upstreams) apply(b []byte) (upstreams, chervilladder.StoreRevision, error) {
 	var c listChange
 	if err := decode(b, &c); err != nil {
-		return u, 0, err
+		return u, chervilladder.StoreRevision{}, err
 	}
-	if c.At == 0 || !c.Whole && u == nil {
-		return u, 0, errNoBase
+	if c.At.Revision == 0 || !c.Whole && u == nil {
+		return u, chervilladder.StoreRevision{}, errNoBase
 	}
 	next := make(upstreams, len(u)+len(c.Entries))
 	if !c.Whole {
--- a/internal/control/relay/encoding_test.go
+++ b/internal/control/relay/encoding_test.go
@@ -28,18 +28,18 @@
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(7, 7))
 	var sent, have upstreams
-	for at := chervilladder.Revision(1); at < 200; at++ {
+	for at := (chervilladder.StoreRevision{Revision: 1}); at.Revision < 200; at.Revision++ {
 		to := randomList(rng)
 		encoded, err := encode(diff(sent, to, at))
 		is.NoErr(err)
-		var reached chervilladder.Revision
+		var reached chervilladder.StoreRevision
 		have, reached, err = have.apply(encoded)
 		is.NoErr(err)
 		is.Equal(reached, at)
 		is.True(maps.Equal(have, to))
 		sent = to
 	}
-	_, _, err := upstreams(nil).apply(mustEncode(t, listChange{At: 9}))
+	_, _, err := upstreams(nil).apply(mustEncode(t, listChange{At: chervilladder.StoreRevision{Revision: 9}}))
 	is.Equal(err, errNoBase)
 }
 
@@ -54,15 +54,15 @@
 
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte("{"))
-	f.Add(mustEncode(f, &chervilladder.Routing{Revision: 3}))
-	f.Add(mustEncode(f, listChange{At: 4, Whole: true, Entries: []chervilladder.Registered{{ID: "i-1", Service: "s"}}}))
+	f.Add(mustEncode(f, &chervilladder.Routing{Revision: chervilladder.StoreRevision{Revision: 3}}))
+	f.Add(mustEncode(f, listChange{At: chervilladder.StoreRevision{Revision: 4}, Whole: true, Entries: []chervilladder.Registered{{ID: "i-1", Service: "s"}}}))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		if r, err := decodeRouting(b); err == nil && (r == nil || r.Revision == 0) {
+		if r, err := decodeRouting(b); err == nil && (r == nil || r.Revision.Revision == 0) {
 			t.Error("a configuration without a revision was accepted")
 		}
 		before := upstreams{"i-0": {ID: "i-0"}}
 		after, at, err := before.apply(b)
-		if err != nil && (at != 0 || len(after) != 1) {
+		if err != nil && (at.Revision != 0 || len(after) != 1) {
 			t.Error("a malformed change has changed the list")
 		}
 	})
@@ -70,7 +70,7 @@
 
 // A reader encodes each change of an upstream for each of its followers.
 func BenchmarkEncodeChange(b *testing.B) {
-	c := listChange{At: 4, Entries: []chervilladder.Registered{{ID: "i-1", Service: "s", Address: "10.0.0.1:1", DataCentre: "a", Slots: 3}}}
+	c := listChange{At: chervilladder.StoreRevision{Revision: 4}, Entries: []chervilladder.Registered{{ID: "i-1", Service: "s", Address: "10.0.0.1:1", DataCentre: "a", Slots: 3}}}
 	b.ReportAllocs()
 	for b.Loop() {
 		mustEncode(b, c)
@@ -81,7 +81,7 @@
 // trace in the next one.
 func TestEncodingAfterAFailure(t *testing.T) {
 	is := is.New(t)
-	c := listChange{At: 4, Whole: true, Entries: []chervilladder.Registered{{ID: "i-1", Service: "s"}}}
+	c := listChange{At: chervilladder.StoreRevision{Revision: 4}, Whole: true, Entries: []chervilladder.Registered{{ID: "i-1", Service: "s"}}}
 	for range 3 {
 		_, err := encode(map[string]any{"text": "x", "unencodable": func() {}})
 		is.True(err != nil)
@@ -90,7 +90,7 @@
 		is.True(decode(mustEncode(t, c)[:5], &into) != nil)
 		list, at, err := upstreams(nil).apply(mustEncode(t, c))
 		is.NoErr(err)
-		is.Equal(at, chervilladder.Revision(4))
+		is.Equal(at, chervilladder.StoreRevision{Revision: 4})
 		is.Equal(len(list), 1)
 	}
 }
--- a/internal/control/relay/feed.go
+++ b/internal/control/relay/feed.go
@@ -29,7 +29,7 @@
 		registered, upstreamsChanged := k.c.Board.Upstreams.Watch()
 		update := chervilladder.StoreUpdate{
 			Age: k.c.Clock().Sub(k.c.Board.KnownAsOf()),
-			Has: chervilladder.KnownRevisions{Routing: published.Revision, Upstreams: registered.Revision},
+			Has: chervilladder.KnownRevisions{Routing: published.StoreRevision, Upstreams: registered.Revision},
 		}
 		if f.HeartbeatsOnly {
 			routingChanged, upstreamsChanged = nil, nil
@@ -58,10 +58,10 @@
 // addChanges adds to an update what a follower lacks, and returns the list of
 // upstreams that has been sent to it after that.
 func addChanges(update *chervilladder.StoreUpdate, have *chervilladder.KnownRevisions, published blackboard.Published, registered blackboard.Upstreams, sent upstreams) (upstreams, error) {
-	if published.Revision > have.Routing {
-		update.Routing, have.Routing = published.Encoded, published.Revision
+	if published.StoreRevision.Revision > have.Routing.Revision {
+		update.Routing, have.Routing = published.Encoded, published.StoreRevision
 	}
-	if registered.Revision <= have.Upstreams {
+	if registered.Revision.Revision <= have.Upstreams.Revision {
 		return sent, nil
 	}
 	now := presentEntries(registered)
@@ -86,7 +86,7 @@
 
 // diff returns the change from one list to another, or the whole list if the peer
 // has been sent none.
-func diff(from, to upstreams, at chervilladder.Revision) listChange {
+func diff(from, to upstreams, at chervilladder.StoreRevision) listChange {
 	c := listChange{At: at, Whole: from == nil}
 	for id, r := range to {
 		if before, ok := from[id]; !ok || before != r {
@@ -111,7 +111,7 @@
 			if err != nil {
 				k.c.Log.WithError(err).Error("relay: could not encode the configuration for peers")
 			} else {
-				k.c.Board.Published.Store(blackboard.Published{Revision: routing.Revision, Encoded: encoded})
+				k.c.Board.Published.Store(blackboard.Published{StoreRevision: routing.Revision, Encoded: encoded})
 			}
 		}
 		select {
--- a/internal/control/relay/follower.go
+++ b/internal/control/relay/follower.go
@@ -247,7 +247,7 @@
 		if err != nil {
 			return list, err
 		}
-		if received.Routing == nil || r.Revision > received.Routing.Revision {
+		if received.Routing == nil || r.Revision.Revision > received.Routing.Revision.Revision {
 			received.Routing, newer = r, true
 		}
 	}
@@ -257,7 +257,7 @@
 			return list, err
 		}
 		list = next
-		if revision > received.UpstreamsRevision {
+		if revision.Revision > received.UpstreamsRevision.Revision {
 			newer = true
 			received.UpstreamsRevision, received.Upstreams = revision, make([]chervilladder.Registered, 0, len(list))
 			for _, r := range list {
--- a/internal/control/relay/relay_test.go
+++ b/internal/control/relay/relay_test.go
@@ -35,7 +35,7 @@
 			v.link.setRejects(true)
 		}
 		time.Sleep(10 * time.Second)
-		f.vms["a"].board.Published.Store(blackboard.Published{Revision: 99, Encoded: compressed(is, `{"Revision":1}`)})
+		f.vms["a"].board.Published.Store(blackboard.Published{StoreRevision: chervilladder.StoreRevision{Revision: 99}, Encoded: compressed(is, `{"Revision":1}`)})
 		time.Sleep(10 * time.Second)
 		is.True(rejected.knows("second", "b", "c"))
 
@@ -205,7 +205,7 @@
 		testWithVMs(t, 2, func(is *is.I, _ *store, f *fleet) {
 			f.vms["b"].link.setRejects(true)
 			for _, encoded := range [][]byte{[]byte(text), compressed(is, text)} {
-				f.vms["a"].board.Published.Store(blackboard.Published{Revision: 99, Encoded: encoded})
+				f.vms["a"].board.Published.Store(blackboard.Published{StoreRevision: chervilladder.StoreRevision{Revision: 99}, Encoded: encoded})
 				time.Sleep(10 * time.Second)
 				is.True(f.vms["b"].knows("first", "a", "b"))
 			}
--- a/internal/control/relay/wire_test.go
+++ b/internal/control/relay/wire_test.go
@@ -41,7 +41,7 @@
 func TestUpdatesKeepTheirEncoding(t *testing.T) {
 	is := is.New(t)
 	routing := &chervilladder.Routing{
-		Version: 7, Revision: 12, TransactionIdle: 3 * time.Second,
+		Version: 7, Revision: chervilladder.StoreRevision{Revision: 12}, TransactionIdle: 3 * time.Second,
 		Routes: map[chervilladder.DatabaseID]chervilladder.Route{"bookings": {
 			Database: "bookings", Service: "agenda", Freshness: chervilladder.FreshBounded, Timeout: time.Second,
 			Target: 200 * time.Millisecond, Priority: chervilladder.PriorityBackground, MaxAge: 1500 * time.Millisecond, Attempts: 2,
@@ -58,7 +58,7 @@
 	open.Open = true
 	withAccounts.Routes = map[chervilladder.DatabaseID]chervilladder.Route{"bookings": open}
 	change := listChange{
-		At: 12, Whole: true, Removed: []chervilladder.UpstreamID{"i-2"},
+		At: chervilladder.StoreRevision{Revision: 12}, Whole: true, Removed: []chervilladder.UpstreamID{"i-2"},
 		Entries: []chervilladder.Registered{{
 			ID: "i-1", Service: "agenda", Address: "10.0.0.1:1", DataCentre: "a", Slots: 3, Draining: true, Primary: true,
 			Born: time.UnixMilli(1700000000123).UTC(), Cold: time.Second,
--- a/internal/control/relay/world_test.go
+++ b/internal/control/relay/world_test.go
@@ -26,7 +26,7 @@
 // store is a platform store whose contents the tests change.
 type store struct {
 	mu        sync.Mutex
-	revision  chervilladder.Revision
+	revision  chervilladder.StoreRevision
 	routing   *chervilladder.Routing
 	upstreams []chervilladder.Registered
 	vms       map[chervilladder.VMID]chervilladder.VM
@@ -37,7 +37,7 @@
 func (s *store) route(db chervilladder.DatabaseID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
+	s.revision.Revision++
 	s.routing = &chervilladder.Routing{Revision: s.revision, Routes: map[chervilladder.DatabaseID]chervilladder.Route{db: {Database: db, Timeout: time.Second}}}
 }
 
@@ -45,7 +45,7 @@
 func (s *store) register(ids ...chervilladder.UpstreamID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
+	s.revision.Revision++
 	s.upstreams = nil
 	for _, id := range ids {
 		s.upstreams = append(s.upstreams, chervilladder.Registered{ID: id, Service: "s", Slots: 2, Born: time.UnixMilli(7)})
@@ -78,10 +78,10 @@
 	return v.s.mu.Unlock, nil
 }
 
-func (v *storeLink) Current(context.Context) (*chervilladder.Routing, chervilladder.Revision, error) {
+func (v *storeLink) Current(context.Context) (*chervilladder.Routing, chervilladder.StoreRevision, error) {
 	done, err := v.call()
 	if err != nil {
-		return nil, 0, err
+		return nil, chervilladder.StoreRevision{}, err
 	}
 	defer done()
 	return v.s.routing, v.s.revision, nil
@@ -89,7 +89,7 @@
 
 // Next returns a new configuration at once, and doesn't respond until its wait ends
 // while the store rejects the VM.
-func (v *storeLink) Next(_ context.Context, after chervilladder.Revision, wait time.Duration) (*chervilladder.Routing, chervilladder.Revision, error) {
+func (v *storeLink) Next(_ context.Context, after chervilladder.StoreRevision, wait time.Duration) (*chervilladder.Routing, chervilladder.StoreRevision, error) {
 	v.s.calls.Add(1)
 	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if r := v.newer(after); r != nil {
@@ -106,28 +106,28 @@
 
 // newer returns the configuration if it is newer than a revision and the store
 // doesn't reject the VM.
-func (v *storeLink) newer(than chervilladder.Revision) *chervilladder.Routing {
+func (v *storeLink) newer(than chervilladder.StoreRevision) *chervilladder.Routing {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.s.mu.Lock()
 	defer v.s.mu.Unlock()
-	if v.rejects || v.s.routing.Revision <= than {
+	if v.rejects || !v.s.routing.Revision.After(than) {
 		return nil
 	}
 	return v.s.routing
 }
 
-func (v *storeLink) List(context.Context) ([]chervilladder.Registered, chervilladder.Revision, error) {
+func (v *storeLink) List(context.Context) ([]chervilladder.Registered, chervilladder.StoreRevision, error) {
 	done, err := v.call()
 	if err != nil {
-		return nil, 0, err
+		return nil, chervilladder.StoreRevision{}, err
 	}
 	defer done()
 	return v.s.upstreams, v.s.revision, nil
 }
 
 // Watch always ends with HistoryLostError, so that each reader lists again.
-func (v *storeLink) Watch(_ context.Context, after chervilladder.Revision, wait time.Duration) ([]chervilladder.RegistryEvent, chervilladder.Revision, error) {
+func (v *storeLink) Watch(_ context.Context, after chervilladder.StoreRevision, wait time.Duration) ([]chervilladder.RegistryEvent, chervilladder.StoreRevision, error) {
 	time.Sleep(wait)
 	return nil, after, &chervilladder.HistoryLostError{After: after}
 }
--- a/internal/control/routing/accounts_test.go
+++ b/internal/control/routing/accounts_test.go
@@ -34,14 +34,14 @@
 	return l.next
 }
 
-func (l *listed) Current(context.Context) (*chervilladder.Routing, chervilladder.Revision, error) {
+func (l *listed) Current(context.Context) (*chervilladder.Routing, chervilladder.StoreRevision, error) {
 	r := l.get()
 	return r, r.Revision, nil
 }
 
-func (l *listed) Next(_ context.Context, after chervilladder.Revision, _ time.Duration) (*chervilladder.Routing, chervilladder.Revision, error) {
+func (l *listed) Next(_ context.Context, after chervilladder.StoreRevision, _ time.Duration) (*chervilladder.Routing, chervilladder.StoreRevision, error) {
 	time.Sleep(10 * time.Millisecond)
-	if r := l.get(); r.Revision > after {
+	if r := l.get(); r.Revision.After(after) {
 		return r, r.Revision, nil
 	}
 	return nil, after, nil
@@ -54,7 +54,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		salt := chervilladder.NewKeySalt()
-		configuration := func(revision chervilladder.Revision, invalid bool, keys ...chervilladder.Key) *chervilladder.Routing {
+		configuration := func(revision chervilladder.StoreRevision, invalid bool, keys ...chervilladder.Key) *chervilladder.Routing {
 			a := &chervilladder.Accounts{Salt: salt, Keys: make(map[chervilladder.KeyDigest]chervilladder.AccountID)}
 			if invalid {
 				a.Invalid = map[chervilladder.AccountID]chervilladder.InvalidAccount{"acme": {KeysUnknown: true}}
@@ -67,7 +67,7 @@
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		board := blackboard.New(chervilladder.VM{ID: "vm"})
-		s := &listed{next: configuration(5, false, "key-1", "key-2")}
+		s := &listed{next: configuration(at(5), false, "key-1", "key-2")}
 		k, err := routing.New(routing.Config{Board: board, Source: s, Log: log, Clock: time.Now})
 		is.NoErr(err)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -79,12 +79,12 @@
 		}
 		time.Sleep(time.Second)
 		is.True(holds("key-1"))
-		board.PeerKnowledge.Store(blackboard.Knowledge{Routing: configuration(6, false, "key-2")})
+		board.PeerKnowledge.Store(blackboard.Knowledge{Routing: configuration(at(6), false, "key-2")})
 		time.Sleep(time.Second)
 		is.True(!holds("key-1"))
-		s.put(configuration(7, true))
+		s.put(configuration(at(7), true))
 		time.Sleep(time.Second)
-		is.Equal(board.Routing.Load().Revision, chervilladder.Revision(7))
+		is.Equal(board.Routing.Load().Revision, at(7))
 		is.True(holds("key-2"))
 		is.True(!holds("key-1"))
 		cancel()
--- a/internal/control/routing/routing.go
+++ b/internal/control/routing/routing.go
@@ -45,7 +45,7 @@
 	applying sync.Mutex
 	// after is the revision from which the watch continues; zero means that
 	// the whole configuration is to be read again.
-	after chervilladder.Revision
+	after chervilladder.StoreRevision
 }
 
 // New returns a controller.
@@ -75,7 +75,7 @@
 
 // step makes one call to the source and applies its result.
 func (k *Controller) step(ctx context.Context) error {
-	if k.after == 0 {
+	if k.after.Revision == 0 {
 		r, revision, err := k.c.Source.Current(ctx)
 		var notFound *chervilladder.NotFoundError
 		if errors.As(err, &notFound) {
@@ -93,11 +93,11 @@
 	var historyLost *chervilladder.HistoryLostError
 	if errors.As(err, &historyLost) {
 		k.c.Log.WithField("after", k.after).Info("routing: the store no longer has the changes since this revision; reading the configuration again")
-		k.after = 0
+		k.after = chervilladder.StoreRevision{}
 		return nil
 	}
 	if err != nil {
-		k.after = 0 // read the whole configuration, as changes may have been missed
+		k.after = chervilladder.StoreRevision{} // read the whole configuration, as changes may have been missed
 		return err
 	}
 	k.after = revision
@@ -125,7 +125,7 @@
 	k.applying.Lock()
 	defer k.applying.Unlock()
 	old := k.c.Board.Routing.Load()
-	if old != nil && old.Revision >= r.Revision {
+	if old != nil && old.Revision.Revision >= r.Revision.Revision {
 		return
 	}
 	r = withLastAccounts(r, old)
--- a/internal/control/routing/routing_test.go
+++ b/internal/control/routing/routing_test.go
@@ -38,27 +38,32 @@
 
 var errDown = errors.New("store is down")
 
-func (s *source) Current(context.Context) (*chervilladder.Routing, chervilladder.Revision, error) {
+// at returns a revision of the store of a store that tells no era.
+func at(r uint64) chervilladder.StoreRevision {
+	return chervilladder.StoreRevision{Revision: chervilladder.Revision(r)}
+}
+
+func (s *source) Current(context.Context) (*chervilladder.Routing, chervilladder.StoreRevision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
 	if s.down {
-		return nil, 0, errDown
+		return nil, chervilladder.StoreRevision{}, errDown
 	}
 	if s.none {
-		return nil, chervilladder.Revision(s.version), &chervilladder.NotFoundError{}
+		return nil, at(s.version), &chervilladder.NotFoundError{}
 	}
 	v := s.version
 	if s.staleVersion != 0 {
 		v = s.staleVersion
 	}
-	return &chervilladder.Routing{Revision: chervilladder.Revision(v)}, chervilladder.Revision(v), nil
+	return &chervilladder.Routing{Revision: at(v)}, at(v), nil
 }
 
-func (s *source) Next(_ context.Context, after chervilladder.Revision, wait time.Duration) (*chervilladder.Routing, chervilladder.Revision, error) {
+func (s *source) Next(_ context.Context, after chervilladder.StoreRevision, wait time.Duration) (*chervilladder.Routing, chervilladder.StoreRevision, error) {
 	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		s.mu.Lock()
-		silent, down, lost, version := s.silent, s.down, s.lost, chervilladder.Revision(s.version)
+		silent, down, lost, version := s.silent, s.down, s.lost, at(s.version)
 		s.mu.Unlock()
 		switch {
 		case down:
@@ -67,7 +72,7 @@
 		case lost:
 			s.set(func() { s.lost = false })
 			return nil, after, &chervilladder.HistoryLostError{After: after}
-		case version > after:
+		case version.After(after):
 			return &chervilladder.Routing{Revision: version}, version, nil
 		}
 	}
@@ -112,7 +117,7 @@
 		time.Sleep(2100 * time.Millisecond) // a watch of maxWait would just have started
 		s.set(func() { s.silent, s.version = true, 9 })
 		time.Sleep(bound)
-		is.Equal(board.Routing.Load().Revision, chervilladder.Revision(9))
+		is.Equal(board.Routing.Load().Revision, at(9))
 	})
 }
 
@@ -133,15 +138,15 @@
 				board, stop := start(t, s, chervilladder.Bounds{})
 				defer stop()
 				time.Sleep(500 * time.Millisecond)
-				is.Equal(board.Routing.Load().Revision, chervilladder.Revision(5))
+				is.Equal(board.Routing.Load().Revision, at(5))
 				s.set(func() { fault(s); s.version = 9 })
 				time.AfterFunc(2*time.Second, func() { s.set(func() { s.down = false }) })
 				time.Sleep(inForceWithin)
-				is.Equal(board.Routing.Load().Revision, chervilladder.Revision(9))
+				is.Equal(board.Routing.Load().Revision, at(9))
 				// An older configuration from the store must not be applied.
 				s.set(func() { s.staleVersion, s.lost = 7, true })
 				time.Sleep(inForceWithin)
-				is.Equal(board.Routing.Load().Revision, chervilladder.Revision(9))
+				is.Equal(board.Routing.Load().Revision, at(9))
 			})
 		})
 	}
@@ -161,6 +166,6 @@
 			s.none, s.version = false, 9
 		})
 		time.Sleep(100 * time.Millisecond)
-		is.Equal(board.Routing.Load().Revision, chervilladder.Revision(9))
+		is.Equal(board.Routing.Load().Revision, at(9))
 	})
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -116,14 +116,14 @@
 		return err
 	}
 	stream, err := client.Follow(ctx, &peerpb.FollowRequest{
-		Routing: uint64(f.Have.Routing), Upstreams: uint64(f.Have.Upstreams), BeatsOnly: f.HeartbeatsOnly,
+		Routing: uint64(f.Have.Routing.Revision), Upstreams: uint64(f.Have.Upstreams.Revision), BeatsOnly: f.HeartbeatsOnly,
 	})
 	for err == nil {
 		var r *peerpb.FollowResponse
 		if r, err = stream.Recv(); err == nil {
 			receive(chervilladder.StoreUpdate{
 				Age:     time.Duration(min(r.GetAgeUs(), maxAgeMicros)) * time.Microsecond,
-				Has:     chervilladder.KnownRevisions{Routing: chervilladder.Revision(r.GetHasRouting()), Upstreams: chervilladder.Revision(r.GetHasUpstreams())},
+				Has:     chervilladder.KnownRevisions{Routing: chervilladder.StoreRevision{Revision: chervilladder.Revision(r.GetHasRouting())}, Upstreams: chervilladder.StoreRevision{Revision: chervilladder.Revision(r.GetHasUpstreams())}},
 				Routing: r.GetRouting(), Upstreams: r.GetUpstreams(),
 			})
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -158,14 +158,14 @@
 	defer cancel()
 	defer context.AfterFunc(s.followContext, cancel)()
 	f := chervilladder.Following{
-		Have:           chervilladder.KnownRevisions{Routing: chervilladder.Revision(r.GetRouting()), Upstreams: chervilladder.Revision(r.GetUpstreams())},
+		Have:           chervilladder.KnownRevisions{Routing: chervilladder.StoreRevision{Revision: chervilladder.Revision(r.GetRouting())}, Upstreams: chervilladder.StoreRevision{Revision: chervilladder.Revision(r.GetUpstreams())}},
 		HeartbeatsOnly: r.GetBeatsOnly(),
 	}
 	return s.Feed.SendUpdates(ctx, f, func(update chervilladder.StoreUpdate) error {
 		age := min(uint64(max(0, update.Age.Microseconds())), maxAgeMicros)
 		return stream.Send(&peerpb.FollowResponse{
 			AgeUs: age, Routing: update.Routing, Upstreams: update.Upstreams,
-			HasRouting: uint64(update.Has.Routing), HasUpstreams: uint64(update.Has.Upstreams),
+			HasRouting: uint64(update.Has.Routing.Revision), HasUpstreams: uint64(update.Has.Upstreams.Revision),
 		})
 	})
 }
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -364,7 +364,7 @@
 		_, err := w.VMs[0].Sessions.Open("nothing", "caller")
 		is.True(err != nil)
 		s := w.Open(t, 0, clustertest.PrimaryDB)
-		w.VMs[0].Board.Routing.Store(&chervilladder.Routing{Revision: 2})
+		w.VMs[0].Board.Routing.Store(&chervilladder.Routing{Revision: chervilladder.StoreRevision{Revision: 2}})
 		is.Equal(s.Do(context.Background(), read("r")).Code, chervilladder.CodeNoDatabase)
 		is.Equal(s.Do(context.Background(), begin()).Code, chervilladder.CodeNoDatabase)
 	})
--- a/routing.go
+++ b/routing.go
@@ -67,7 +67,7 @@
 type Routing struct {
 	Version ConfigVersion
 	// Revision orders configurations by when they were written.
-	Revision Revision
+	Revision StoreRevision
 	Routes   map[DatabaseID]Route
 	Services map[ServiceID]ServiceLimits
 	// Accounts holds the client accounts; nil if the configuration names none.
--- a/store.go
+++ b/store.go
@@ -16,21 +16,21 @@
 // Registry lists the registered upstreams.
 type Registry interface {
 	// List returns all usable upstreams, and the revision to watch from.
-	List(ctx context.Context) ([]Registered, Revision, error)
+	List(ctx context.Context) ([]Registered, StoreRevision, error)
 	// Watch waits for changes after a revision, and returns them with the
 	// revision to continue from. It returns a *HistoryLostError if the changes
-	// are no longer kept.
-	Watch(ctx context.Context, after Revision, wait time.Duration) ([]RegistryEvent, Revision, error)
+	// are no longer kept, also because the store has come back from an older copy.
+	Watch(ctx context.Context, after StoreRevision, wait time.Duration) ([]RegistryEvent, StoreRevision, error)
 }
 
 // RoutingSource provides the operator's configuration.
 type RoutingSource interface {
 	// Current returns the configuration in force, and the revision to watch
 	// from, also with the *NotFoundError that it returns while there is none.
-	Current(ctx context.Context) (*Routing, Revision, error)
+	Current(ctx context.Context) (*Routing, StoreRevision, error)
 	// Next waits for a newer configuration; nil means that there is none
 	// yet. It returns a *HistoryLostError as Registry.Watch does.
-	Next(ctx context.Context, after Revision, wait time.Duration) (*Routing, Revision, error)
+	Next(ctx context.Context, after StoreRevision, wait time.Duration) (*Routing, StoreRevision, error)
 }
 
 // Leadership is the record of failover leadership: which VM may order
@@ -46,8 +46,9 @@
 	// holder would leave the record unchanged, and other VMs would not
 	// observe it.
 	Writes uint64
-	// Revision is the record's revision; zero means that there is no record.
-	Revision Revision
+	// Revision is the record's revision; zero, but for the era, means that there is no
+	// record.
+	Revision StoreRevision
 }
 
 // Epoch is a fencing token: it rises whenever failover leadership passes to
@@ -57,7 +58,8 @@
 // LeadershipRecord keeps the record of failover leadership in the platform's
 // store.
 type LeadershipRecord interface {
-	// ReadLeadership returns the record, or a zero Leadership while there is none.
+	// ReadLeadership returns the record, or a Leadership that bears the store's era only
+	// while there is none.
 	ReadLeadership(ctx context.Context) (Leadership, error)
 	// WriteLeadership replaces the record if its revision is still that of l, and
 	// returns the new record. If the record has another revision, it returns a
@@ -76,7 +78,7 @@
 }
 
 // HistoryLostError reports a watch from a revision that is no longer kept.
-type HistoryLostError struct{ After Revision }
+type HistoryLostError struct{ After StoreRevision }
 
 // Error says what to do.
 func (e *HistoryLostError) Error() string {
