failover: epochs rise though the store comes back from an older copy

Cause: an epoch was that of the leadership record plus one, and after the drill the record is an old one. Shown by the script's record: front-zone-a-3 took epoch 2 at revision 112, the store came back at 109 with front-zone-a-1 and epoch 1, and that VM found itself the holder.

Change: an epoch bears the store's era; a record of an earlier era shows no holder, and is claimed no sooner than two seconds after it was first seen so, when no holder of before can give orders any more. A write that meets a new era gives no right to order. The lower part of an epoch is at least the record's revision, since a holder of before may have replaced the record of one of the new era. The holder of before claims the record again by itself.

TestEpochsRiseAfterTheStoreHasComeBackFromACopy and 16 of 20 subtests of TestStoreComesBackFromACopyDuringAReplacement failed before ("epoch 2 was ordered after 3", "epoch 3 was used by vm-1 and vm-0"); all pass now.

--- a/internal/clustertest/record.go
+++ b/internal/clustertest/record.go
@@ -15,6 +15,19 @@
 type LeadershipRecord struct {
 	mu      sync.Mutex
 	current chervilladder.Leadership
+	// era is the store's; zero while it tells none.
+	era chervilladder.Era
+}
+
+// Copy returns the record as it is now, to be restored later.
+func (r *LeadershipRecord) Copy() chervilladder.Leadership { return r.read() }
+
+// Restore brings the record back from a copy, as the store does in a new era.
+func (r *LeadershipRecord) Restore(c chervilladder.Leadership) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.current = c
+	r.era++
 }
 
 // ErrSimulated is the error of the simulated faults: of what is unreachable, of a
@@ -24,21 +37,28 @@
 func (r *LeadershipRecord) read() chervilladder.Leadership {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.current
+	return r.told()
+}
+
+// told returns the record as the store tells it now.
+func (r *LeadershipRecord) told() chervilladder.Leadership {
+	l := r.current
+	l.Revision.Era = r.era
+	return l
 }
 
 func (r *LeadershipRecord) write(l chervilladder.Leadership) (chervilladder.Leadership, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if l.Revision != r.current.Revision {
-		return l, &chervilladder.LeadershipConflictError{Current: r.current}
+	if l.Revision.Revision != r.current.Revision.Revision { // the store's condition names no era
+		return l, &chervilladder.LeadershipConflictError{Current: r.told()}
 	}
-	if l == r.current {
-		return l, nil // like the platform's store: a write without a change doesn't increase the revision
+	l.Revision.Era = r.current.Revision.Era
+	if l != r.current { // like the platform's store: a write without a change doesn't increase the revision
+		l.Revision.Revision++
+		r.current = l
 	}
-	l.Revision.Revision++
-	r.current = l
-	return l, nil
+	return r.told(), nil
 }
 
 // FaultyRecord is a VM's access to the record, with simulated faults.
--- a/internal/clustertest/world.go
+++ b/internal/clustertest/world.go
@@ -59,6 +59,8 @@
 	DataCentres int
 	// Log, if set, is called for each line that a VM logs.
 	Log logrus.Hook
+	// Era is the era that the store tells at first; zero if it tells none.
+	Era chervilladder.Era
 	// Observer, if set, receives the commands of all VMs.
 	Observer session.Observer
 }
@@ -127,7 +129,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &World{Cluster: standin, Record: &LeadershipRecord{}, config: c}
+	w := &World{Cluster: standin, Record: &LeadershipRecord{era: c.Era}, config: c}
 	for i := range c.VMs {
 		w.VMs = append(w.VMs, w.start(t, i, cc.Members))
 	}
--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -66,6 +66,8 @@
 type Controller struct {
 	c          Config
 	leadership *leadership
+	// era is the latest era of the store that Run has seen.
+	era chervilladder.Era
 
 	mu           sync.Mutex
 	inProgress   map[chervilladder.ServiceID]bool
@@ -104,10 +106,12 @@
 		select {
 		case <-ticker.C:
 			if leave != nil {
+				k.reclaimInANewEra(initializing)
 				k.startReplacements(ctx)
 			}
 		case <-leave:
 			leave = nil
+			stop() // the leadership isn't taken any more
 			recovery.Go(ctx, &k.running, k.c.Log, part, func(ctx context.Context) {
 				k.replacing.Wait() // another holder would order the same promotion again
 				k.leadership.release(ctx)
@@ -118,6 +122,19 @@
 	}
 }
 
+// reclaimInANewEra takes the leadership again if this VM held it before the store came back
+// from a copy, so that a holder is known before one is needed.
+func (k *Controller) reclaimInANewEra(ctx context.Context) {
+	era := k.c.Board.Upstreams.Load().Revision.Era
+	if era == k.era {
+		return
+	}
+	k.era = era
+	if k.leadership.lostToANewEra(era) {
+		recovery.Go(ctx, &k.running, k.c.Log, part, k.leadership.reclaim)
+	}
+}
+
 // startReplacements starts a replacement for each cluster that needs one.
 func (k *Controller) startReplacements(ctx context.Context) {
 	now := k.c.Clock()
--- a/internal/control/failover/outcome.go
+++ b/internal/control/failover/outcome.go
@@ -61,6 +61,7 @@
 func outcomeOfType(err error) outcome {
 	var (
 		notHolder  *notHolderError
+		newEra     *newEraError
 		conflict   *chervilladder.LeadershipConflictError
 		superseded *supersededError
 		behind     *behindError
@@ -70,6 +71,8 @@
 	switch {
 	case errors.As(err, &notHolder):
 		return "not-holder"
+	case errors.As(err, &newEra):
+		return "new-era"
 	case errors.As(err, &conflict):
 		return "leadership-conflict"
 	case errors.As(err, &superseded):
--- a/store.go
+++ b/store.go
@@ -51,10 +51,6 @@
 	Revision StoreRevision
 }
 
-// Epoch is a fencing token: it rises whenever failover leadership passes to
-// another VM.
-type Epoch uint64
-
 // LeadershipRecord keeps the record of failover leadership in the platform's
 // store.
 type LeadershipRecord interface {
