routing: configurations are in force after the store has come back from a copy

Cause: a configuration took effect only if its bare revision was above that of the one in force, and after the drill all revisions are below. The VMs had read it (their watches got 410, they listed anew) and dropped it.

Change: NewestRouting has a higher version outrank a lower one, and of equal versions the later revision, by era first; the result bears the later revision. So neither the copy's older configuration nor the lost versions, written again in their order, put anything back.

--- a/internal/control/routing/routing.go
+++ b/internal/control/routing/routing.go
@@ -121,15 +121,24 @@
 }
 
 // apply puts a configuration in force unless it or a newer one already is.
-func (k *Controller) apply(r *chervilladder.Routing) {
+func (k *Controller) apply(received *chervilladder.Routing) {
 	k.applying.Lock()
 	defer k.applying.Unlock()
 	old := k.c.Board.Routing.Load()
-	if old != nil && old.Revision.Revision >= r.Revision.Revision {
+	newest := chervilladder.NewestRouting(old, received)
+	if newest == old {
 		return
 	}
-	r = withLastAccounts(r, old)
-	k.c.Board.Routing.Store(r)
+	if old != nil && received.Version < old.Version {
+		k.logKept(old, received)
+	} else {
+		newest = withLastAccounts(newest, old)
+		k.logInForce(newest)
+	}
+	k.c.Board.Routing.Store(newest)
+}
+
+func (k *Controller) logInForce(r *chervilladder.Routing) {
 	fields := logrus.Fields{"version": r.Version, "revision": r.Revision, "routes": len(r.Routes), "services": len(r.Services)}
 	if r.Accounts != nil {
 		fields["keys"] = len(r.Accounts.Keys)
@@ -137,6 +146,12 @@
 	k.c.Log.WithFields(fields).Info("routing: configuration in force")
 }
 
+func (k *Controller) logKept(kept, received *chervilladder.Routing) {
+	k.c.Log.WithFields(logrus.Fields{
+		"version": received.Version, "revision": received.Revision, "in-force": kept.Version,
+	}).Warn("routing: a configuration of a lower version is not put in force; the store may have come back from an older copy")
+}
+
 // withLastAccounts returns a configuration in which client accounts that can't be used
 // stay as they were.
 func withLastAccounts(r, old *chervilladder.Routing) *chervilladder.Routing {
--- a/routing.go
+++ b/routing.go
@@ -1,6 +1,9 @@
 package chervilladder
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Freshness says what a read must see.
 type Freshness uint8
@@ -76,6 +79,27 @@
 	TransactionIdle time.Duration
 }
 
+// NewestRouting returns what is in force once a configuration was received while another
+// one was known; either may be nil. A higher version outranks a lower one, whatever their
+// revisions: after the platform's store has come back from an older copy, it gives out a
+// lower version at a later revision until the operator's last one is written again. Of two
+// of the same version, the later revision counts. The result bears the later revision.
+func NewestRouting(known, received *Routing) *Routing {
+	if known == nil || received == nil {
+		return cmp.Or(known, received)
+	}
+	newest, at := known, known.Revision.Later(received.Revision)
+	if received.Version > known.Version || received.Version == known.Version && received.Revision.After(known.Revision) {
+		newest = received
+	}
+	if newest.Revision == at {
+		return newest
+	}
+	kept := *newest
+	kept.Revision = at
+	return &kept
+}
+
 // MaxAge returns the greatest age that any route of a service accepts; zero if all
 // its reads go to the primary.
 func (r *Routing) MaxAge(s ServiceID) time.Duration {
