relay: followers learn of changes after the store has come back from a copy

Cause: the feed, the follower and the registry each compared bare revisions, and after the drill those of the VMs that read the store are below what their followers have. A heartbeat with a lower revision counted as a confirmation, so the followers didn't read the store themselves. Shown by a test with the messages as they were: no follower learns of an upstream that registers.

Change: messages between VMs bear the era of each revision, and the version of the configuration; all places order revisions by era first. A revision without an era, of an earlier build, counts as one of the known era. What is received of configurations is judged by NewestRouting, as what is read is.

The golden files are unchanged.

--- a/feed.go
+++ b/feed.go
@@ -9,18 +9,38 @@
 // that a VM knows.
 type KnownRevisions struct {
 	Routing, Upstreams StoreRevision
+	// Version is the version of the routing. After the store has come back from an
+	// older copy, VMs may know different versions at one revision.
+	Version ConfigVersion
 }
 
-// Covers reports whether both revisions are at least those of other.
+// CoversRouting reports whether k's routing is at least as new as that of other.
+func (k KnownRevisions) CoversRouting(other KnownRevisions) bool {
+	return k.Routing.Covers(other.Routing) && k.Version >= other.Version
+}
+
+// Covers reports whether both parts are at least as new as those of other.
 func (k KnownRevisions) Covers(other KnownRevisions) bool {
-	return k.Routing.Covers(other.Routing) && k.Upstreams.Covers(other.Upstreams)
+	return k.CoversRouting(other) && k.Upstreams.Covers(other.Upstreams)
 }
 
 // Later returns the later revision of each part.
 func (k KnownRevisions) Later(other KnownRevisions) KnownRevisions {
-	return KnownRevisions{Routing: k.Routing.Later(other.Routing), Upstreams: k.Upstreams.Later(other.Upstreams)}
+	return KnownRevisions{
+		Routing: k.Routing.Later(other.Routing), Upstreams: k.Upstreams.Later(other.Upstreams), Version: max(k.Version, other.Version),
+	}
 }
 
+// In returns the revisions in an era where they bear none: those of a VM whose build knows
+// no eras.
+func (k KnownRevisions) In(e Era) KnownRevisions {
+	k.Routing, k.Upstreams = k.Routing.In(e), k.Upstreams.In(e)
+	return k
+}
+
+// Era returns the latest era that is known.
+func (k KnownRevisions) Era() Era { return max(k.Routing.Era, k.Upstreams.Era) }
+
 // Following holds the parameters with which a VM follows the feed of another.
 type Following struct {
 	// Have holds the revisions that the follower already has.
--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -114,10 +114,11 @@
 
 // Published is a configuration as it was published.
 type Published struct {
-	// Revision is that of service files, StoreRevision that of a configuration on the
-	// users' prepared platform.
+	// Revision is that of service files. StoreRevision and Version are those of a
+	// configuration on the users' prepared platform.
 	Revision      chervilladder.Revision
 	StoreRevision chervilladder.StoreRevision
+	Version       chervilladder.ConfigVersion
 	// Encoded is the bundle that peers relay unchanged.
 	Encoded []byte
 	// Deltas holds the bundle as differences from earlier revisions, one for
--- a/internal/blackboard/knowledge.go
+++ b/internal/blackboard/knowledge.go
@@ -20,7 +20,7 @@
 func (b *Board) KnownRevisions() chervilladder.KnownRevisions {
 	known := chervilladder.KnownRevisions{Upstreams: b.Upstreams.Load().Revision}
 	if r := b.Routing.Load(); r != nil {
-		known.Routing = r.Revision
+		known.Routing, known.Version = r.Revision, r.Version
 	}
 	return known
 }
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -90,7 +90,7 @@
 func (k *Controller) applyFromPeer(received blackboard.Knowledge) {
 	k.applying.Lock()
 	defer k.applying.Unlock()
-	if received.UpstreamsRevision.Revision > k.c.Board.Upstreams.Load().Revision.Revision {
+	if received.UpstreamsRevision.After(k.c.Board.Upstreams.Load().Revision) {
 		k.replace(received.Upstreams, received.UpstreamsRevision)
 	}
 }
--- a/internal/control/relay/feed.go
+++ b/internal/control/relay/feed.go
@@ -29,8 +29,9 @@
 		registered, upstreamsChanged := k.c.Board.Upstreams.Watch()
 		update := chervilladder.StoreUpdate{
 			Age: k.c.Clock().Sub(k.c.Board.KnownAsOf()),
-			Has: chervilladder.KnownRevisions{Routing: published.StoreRevision, Upstreams: registered.Revision},
+			Has: chervilladder.KnownRevisions{Routing: published.StoreRevision, Upstreams: registered.Revision, Version: published.Version},
 		}
+		f.Have = f.Have.In(update.Has.Era())
 		if f.HeartbeatsOnly {
 			routingChanged, upstreamsChanged = nil, nil
 		} else {
@@ -58,10 +59,10 @@
 // addChanges adds to an update what a follower lacks, and returns the list of
 // upstreams that has been sent to it after that.
 func addChanges(update *chervilladder.StoreUpdate, have *chervilladder.KnownRevisions, published blackboard.Published, registered blackboard.Upstreams, sent upstreams) (upstreams, error) {
-	if published.StoreRevision.Revision > have.Routing.Revision {
-		update.Routing, have.Routing = published.Encoded, published.StoreRevision
+	if !have.CoversRouting(update.Has) {
+		update.Routing, have.Routing, have.Version = published.Encoded, published.StoreRevision, published.Version
 	}
-	if registered.Revision.Revision <= have.Upstreams.Revision {
+	if have.Upstreams.Covers(registered.Revision) {
 		return sent, nil
 	}
 	now := presentEntries(registered)
@@ -111,7 +112,7 @@
 			if err != nil {
 				k.c.Log.WithError(err).Error("relay: could not encode the configuration for peers")
 			} else {
-				k.c.Board.Published.Store(blackboard.Published{StoreRevision: routing.Revision, Encoded: encoded})
+				k.c.Board.Published.Store(blackboard.Published{StoreRevision: routing.Revision, Version: routing.Version, Encoded: encoded})
 			}
 		}
 		select {
--- a/internal/control/relay/follower.go
+++ b/internal/control/relay/follower.go
@@ -215,7 +215,7 @@
 			log.WithError(err).Warn("relay: malformed update from a peer")
 			cancel()
 		}
-		if k.c.Board.KnownRevisions().Covers(update.Has) {
+		if known := k.c.Board.KnownRevisions(); known.Covers(update.Has.In(known.Era())) {
 			behind = 0
 		} else {
 			behind++
@@ -242,13 +242,16 @@
 	k.receiving.Lock()
 	defer k.receiving.Unlock()
 	received, newer := k.c.Board.PeerKnowledge.Load(), false
+	known := k.c.Board.KnownRevisions()
+	has := update.Has.In(known.Era())
 	if len(update.Routing) > 0 {
 		r, err := decodeRouting(update.Routing)
 		if err != nil {
 			return list, err
 		}
-		if received.Routing == nil || r.Revision.Revision > received.Routing.Revision.Revision {
-			received.Routing, newer = r, true
+		r.Revision.Era = has.Routing.Era
+		if newest := chervilladder.NewestRouting(received.Routing, r); newest != received.Routing {
+			received.Routing, newer = newest, true
 		}
 	}
 	if len(update.Upstreams) > 0 {
@@ -257,7 +260,7 @@
 			return list, err
 		}
 		list = next
-		if revision.Revision > received.UpstreamsRevision.Revision {
+		if revision.Era = has.Upstreams.Era; revision.After(received.UpstreamsRevision) {
 			newer = true
 			received.UpstreamsRevision, received.Upstreams = revision, make([]chervilladder.Registered, 0, len(list))
 			for _, r := range list {
@@ -269,14 +272,13 @@
 		k.c.Board.PeerKnowledge.Store(received)
 		k.c.Log.WithFields(logrus.Fields{"upstreams": len(received.Upstreams), "upstreams-at": received.UpstreamsRevision}).Info("relay: newer contents received from a peer")
 	}
-	known := k.c.Board.KnownRevisions()
 	if newer {
 		known = known.Later(chervilladder.KnownRevisions{Upstreams: received.UpstreamsRevision})
 		if received.Routing != nil {
-			known = known.Later(chervilladder.KnownRevisions{Routing: received.Routing.Revision})
+			known = known.Later(chervilladder.KnownRevisions{Routing: received.Routing.Revision, Version: received.Routing.Version})
 		}
 	}
-	if known.Covers(update.Has) {
+	if known.Covers(has) {
 		k.c.Board.PeerConfirmedAt.Raise(k.c.Clock().Add(-update.Age))
 	}
 	return list, nil
--- a/internal/control/relay/world_test.go
+++ b/internal/control/relay/world_test.go
@@ -52,6 +52,19 @@
 	}
 }
 
+// drill brings the store back from a copy of its revision some changes ago, in which the
+// given upstreams are registered.
+func (s *store) drill(changes chervilladder.Revision, ids ...chervilladder.UpstreamID) {
+	s.mu.Lock()
+	s.revision.Era++
+	s.revision.Revision -= changes
+	restored := *s.routing
+	restored.Revision = s.revision
+	s.routing = &restored
+	s.mu.Unlock()
+	s.register(ids...)
+}
+
 // storeLink is one VM's connection to the store.
 type storeLink struct {
 	s  *store
@@ -182,6 +195,8 @@
 	follows, bytes atomic.Int64
 	// partitioned is set while no peer responds.
 	partitioned atomic.Bool
+	// eraless is set while peers neither tell eras nor are told any, as earlier builds.
+	eraless atomic.Bool
 }
 
 // peerLink is one VM's connection to its peers.
@@ -195,7 +210,13 @@
 	if !following.HeartbeatsOnly { // else it may be a health check
 		f.follows.Add(1)
 	}
+	if f.eraless.Load() {
+		following.Have = withoutEras(following.Have)
+	}
 	return f.vms[peer].relay.SendUpdates(ctx, following, func(update chervilladder.StoreUpdate) error {
+		if f.eraless.Load() {
+			update.Has = withoutEras(update.Has)
+		}
 		if f.partitioned.Load() || f.from.isolated.Load() || f.vms[peer].isolated.Load() {
 			return errRejected
 		}
@@ -205,6 +226,11 @@
 	})
 }
 
+func withoutEras(k chervilladder.KnownRevisions) chervilladder.KnownRevisions {
+	k.Routing.Era, k.Upstreams.Era = 0, 0
+	return k
+}
+
 func testWithVMs(t *testing.T, size int, f func(is *is.I, s *store, f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		s, all := &store{vms: make(map[chervilladder.VMID]chervilladder.VM)}, &fleet{vms: make(map[chervilladder.Address]*vm)}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -117,13 +117,14 @@
 	}
 	stream, err := client.Follow(ctx, &peerpb.FollowRequest{
 		Routing: uint64(f.Have.Routing.Revision), Upstreams: uint64(f.Have.Upstreams.Revision), BeatsOnly: f.HeartbeatsOnly,
+		RoutingEra: uint64(f.Have.Routing.Era), UpstreamsEra: uint64(f.Have.Upstreams.Era), RoutingVersion: uint64(f.Have.Version),
 	})
 	for err == nil {
 		var r *peerpb.FollowResponse
 		if r, err = stream.Recv(); err == nil {
 			receive(chervilladder.StoreUpdate{
 				Age:     time.Duration(min(r.GetAgeUs(), maxAgeMicros)) * time.Microsecond,
-				Has:     chervilladder.KnownRevisions{Routing: chervilladder.StoreRevision{Revision: chervilladder.Revision(r.GetHasRouting())}, Upstreams: chervilladder.StoreRevision{Revision: chervilladder.Revision(r.GetHasUpstreams())}},
+				Has:     knownRevisions(r.GetHasRoutingEra(), r.GetHasRouting(), r.GetHasUpstreamsEra(), r.GetHasUpstreams(), r.GetHasRoutingVersion()),
 				Routing: r.GetRouting(), Upstreams: r.GetUpstreams(),
 			})
 		}
@@ -131,6 +132,15 @@
 	return fmt.Errorf("peer %s: follow: %w", peer, err)
 }
 
+// knownRevisions returns what a message says of the revisions that a VM knows.
+func knownRevisions(routingEra, routing, upstreamsEra, upstreams, version uint64) chervilladder.KnownRevisions {
+	return chervilladder.KnownRevisions{
+		Routing:   chervilladder.StoreRevision{Era: chervilladder.Era(routingEra), Revision: chervilladder.Revision(routing)},
+		Upstreams: chervilladder.StoreRevision{Era: chervilladder.Era(upstreamsEra), Revision: chervilladder.Revision(upstreams)},
+		Version:   chervilladder.ConfigVersion(version),
+	}
+}
+
 // Demote has a peer demote a primary of an earlier term.
 func (c *Client) Demote(ctx context.Context, peer chervilladder.Address, u chervilladder.UpstreamID, term chervilladder.Term) error {
 	client, err := c.client(peer)
--- a/internal/peer/feed_test.go
+++ b/internal/peer/feed_test.go
@@ -22,6 +22,8 @@
 		u.Routing, u.Upstreams = nil, nil
 	}
 	u.Has.Upstreams.Revision += following.Have.Upstreams.Revision
+	u.Has.Upstreams.Era += following.Have.Upstreams.Era
+	u.Has.Version += following.Have.Version
 	if err := send(u); err != nil {
 		return err
 	}
@@ -73,18 +75,18 @@
 func TestFollowReceivesUpdatesAndEndsWithTheServer(t *testing.T) {
 	is := is.New(t)
 	sent := chervilladder.StoreUpdate{
-		Age: 1500 * time.Millisecond, Has: chervilladder.KnownRevisions{Routing: chervilladder.StoreRevision{Revision: 4}, Upstreams: chervilladder.StoreRevision{Revision: 9}},
+		Age: 1500 * time.Millisecond, Has: chervilladder.KnownRevisions{Routing: chervilladder.StoreRevision{Era: 3, Revision: 4}, Upstreams: chervilladder.StoreRevision{Era: 2, Revision: 9}, Version: 7},
 		Routing: []byte("r"), Upstreams: []byte("u"),
 	}
 	client, addr, stop := serve(t, ServerConfig{Feed: constantPeer{sent}})
 	got := make(chan chervilladder.StoreUpdate, 2)
 	ended := make(chan error, 2)
 	for _, heartbeatsOnly := range []bool{false, true} {
-		f := chervilladder.Following{Have: chervilladder.KnownRevisions{Upstreams: chervilladder.StoreRevision{Revision: 1}}, HeartbeatsOnly: heartbeatsOnly}
+		f := chervilladder.Following{Have: chervilladder.KnownRevisions{Upstreams: chervilladder.StoreRevision{Era: 4, Revision: 1}, Version: 5}, HeartbeatsOnly: heartbeatsOnly}
 		go func() { ended <- client.Follow(t.Context(), addr, f, func(u chervilladder.StoreUpdate) { got <- u }) }()
 		u := <-got
 		is.Equal(u.Age, sent.Age)
-		is.Equal(u.Has, chervilladder.KnownRevisions{Routing: chervilladder.StoreRevision{Revision: 4}, Upstreams: chervilladder.StoreRevision{Revision: 10}})
+		is.Equal(u.Has, chervilladder.KnownRevisions{Routing: chervilladder.StoreRevision{Era: 3, Revision: 4}, Upstreams: chervilladder.StoreRevision{Era: 6, Revision: 10}, Version: 12})
 		is.Equal(string(u.Routing) == "r", !heartbeatsOnly)
 		is.Equal(string(u.Upstreams) == "u", !heartbeatsOnly)
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -158,7 +158,7 @@
 	defer cancel()
 	defer context.AfterFunc(s.followContext, cancel)()
 	f := chervilladder.Following{
-		Have:           chervilladder.KnownRevisions{Routing: chervilladder.StoreRevision{Revision: chervilladder.Revision(r.GetRouting())}, Upstreams: chervilladder.StoreRevision{Revision: chervilladder.Revision(r.GetUpstreams())}},
+		Have:           knownRevisions(r.GetRoutingEra(), r.GetRouting(), r.GetUpstreamsEra(), r.GetUpstreams(), r.GetRoutingVersion()),
 		HeartbeatsOnly: r.GetBeatsOnly(),
 	}
 	return s.Feed.SendUpdates(ctx, f, func(update chervilladder.StoreUpdate) error {
@@ -166,6 +166,7 @@
 		return stream.Send(&peerpb.FollowResponse{
 			AgeUs: age, Routing: update.Routing, Upstreams: update.Upstreams,
 			HasRouting: uint64(update.Has.Routing.Revision), HasUpstreams: uint64(update.Has.Upstreams.Revision),
+			HasRoutingEra: uint64(update.Has.Routing.Era), HasUpstreamsEra: uint64(update.Has.Upstreams.Era), HasRoutingVersion: uint64(update.Has.Version),
 		})
 	})
 }
