registry: a drain counts from its begin, not from when a VM first saw it

Cause: the begin of a drain was the moment at which this process first saw the entry as draining, and the entry bears no time. VMs that ran all the while stopped in time.

Change: the begin is the earliest time at which the drain may have begun: the last answer before it for a list after a gap, what a peer knows for a VM that starts. VMs tell each other for how long upstreams drain; until a peer has answered, the drain counts as over. An upstream that drains doesn't become ready again under the same start, and one that has left is remembered for a minute, so that an older copy of the store starts no drain anew.

--- a/internal/blackboard/cluster.go
+++ b/internal/blackboard/cluster.go
@@ -21,14 +21,19 @@
 	// ReadAt is when this VM last requested the list by UpstreamsTrigger and got it, by
 	// the VM's own clock: the list reflects the store at that time or later.
 	ReadAt time.Time
+	// AskDrainsUntil is until when it is of use to ask peers since when an upstream
+	// drains, by the VM's own clock; zero if all is known.
+	AskDrainsUntil time.Time
 }
 
 // KnownUpstream is one registered upstream.
 type KnownUpstream struct {
 	chervilladder.Registered
-	// DrainingSince is when this VM first observed that the upstream drains,
-	// by the VM's own clock; zero while it doesn't.
+	// DrainingSince is the earliest time at which the upstream's drain may have begun,
+	// by the VM's own clock; zero while it doesn't drain. DrainAssumed is set while
+	// this VM has no evidence of that time; the drain then counts as over.
 	DrainingSince time.Time
+	DrainAssumed  bool
 	// MissingSince is when the entry was found missing. The upstream is kept
 	// for some time after that, since entries lapse while the platform's
 	// store is unavailable.
--- a/internal/blackboard/knowledge.go
+++ b/internal/blackboard/knowledge.go
@@ -13,8 +13,13 @@
 	// Upstreams are the ones registered as of revision UpstreamsRevision.
 	Upstreams         []chervilladder.Registered
 	UpstreamsRevision chervilladder.StoreRevision
+	// Drains says since when upstreams drain, as far as peers know.
+	Drains map[chervilladder.UpstreamID]Drain
 }
 
+// Drain is the drain of an upstream that was started at Born.
+type Drain struct{ Born, Since time.Time }
+
 // KnownRevisions returns the store's revisions of the routing and the upstreams
 // on the board.
 func (b *Board) KnownRevisions() chervilladder.KnownRevisions {
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -56,6 +56,9 @@
 	// later than that list's own, which rises with changes of upstreams only. Guarded by
 	// applying.
 	current chervilladder.StoreRevision
+	// departed holds the draining upstreams that have left, for departedMemory.
+	// Guarded by applying.
+	departed map[chervilladder.UpstreamID]departedUpstream
 	// relist is set if changes may have been missed, so that all upstreams are to be
 	// listed again. Written by Run's loop only.
 	relist bool
@@ -66,7 +69,7 @@
 	if c.Board == nil || c.Source == nil || c.Log == nil || c.Clock == nil {
 		return nil, errors.New("registry: a board, a source, a log and a clock are needed")
 	}
-	return &Controller{c: c}, nil
+	return &Controller{c: c, departed: make(map[chervilladder.UpstreamID]departedUpstream)}, nil
 }
 
 // Run follows the registry until the context ends.
@@ -90,9 +93,21 @@
 func (k *Controller) applyFromPeer(received blackboard.Knowledge) {
 	k.applying.Lock()
 	defer k.applying.Unlock()
-	if received.UpstreamsRevision.After(k.c.Board.Upstreams.Load().Revision) {
-		k.replace(received.Upstreams, received.UpstreamsRevision)
+	if old := k.c.Board.Upstreams.Load(); received.UpstreamsRevision.After(old.Revision) {
+		k.replace(received.Upstreams, report{revision: received.UpstreamsRevision, earliest: k.confirmedAt(old), drains: received.Drains})
 	}
+	k.learnDrains(received.Drains)
+}
+
+// report says what a list or events reflect.
+type report struct {
+	// revision is the store's revision of the list that results.
+	revision chervilladder.StoreRevision
+	// earliest is the earliest time at which what is new of it may have happened; zero if
+	// that isn't known.
+	earliest time.Time
+	// drains says since when upstreams drain, as far as a peer knows.
+	drains map[chervilladder.UpstreamID]blackboard.Drain
 }
 
 // step reads the store once, and waits for a change if there is none.
@@ -136,13 +151,14 @@
 	if k.current != after && k.current.After(revision) {
 		return nil
 	}
-	k.replace(list, revision)
+	k.replace(list, report{revision: revision, earliest: k.confirmedAt(k.c.Board.Upstreams.Load())})
 	return nil
 }
 
 // watch reads the changes after a revision, and applies them unless newer ones have been
 // applied meanwhile.
 func (k *Controller) watch(ctx context.Context, after chervilladder.StoreRevision, wait time.Duration) error {
+	requestedAt := k.c.Clock()
 	events, revision, err := k.c.Source.Watch(ctx, after, wait)
 	if err != nil {
 		return err
@@ -153,7 +169,7 @@
 		return nil
 	}
 	if len(events) > 0 {
-		k.change(events, revision)
+		k.change(events, report{revision: revision, earliest: k.earliestEvent(requestedAt, wait)})
 	}
 	k.current = revision
 	return nil
@@ -216,7 +232,7 @@
 }
 
 // replace applies a whole list.
-func (k *Controller) replace(list []chervilladder.Registered, revision chervilladder.StoreRevision) {
+func (k *Controller) replace(list []chervilladder.Registered, of report) {
 	events := make([]chervilladder.RegistryEvent, 0, len(list))
 	listed := make(map[chervilladder.UpstreamID]bool, len(list))
 	for i := range list {
@@ -228,37 +244,39 @@
 			events = append(events, chervilladder.RegistryEvent{ID: id, Removed: true})
 		}
 	}
-	k.change(events, revision)
+	k.change(events, of)
 }
 
-// change applies events in order, and stores the list that results, which is that of a
-// revision.
-func (k *Controller) change(events []chervilladder.RegistryEvent, revision chervilladder.StoreRevision) {
+// change applies events in order, and stores the list that results.
+func (k *Controller) change(events []chervilladder.RegistryEvent, of report) {
 	now := k.c.Clock()
+	k.forgetDeparted(now)
 	old := k.c.Board.Upstreams.Load()
-	next := blackboard.Upstreams{ByID: maps.Clone(old.ByID), Known: true, Revision: revision, ReadAt: old.ReadAt}
+	next := blackboard.Upstreams{ByID: maps.Clone(old.ByID), Known: true, Revision: of.revision, ReadAt: old.ReadAt}
 	if next.ByID == nil {
 		next.ByID = make(map[chervilladder.UpstreamID]blackboard.KnownUpstream)
 	}
 	for _, e := range events {
 		before, known := next.ByID[e.ID]
-		entry, keep := k.apply(before, known, e, now)
+		entry, keep := k.apply(before, known, e, of, now)
 		switch {
 		case keep && (!known || entry != before):
 			next.ByID[e.ID] = entry
 			k.logChange(e.ID, before, known, entry)
 		case !keep && known:
 			delete(next.ByID, e.ID)
+			k.departed[e.ID] = departedUpstream{KnownUpstream: before, at: now}
 			k.c.Log.WithField("upstream", e.ID).Info("registry: upstream left")
 		}
 	}
+	next.AskDrainsUntil = k.askDrainsUntil(next.ByID)
 	k.c.Board.Upstreams.Store(next)
-	k.current = revision
+	k.current = of.revision
 }
 
 // apply returns an entry as changed by an event, and whether the upstream is kept.
 // An entry without an upstream counts as missing.
-func (k *Controller) apply(before blackboard.KnownUpstream, known bool, e chervilladder.RegistryEvent, now time.Time) (blackboard.KnownUpstream, bool) {
+func (k *Controller) apply(before blackboard.KnownUpstream, known bool, e chervilladder.RegistryEvent, of report, now time.Time) (blackboard.KnownUpstream, bool) {
 	if e.Removed || e.Upstream == nil {
 		if !known || before.Draining {
 			return before, false
@@ -268,14 +286,10 @@
 		}
 		return before, true
 	}
-	entry := blackboard.KnownUpstream{Registered: *e.Upstream, DrainingSince: before.DrainingSince}
-	switch {
-	case !entry.Draining:
-		entry.DrainingSince = time.Time{}
-	case entry.DrainingSince.IsZero():
-		entry.DrainingSince = now
+	if !known {
+		before = k.departed[e.ID].KnownUpstream
 	}
-	return entry, true
+	return k.withDrain(blackboard.KnownUpstream{Registered: *e.Upstream}, before, of, now), true
 }
 
 // logChange logs a change that affects decisions.
@@ -285,7 +299,7 @@
 	case !known:
 		log.WithField("slots", after.Slots).Info("registry: upstream registered")
 	case after.Draining && !before.Draining:
-		log.Info("registry: upstream is draining")
+		log.WithFields(logrus.Fields{"since": k.c.Clock().Sub(after.DrainingSince).String(), "assumed": after.DrainAssumed}).Info("registry: upstream is draining")
 	case !after.MissingSince.IsZero() && before.MissingSince.IsZero():
 		log.Info("registry: entry of an upstream is missing; it is removed if the entry does not return")
 	case !after.Born.Equal(before.Born):
--- a/internal/control/registry/registry_test.go
+++ b/internal/control/registry/registry_test.go
@@ -64,6 +64,19 @@
 func draining(u *chervilladder.Registered) { u.Draining = true }
 
 func bubble(t *testing.T, f func(is *is.I, s source, known func() map[chervilladder.UpstreamID]blackboard.KnownUpstream)) {
+	t.Helper()
+	bubbleWithBoard(t, func(is *is.I, s source, board *blackboard.Board) {
+		f(is, s, func() map[chervilladder.UpstreamID]blackboard.KnownUpstream { return knownOn(board) })
+	})
+}
+
+// knownOn returns the upstreams on a board once all that goes on has ended.
+func knownOn(board *blackboard.Board) map[chervilladder.UpstreamID]blackboard.KnownUpstream {
+	synctest.Wait()
+	return board.Upstreams.Load().ByID
+}
+
+func bubbleWithBoard(t *testing.T, f func(is *is.I, s source, board *blackboard.Board)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -76,12 +89,13 @@
 		ctx, stop := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
 		go func() { ended <- recovery.Loop(ctx, log, "test", k.Run) }()
-		f(is, s, func() map[chervilladder.UpstreamID]blackboard.KnownUpstream {
-			synctest.Wait()
-			return board.Upstreams.Load().ByID
-		})
-		stop()
-		is.NoErr(<-ended)
+		defer func() {
+			stop()
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		}()
+		f(is, s, board)
 	})
 }
 
--- a/internal/control/relay/encoding.go
+++ b/internal/control/relay/encoding.go
@@ -74,6 +74,9 @@
 	Whole   bool
 	Entries []chervilladder.Registered
 	Removed []chervilladder.UpstreamID
+	// DrainingFor says for how long upstreams of the list drain, as far as the sender
+	// knows.
+	DrainingFor map[chervilladder.UpstreamID]time.Duration `json:",omitempty"`
 }
 
 // errNoBase reports a change of a list that was never received as a whole.
@@ -82,14 +85,14 @@
 // upstreams is the list of registered upstreams that a peer has sent.
 type upstreams map[chervilladder.UpstreamID]chervilladder.Registered
 
-// apply returns the list after a change.
-func (u upstreams) apply(b []byte) (upstreams, chervilladder.StoreRevision, error) {
+// apply returns the list after an encoded change, and the change.
+func (u upstreams) apply(b []byte) (upstreams, listChange, error) {
 	var c listChange
 	if err := decode(b, &c); err != nil {
-		return u, chervilladder.StoreRevision{}, err
+		return u, listChange{}, err
 	}
 	if c.At.Revision == 0 || !c.Whole && u == nil {
-		return u, chervilladder.StoreRevision{}, errNoBase
+		return u, listChange{}, errNoBase
 	}
 	next := make(upstreams, len(u)+len(c.Entries))
 	if !c.Whole {
@@ -106,5 +109,5 @@
 	for _, id := range c.Removed {
 		delete(next, id)
 	}
-	return next, c.At, nil
+	return next, c, nil
 }
--- a/internal/control/relay/encoding_test.go
+++ b/internal/control/relay/encoding_test.go
@@ -32,10 +32,10 @@
 		to := randomList(rng)
 		encoded, err := encode(diff(sent, to, at))
 		is.NoErr(err)
-		var reached chervilladder.StoreRevision
+		var reached listChange
 		have, reached, err = have.apply(encoded)
 		is.NoErr(err)
-		is.Equal(reached, at)
+		is.Equal(reached.At, at)
 		is.True(maps.Equal(have, to))
 		sent = to
 	}
@@ -62,7 +62,7 @@
 		}
 		before := upstreams{"i-0": {ID: "i-0"}}
 		after, at, err := before.apply(b)
-		if err != nil && (at.Revision != 0 || len(after) != 1) {
+		if err != nil && (at.At.Revision != 0 || len(after) != 1) {
 			t.Error("a malformed change has changed the list")
 		}
 	})
@@ -90,7 +90,7 @@
 		is.True(decode(mustEncode(t, c)[:5], &into) != nil)
 		list, at, err := upstreams(nil).apply(mustEncode(t, c))
 		is.NoErr(err)
-		is.Equal(at, chervilladder.StoreRevision{Revision: 4})
+		is.Equal(at.At, chervilladder.StoreRevision{Revision: 4})
 		is.Equal(len(list), 1)
 	}
 }
--- a/internal/control/relay/feed.go
+++ b/internal/control/relay/feed.go
@@ -36,7 +36,7 @@
 			routingChanged, upstreamsChanged = nil, nil
 		} else {
 			var err error
-			if sent, err = addChanges(&update, &f.Have, published, registered, sent); err != nil {
+			if sent, err = addChanges(&update, &f.Have, published, registered, sent, k.c.Clock()); err != nil {
 				return err
 			}
 		}
@@ -58,7 +58,7 @@
 
 // addChanges adds to an update what a follower lacks, and returns the list of
 // upstreams that has been sent to it after that.
-func addChanges(update *chervilladder.StoreUpdate, have *chervilladder.KnownRevisions, published blackboard.Published, registered blackboard.Upstreams, sent upstreams) (upstreams, error) {
+func addChanges(update *chervilladder.StoreUpdate, have *chervilladder.KnownRevisions, published blackboard.Published, registered blackboard.Upstreams, sent upstreams, clock time.Time) (upstreams, error) {
 	if !have.CoversRouting(update.Has) {
 		update.Routing, have.Routing, have.Version = published.Encoded, published.StoreRevision, published.Version
 	}
@@ -66,7 +66,9 @@
 		return sent, nil
 	}
 	now := presentEntries(registered)
-	encoded, err := encode(diff(sent, now, registered.Revision))
+	change := diff(sent, now, registered.Revision)
+	change.DrainingFor = knownDrains(registered, clock)
+	encoded, err := encode(change)
 	if err != nil {
 		return sent, err
 	}
@@ -85,6 +87,17 @@
 	return list
 }
 
+// knownDrains returns for how long the upstreams drain of which this VM knows it.
+func knownDrains(u blackboard.Upstreams, now time.Time) map[chervilladder.UpstreamID]time.Duration {
+	drains := make(map[chervilladder.UpstreamID]time.Duration)
+	for id, e := range u.ByID {
+		if e.Draining && !e.DrainAssumed {
+			drains[id] = now.Sub(e.DrainingSince)
+		}
+	}
+	return drains
+}
+
 // diff returns the change from one list to another, or the whole list if the peer
 // has been sent none.
 func diff(from, to upstreams, at chervilladder.StoreRevision) listChange {
--- a/internal/control/relay/follower.go
+++ b/internal/control/relay/follower.go
@@ -107,7 +107,7 @@
 		k.c.Log.WithFields(logrus.Fields{"asking": unavailable, "peers": len(k.c.Board.Peers.Load())}).Info("relay: store availability changed; peers that are not readers may be followed while asking is true")
 	}
 	k.sources = k.readers
-	if unavailable {
+	if unavailable || k.drainsUnknown() {
 		k.sources = append(slices.Clone(k.readers), k.fallbackPeers()...)
 	}
 }
@@ -180,7 +180,7 @@
 func (k *Controller) followUntilEnd(ctx context.Context, stream int, peer chervilladder.VM) {
 	ended := peerLost
 	defer func() { k.release(stream, ended != notWanted && ctx.Err() == nil) }()
-	ended = k.followPeer(ctx, peer, stream > 0)
+	ended = k.followPeer(ctx, peer, stream > 0 && !k.drainsUnknown())
 	if ended == peerNewer {
 		ended = k.followPeer(ctx, peer, false)
 	}
@@ -208,7 +208,11 @@
 	log := k.c.Log.WithField("peer", peer.ID)
 	var list upstreams
 	behind := 0
-	err := k.c.Feeds.Follow(ctx, peer.Peer, chervilladder.Following{Have: k.c.Board.KnownRevisions(), HeartbeatsOnly: heartbeatsOnly}, func(update chervilladder.StoreUpdate) {
+	have, asksDrains := k.c.Board.KnownRevisions(), k.drainsUnknown()
+	if asksDrains {
+		have.Upstreams = chervilladder.StoreRevision{} // the whole list says for how long they drain
+	}
+	err := k.c.Feeds.Follow(ctx, peer.Peer, chervilladder.Following{Have: have, HeartbeatsOnly: heartbeatsOnly}, func(update chervilladder.StoreUpdate) {
 		silent.Reset(silenceTimeout)
 		var err error
 		if list, err = k.receive(update, list); err != nil {
@@ -226,6 +230,8 @@
 		case !k.wanted(peer):
 			ended = notWanted
 			cancel()
+		case asksDrains && list != nil && !k.drainsLearned():
+			cancel() // another peer may know them
 		case heartbeatsOnly && behind >= behindHeartbeats:
 			ended = peerNewer
 			cancel()
@@ -241,7 +247,7 @@
 func (k *Controller) receive(update chervilladder.StoreUpdate, list upstreams) (upstreams, error) {
 	k.receiving.Lock()
 	defer k.receiving.Unlock()
-	received, newer := k.c.Board.PeerKnowledge.Load(), false
+	received, newer, learned := k.c.Board.PeerKnowledge.Load(), false, false
 	known := k.c.Board.KnownRevisions()
 	has := update.Has.In(known.Era())
 	if len(update.Routing) > 0 {
@@ -255,11 +261,15 @@
 		}
 	}
 	if len(update.Upstreams) > 0 {
-		next, revision, err := list.apply(update.Upstreams)
+		next, change, err := list.apply(update.Upstreams)
 		if err != nil {
 			return list, err
 		}
 		list = next
+		if drains := k.drainsOf(change, list, received.Drains); len(drains) > 0 {
+			received.Drains, learned = drains, true
+		}
+		revision := change.At
 		if revision.Era = has.Upstreams.Era; revision.After(received.UpstreamsRevision) {
 			newer = true
 			received.UpstreamsRevision, received.Upstreams = revision, make([]chervilladder.Registered, 0, len(list))
@@ -268,8 +278,10 @@
 			}
 		}
 	}
-	if newer {
+	if newer || learned {
 		k.c.Board.PeerKnowledge.Store(received)
+	}
+	if newer {
 		k.c.Log.WithFields(logrus.Fields{"upstreams": len(received.Upstreams), "upstreams-at": received.UpstreamsRevision}).Info("relay: newer contents received from a peer")
 	}
 	if newer {
@@ -283,3 +295,39 @@
 	}
 	return list, nil
 }
+
+// drainsOf returns since when upstreams of a peer's list drain, by the peer's change of it.
+// What peers have said before of upstreams of the list stays if it is earlier.
+func (k *Controller) drainsOf(c listChange, list upstreams, before map[chervilladder.UpstreamID]blackboard.Drain) map[chervilladder.UpstreamID]blackboard.Drain {
+	now := k.c.Clock()
+	drains := make(map[chervilladder.UpstreamID]blackboard.Drain, len(c.DrainingFor))
+	for id, old := range before {
+		if r := list[id]; r.Draining && r.Born.Equal(old.Born) {
+			drains[id] = old
+		}
+	}
+	for id, lasted := range c.DrainingFor {
+		d := blackboard.Drain{Born: list[id].Born, Since: now.Add(-lasted)}
+		if old, known := drains[id]; !known || d.Since.Before(old.Since) {
+			drains[id] = d
+		}
+	}
+	return drains
+}
+
+// drainsLearned reports whether peers have said since when the upstreams drain of which
+// this VM doesn't know it.
+func (k *Controller) drainsLearned() bool {
+	drains := k.c.Board.PeerKnowledge.Load().Drains
+	for id, e := range k.c.Board.Upstreams.Load().ByID {
+		if d, known := drains[id]; e.DrainAssumed && e.Primary && (!known || !d.Born.Equal(e.Born)) {
+			return false
+		}
+	}
+	return true
+}
+
+// drainsUnknown reports whether peers are to be asked since when upstreams drain.
+func (k *Controller) drainsUnknown() bool {
+	return k.c.Clock().Before(k.c.Board.Upstreams.Load().AskDrainsUntil)
+}
--- a/internal/control/relay/world_test.go
+++ b/internal/control/relay/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -21,6 +22,9 @@
 	"github.com/chervilladder/chervilladder/internal/control/routing"
 )
 
+// drainBound is how long an upstream's drain lasts.
+const drainBound = 7 * time.Second
+
 var errRejected = errors.New("connection rejected")
 
 // store is a platform store whose contents the tests change.
@@ -52,6 +56,19 @@
 	}
 }
 
+// drain has an upstream, a primary, report that it is draining.
+func (s *store) drain(id chervilladder.UpstreamID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision.Revision++
+	s.upstreams = slices.Clone(s.upstreams)
+	for i := range s.upstreams {
+		if u := &s.upstreams[i]; u.ID == id {
+			u.Draining, u.Primary = true, true
+		}
+	}
+}
+
 // drill brings the store back from a copy of its revision some changes ago, in which the
 // given upstreams are registered.
 func (s *store) drill(changes chervilladder.Revision, ids ...chervilladder.UpstreamID) {
@@ -190,6 +207,8 @@
 // fleet is a set of VMs and the connections between them.
 type fleet struct {
 	vms map[chervilladder.Address]*vm
+	// starting guards vms while a VM starts.
+	starting sync.Mutex
 	// follows counts the calls to follow a peer for changes, bytes the payload
 	// bytes that peers have sent.
 	follows, bytes atomic.Int64
@@ -197,6 +216,8 @@
 	partitioned atomic.Bool
 	// eraless is set while peers neither tell eras nor are told any, as earlier builds.
 	eraless atomic.Bool
+	// start starts a further VM.
+	start func(chervilladder.VMID) *vm
 }
 
 // peerLink is one VM's connection to its peers.
@@ -205,6 +226,13 @@
 	from *vm
 }
 
+// vmAt returns the VM at an address.
+func (f *fleet) vmAt(a chervilladder.Address) *vm {
+	f.starting.Lock()
+	defer f.starting.Unlock()
+	return f.vms[a]
+}
+
 // Follow calls the peer's SendUpdates directly.
 func (f peerLink) Follow(ctx context.Context, peer chervilladder.Address, following chervilladder.Following, receive func(chervilladder.StoreUpdate)) error {
 	if !following.HeartbeatsOnly { // else it may be a health check
@@ -213,11 +241,12 @@
 	if f.eraless.Load() {
 		following.Have = withoutEras(following.Have)
 	}
-	return f.vms[peer].relay.SendUpdates(ctx, following, func(update chervilladder.StoreUpdate) error {
+	to := f.vmAt(peer)
+	return to.relay.SendUpdates(ctx, following, func(update chervilladder.StoreUpdate) error {
 		if f.eraless.Load() {
 			update.Has = withoutEras(update.Has)
 		}
-		if f.partitioned.Load() || f.from.isolated.Load() || f.vms[peer].isolated.Load() {
+		if f.partitioned.Load() || f.from.isolated.Load() || to.isolated.Load() {
 			return errRejected
 		}
 		f.bytes.Add(int64(len(update.Routing) + len(update.Upstreams)))
@@ -240,10 +269,12 @@
 		log.SetOutput(io.Discard)
 		ctx, stop := context.WithCancel(context.Background())
 		var parts errgroup.Group
-		for i := range size {
-			id := chervilladder.VMID(rune('a' + i))
+		all.start = func(id chervilladder.VMID) *vm {
 			v := &vm{link: &storeLink{s: s}, board: blackboard.New(chervilladder.VM{ID: id, Peer: chervilladder.Address(id)})}
+			v.board.Bounds.Store(chervilladder.Bounds{UpstreamDrain: drainBound})
+			all.starting.Lock()
 			all.vms[v.board.Self.Peer] = v
+			all.starting.Unlock()
 			routes, err1 := routing.New(routing.Config{Board: v.board, Source: v.link, Log: log, Clock: time.Now})
 			upstreams, err2 := registry.New(registry.Config{Board: v.board, Source: v.link, Log: log, Clock: time.Now})
 			relays, err3 := relay.New(relay.Config{Board: v.board, Directory: v.link, Feeds: peerLink{all, v}, Log: log, Clock: time.Now})
@@ -254,6 +285,10 @@
 			parts.Go(func() error { return routes.Run(ctx) })
 			parts.Go(func() error { return upstreams.Run(ctx) })
 			parts.Go(func() error { return relays.Run(ctx) })
+			return v
+		}
+		for i := range size {
+			all.start(chervilladder.VMID(rune('a' + i)))
 		}
 		time.Sleep(20 * time.Second)
 		f(is.New(t), s, all)
