relay: the list of VMs is read soon after the store has come back from a copy

A VM that joined after the copy was taken is missing from the store's list until it reads the list itself, up to 15 s later; until then no peer forwards work to it or borrows from it.

TestVMThatACopyOfTheStoreLacksIsListedAgainSoon failed before (2 VMs listed 4 s after the drill instead of 3).

--- a/internal/control/relay/era_test.go
+++ b/internal/control/relay/era_test.go
@@ -66,3 +66,16 @@
 		}
 	})
 }
+
+// The copy from which the store has come back lacks a VM that has joined since. Peers must
+// know it again soon: they forward work to it and borrow from it.
+func TestVMThatACopyOfTheStoreLacksIsListedAgainSoon(t *testing.T) {
+	testWithVMs(t, 3, func(is *is.I, s *store, f *fleet) {
+		s.drill(0, "a", "b") // the first era that the store tells
+		time.Sleep(20 * time.Second)
+		s.forget("c")
+		s.drill(1, "a", "b")
+		time.Sleep(learnedWithin)
+		is.Equal(s.listed(), 3)
+	})
+}
--- a/internal/control/relay/follower.go
+++ b/internal/control/relay/follower.go
@@ -98,6 +98,7 @@
 			"elsewhere": next.FromPeers, "for-others": next.ForPeers, "readers": len(k.readers),
 		}).Info("relay: source of the store's contents changed")
 	}
+	k.readListInANewEra()
 	unavailable := now.Sub(k.c.Board.StoreAnswered()) >= unavailableAfter
 	if follows {
 		unavailable = unavailable && now.Sub(k.c.Board.PeerConfirmedAt.Load()) >= unavailableAfter
@@ -112,6 +113,19 @@
 	}
 }
 
+// readListInANewEra has the list of VMs read soon once the store has come back from an older
+// copy: this VM may be missing from it. The caller holds the lock.
+func (k *Controller) readListInANewEra() {
+	era := k.c.Board.KnownRevisions().Era()
+	if era == k.era {
+		return
+	}
+	if k.era != 0 {
+		k.c.Board.ListTrigger.Ask()
+	}
+	k.era = era
+}
+
 // fallbackPeers returns the peers to follow while the store is unavailable. They
 // differ between VMs.
 func (k *Controller) fallbackPeers() []chervilladder.VM {
--- a/internal/control/relay/relay.go
+++ b/internal/control/relay/relay.go
@@ -64,6 +64,8 @@
 	// peers to follow now.
 	storeUnavailable bool
 	sources          []chervilladder.VM
+	// era is the latest era of the store that is known.
+	era chervilladder.Era
 	// following is the peer of each stream, lost when each peer was last lost.
 	following [streams]chervilladder.VMID
 	lost      map[chervilladder.VMID]time.Time
--- a/internal/control/relay/world_test.go
+++ b/internal/control/relay/world_test.go
@@ -69,6 +69,13 @@
 	}
 }
 
+// forget removes a VM from the store's list.
+func (s *store) forget(id chervilladder.VMID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.vms, id)
+}
+
 // drill brings the store back from a copy of its revision some changes ago, in which the
 // given upstreams are registered.
 func (s *store) drill(changes chervilladder.Revision, ids ...chervilladder.UpstreamID) {
