soak: the store comes back from older copies, beside the usual faults

The stand-in of the platform tells its era in each answer, and comes back from a copy in a new one; the operator's last configuration and the members' entries are written again.

--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -18,6 +18,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -67,6 +68,8 @@
 
 	// pending counts the faults that are still to be reverted.
 	pending sync.WaitGroup
+	// drilling is set while the store is to come back from a copy.
+	drilling atomic.Bool
 
 	mu     sync.Mutex
 	events []event
--- a/internal/standin/environment/environment.go
+++ b/internal/standin/environment/environment.go
@@ -69,6 +69,8 @@
 	unlisted map[chervilladder.UpstreamID]bool
 	version  int
 	accounts []Account
+	// configuration is the last one, as written.
+	configuration []byte
 }
 
 // New returns an environment and writes the initial configuration.
@@ -130,9 +132,18 @@
 	if err != nil {
 		return err
 	}
+	e.configuration = spec
 	return e.put("config", "main", spec)
 }
 
+// WriteAgain writes the last configuration again, as the operator does after the store has
+// come back from a copy. The members write their entries by themselves.
+func (e *Environment) WriteAgain() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.put("config", "main", e.configuration)
+}
+
 // put writes an object unconditionally.
 func (e *Environment) put(kind chervilladder.ObjectKind, name chervilladder.ObjectName, spec []byte) error {
 	for {
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,6 +17,9 @@
 	"github.com/chervilladder/chervilladder/internal/standin/board"
 )
 
+// headerEra is the header of each answer that bears the store's era.
+const headerEra = "Store-Era"
+
 // Config configures a Platform.
 type Config struct {
 	// VMs is the initial list of VMs.
@@ -97,6 +101,7 @@
 		if faults.Down || !sleep(ctx, time.Duration(faults.Slow)) {
 			drop()
 		}
+		w.Header().Set(headerEra, strconv.FormatUint(uint64(p.store.Era()), 10))
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -39,6 +39,8 @@
 
 // contents is one state of the store. It is immutable once it is shared.
 type contents struct {
+	// era counts how often the store has come back from a copy.
+	era     chervilladder.Era
 	version chervilladder.Version
 	kinds   map[chervilladder.ObjectKind]map[chervilladder.ObjectName]Object
 	// removed holds the objects removed since version historyStart.
@@ -54,9 +56,28 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{contents: board.NewSection(contents{})}
+	return &Store{contents: board.NewSection(contents{era: 1})}
 }
 
+// Copy is the state of a store at some time.
+type Copy struct{ contents contents }
+
+// Copy returns the present state, to be restored later.
+func (s *Store) Copy() Copy { return Copy{s.contents.Load()} }
+
+// Restore brings the store back from a copy, in a new era. Versions since then are given
+// out again.
+func (s *Store) Restore(c Copy) {
+	s.contents.Update(func(now *contents) {
+		era := now.era + 1
+		*now = c.contents
+		now.era = era
+	})
+}
+
+// Era returns the store's era.
+func (s *Store) Era() chervilladder.Era { return s.contents.Load().era }
+
 // Get returns an object, and whether there is one.
 func (s *Store) Get(kind chervilladder.ObjectKind, name chervilladder.ObjectName) (Object, bool) {
 	o, ok := s.contents.Load().kinds[kind][name]
@@ -79,11 +100,12 @@
 }
 
 // Changes returns the changes of a kind after a version, in order, with the store's
-// version. It returns false if the history since that version is gone. The channel
+// version. It returns false if the history since that version is gone, or if the store
+// doesn't have that version. The channel
 // is closed at the next change of any object.
 func (s *Store) Changes(kind chervilladder.ObjectKind, after chervilladder.Version) (chervilladder.Version, []Object, <-chan struct{}, bool) {
 	c, changed := s.contents.Watch()
-	if after < c.historyStart {
+	if after < c.historyStart || after > c.version {
 		return c.version, nil, changed, false
 	}
 	objects := []Object{}
