failover: VMs report a commit only if each candidate holds it

Cause: a promotion is decided at one moment and takes effect at another, seconds later or twice, and commits go on in between. The holder read the positions of the members once, half a second before its order; every other VM went on reporting commits by evidence of its own (a primary that is settled, a replica that holds the commit), which doesn't bind the candidate. One class of fault with three faces: an order of a holder that has ended takes effect after another promotion; the candidate has started again since it answered; a VM has reported commits that the candidate lacks, and the holder doesn't learn of it.

Ruled out: the list of members, which is read anew before the order.

Change: one type for the state of a replacement, blackboard.Replacement: the replicas that an order may still make the primary. The holder announces its candidate to all VMs that run work of the service before the old primary is demoted. A VM answers with the latest commit that it has reported, and from then on reports by the candidates only, each of them, until no order for it can take effect any more.

Why it works: a paused candidate receives nothing more, so what it holds at the order it holds at the effect; what is reported later it holds by the rule, and what was reported before by the check.

An announcement costs one call to each peer in the half second that a replacement waits anyway.

--- a/internal/blackboard/cluster.go
+++ b/internal/blackboard/cluster.go
@@ -71,13 +71,19 @@
 	Retries retry.Budget
 	// Applied is the latest mark that answers to reads at each member have
 	// shown.
-	Applied Table[chervilladder.UpstreamID, AppliedMark]
+	Applied Table[chervilladder.UpstreamID, LatestMark]
 	// LastShed is the time at which work was last shed for lack of slots.
 	// Raised by the path of a request.
 	LastShed LatestTime
 	// Resumed holds when this VM last ordered a member to resume; for logs.
 	// Raised by control/failover.
 	Resumed Table[chervilladder.UpstreamID, LatestTime]
+	// Replacement holds the replicas that may become the primary. Written by
+	// control/failover.
+	Replacement Section[Replacement]
+	// Reported is the latest commit that this VM has reported as done. Raised by the path
+	// of a request, before it reports.
+	Reported LatestMark
 	// PollTrigger carries requests to poll the members. The path of a request
 	// asks and control/statuspoll polls.
 	PollTrigger PollTrigger
@@ -95,13 +101,14 @@
 	RequestedAt time.Time
 }
 
-// AppliedMark is the latest mark that a member's answers have shown.
-type AppliedMark struct {
+// LatestMark holds the latest of the marks that it was raised to. The zero LatestMark
+// holds the zero mark.
+type LatestMark struct {
 	mark atomic.Pointer[chervilladder.Mark]
 }
 
 // Load returns the mark.
-func (a *AppliedMark) Load() chervilladder.Mark {
+func (a *LatestMark) Load() chervilladder.Mark {
 	if m := a.mark.Load(); m != nil {
 		return *m
 	}
@@ -109,7 +116,7 @@
 }
 
 // Raise replaces the mark if the given one is later.
-func (a *AppliedMark) Raise(m chervilladder.Mark) {
+func (a *LatestMark) Raise(m chervilladder.Mark) {
 	for {
 		old := a.mark.Load()
 		if old != nil && old.Covers(m) {
--- /dev/null
+++ b/internal/blackboard/replacement.go
@@ -0,0 +1,57 @@
+package blackboard
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chervilladder/chervilladder"
+)
+
+// Replacement is what this VM knows of the replacement of a cluster's primary:
+// the replicas that an order may still make the primary. While there is one, a commit is
+// reported as done only if each of them holds it.
+type Replacement struct {
+	Candidates []Candidate
+}
+
+// Candidate is a replica that an order may make the primary.
+type Candidate struct {
+	Upstream chervilladder.UpstreamID
+	// By is the VM that orders it.
+	By chervilladder.VMID
+	// Replaces is the term of the primary that it replaces.
+	Replaces chervilladder.Term
+	// Until is when no order for it can take effect any more.
+	Until time.Time
+	// WasMember is set if this VM knew it as a member when it was announced.
+	WasMember bool
+}
+
+// Announced returns the replacement after a VM has announced a candidate: in place of that
+// VM's earlier announcement of it, and without the candidates whose time is over.
+func (r Replacement) Announced(c Candidate, now time.Time) Replacement {
+	list := slices.DeleteFunc(slices.Clone(r.Candidates), func(o Candidate) bool {
+		return o.Upstream == c.Upstream && o.By == c.By || !now.Before(o.Until)
+	})
+	if now.Before(c.Until) {
+		list = append(list, c)
+	}
+	return Replacement{Candidates: list}
+}
+
+// Pending returns the candidates that an order may still make the primary: those that don't
+// lead, are no members that are gone, and whose time isn't over. One that has led and was
+// replaced is pending again until then, since an order that was repeated may take effect
+// once more.
+func (r Replacement) Pending(v ClusterView, now time.Time) []Candidate {
+	var list []Candidate
+	for _, c := range r.Candidates {
+		leads := v.Primary == c.Upstream && v.Term > c.Replaces
+		_, member := v.Members[c.Upstream]
+		gone := c.WasMember && !member
+		if !leads && !gone && now.Before(c.Until) {
+			list = append(list, c)
+		}
+	}
+	return list
+}
--- a/internal/clustertest/forwarding.go
+++ b/internal/clustertest/forwarding.go
@@ -18,7 +18,8 @@
 const messageDelay = 500 * time.Microsecond
 
 // peerNetwork carries calls between the VMs of a world. It implements
-// chervilladder.Remote, Connector, PeerDemoter and PeerReachability.
+// chervilladder.Remote, Connector, PeerDemoter, PeerCandidacyAcceptor and
+// PeerReachability.
 type peerNetwork struct{ w *World }
 
 // Open opens an exchange at another VM. It fails if there is no such VM; if the
@@ -62,6 +63,18 @@
 	return ErrSimulated
 }
 
+// AcceptCandidacy tells another VM of a candidacy.
+func (n peerNetwork) AcceptCandidacy(ctx context.Context, peer chervilladder.Address, c chervilladder.Candidacy) (chervilladder.Mark, error) {
+	for _, v := range n.w.running() {
+		if chervilladder.Address(v.Board.Self.ID) == peer && !v.Unreachable.Load() && v.process.runs(ctx) {
+			time.Sleep(messageDelay)
+			return v.failovers.AcceptCandidacy(ctx, c)
+		}
+	}
+	<-ctx.Done()
+	return chervilladder.Mark{}, ErrSimulated
+}
+
 // ReachablePrimary queries which primary of a service another VM reaches.
 func (n peerNetwork) ReachablePrimary(ctx context.Context, peer chervilladder.Address, s chervilladder.ServiceID) (chervilladder.PrimaryTerm, error) {
 	for _, v := range n.w.running() {
--- a/internal/clustertest/world.go
+++ b/internal/clustertest/world.go
@@ -211,7 +211,7 @@
 	poller, err2 := statuspoll.New(statuspoll.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: vm.clock})
 	failovers, err3 := failover.New(failover.Config{
 		Board: vm.Board, Record: vm.Record, Promoter: vm.Promoter, Linker: vm.Linker, Pools: vm.Pools,
-		PeerDemoter: peerNetwork{w}, Log: log, Clock: vm.clock, Leave: vm.ResignLeadership,
+		PeerDemoter: peerNetwork{w}, PeerCandidacies: peerNetwork{w}, Log: log, Clock: vm.clock, Leave: vm.ResignLeadership,
 	})
 	reachabilityController, err4 := reachability.New(reachability.Config{Board: vm.Board, Peers: peerNetwork{w}, Log: log, Clock: vm.clock, Leaving: vm.RejectPeers.Load})
 	forwardingController, err5 := forwarding.New(forwarding.Config{Board: vm.Board, Connections: peerNetwork{w}, Peers: peerNetwork{w}, Log: log, Clock: vm.clock})
--- a/internal/control/failover/candidate.go
+++ b/internal/control/failover/candidate.go
@@ -49,10 +49,11 @@
 		best = findPaused(paused, r.unpaused)
 	}
 	r.log.WithFields(logrus.Fields{"candidate": best.Upstream, "received": best.Received.String(), "paused": len(paused)}).Info("failover: replicas paused")
-	if err := r.checkDeparted(best); err != nil {
-		return best, err
-	}
+	r.announce(ctx, best.Upstream)
 	if r.unpaused == "" {
+		if err := r.checkHeld(best); err != nil {
+			return best, err
+		}
 		r.demoteOldPrimary(ctx, r.term)
 	} else {
 		recovery.Go(ctx, &r.k.running, r.k.c.Log, part, r.demoteIfUnpaused)
@@ -69,7 +70,7 @@
 	if v := r.cluster.View.Load(); r.unpaused == "" && r.mayConfirm(v) {
 		return best, errNotAllPaused
 	}
-	return best, r.checkDeparted(best)
+	return best, r.confirmCandidate(ctx, best)
 }
 
 // addMembers includes members in the attempt that have joined or started again since it
@@ -84,15 +85,6 @@
 	r.view.Members = members
 }
 
-// checkDeparted returns an error if a paused replica lacks commits that a departed
-// replica may have confirmed.
-func (r *replacement) checkDeparted(candidate lead.Paused) error {
-	if needed := r.cluster.View.Load().DepartedMark; !candidate.Received.Covers(needed) {
-		return &behindError{Needed: needed}
-	}
-	return nil
-}
-
 // checkFeasible returns why a replacement can't succeed by the last observed statuses.
 func (r *replacement) checkFeasible() error {
 	for id, o := range r.view.Members {
--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -54,7 +54,10 @@
 	// PeerDemoter has peers demote primaries that this VM can't reach; nil if there are
 	// none.
 	PeerDemoter chervilladder.PeerDemoter
-	Log         *logrus.Logger
+	// PeerCandidacies tells peers of replicas that may become primaries; nil if there are
+	// none.
+	PeerCandidacies chervilladder.PeerCandidacyAcceptor
+	Log             *logrus.Logger
 	// Clock returns the VM's own time.
 	Clock func() time.Time
 	// Leave is closed when the VM leaves and has to release the failover leadership.
--- a/internal/control/failover/leadership.go
+++ b/internal/control/failover/leadership.go
@@ -46,36 +46,9 @@
 	// observed is the record as last read or written, unchanged since observedSince.
 	observed      chervilladder.Leadership
 	observedSince time.Time
-	// heldSince is since when this process has held the leadership without a break;
-	// pending are the services for which it has ordered a promotion that has not been
-	// observed to take effect.
+	// heldSince is since when this process has held the leadership without a break.
 	heldSince time.Time
-	pending   map[chervilladder.ServiceID]bool
-}
-
-// markPending records that a promotion is about to be ordered.
-func (l *leadership) markPending(s chervilladder.ServiceID) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.pending == nil {
-		l.pending = make(map[chervilladder.ServiceID]bool)
-	}
-	l.pending[s] = true
-}
-
-// clearPending records that a promotion has taken effect.
-func (l *leadership) clearPending(s chervilladder.ServiceID) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.pending, s)
-}
-
-// noPromotionPending reports whether no promotion of a service can be under way, by an
-// order of this process or of a former holder.
-func (l *leadership) noPromotionPending(s chervilladder.ServiceID) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return !l.pending[s] && !l.heldSince.IsZero() && l.clock().Sub(l.heldSince) >= lateOrderLimit
+	orders    pendingOrders
 }
 
 // since returns since when this process has held the leadership without a break.
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -38,7 +38,8 @@
 	// demoted is set once the old primary has been demoted. The old primary is sent the
 	// order again when its successor's promotion is observed: it may have restarted
 	// meanwhile.
-	demoted atomic.Bool
+	demoted      atomic.Bool
+	announcement announcement
 	// evidence is for logs.
 	evidence evidence
 }
@@ -65,15 +66,15 @@
 	return fmt.Sprintf("%s is already primary of term %d", e.By, e.Term)
 }
 
-// behindError reports that all replicas lack commits that a departed replica may have
-// confirmed, so that a promotion might lose acknowledged commits.
+// behindError reports that no replica holds all commits that a VM has reported as done, or
+// that a departed replica may have confirmed.
 type behindError struct {
 	// Needed is the mark that a replica must have received.
 	Needed chervilladder.Mark
 }
 
 func (e *behindError) Error() string {
-	return fmt.Sprintf("no replica holds all commits that a departed replica may have confirmed: the log up to %s", e.Needed)
+	return fmt.Sprintf("no replica holds all commits that were reported as done or that a departed replica may have confirmed: the log up to %s", e.Needed)
 }
 
 // run corrects the cluster. To replace the primary, it pauses the replicas, promotes the
@@ -162,29 +163,38 @@
 func (r *replacement) promoteSuccessor(ctx context.Context, record chervilladder.Leadership) (chervilladder.UpstreamID, error) {
 	attemptCtx, cancelAttempt := context.WithCancel(ctx)
 	defer cancelAttempt()
+	defer func() { r.withdraw(ctx) }()
 	best, err := r.choose(attemptCtx)
-	var superseded *supersededError
-	if err != nil && !errors.As(err, &superseded) {
-		return "", errors.Join(err, r.resumeAll(ctx))
+	if err == nil {
+		if r.unpaused == "" {
+			recovery.Go(attemptCtx, &r.k.running, r.k.c.Log, part, r.retryDemotion)
+		}
+		err = r.orderPromotion(ctx, record, best)
 	}
-	if err != nil {
+	var superseded *supersededError
+	switch {
+	case err == nil:
+		return best.Upstream, nil
+	case errors.As(err, &superseded):
 		return "", err
+	default:
+		return "", errors.Join(err, r.resumeAll(ctx))
 	}
-	if r.unpaused == "" {
-		recovery.Go(attemptCtx, &r.k.running, r.k.c.Log, part, r.retryDemotion)
-	}
-	r.k.leadership.markPending(r.service)
-	if err := r.promote(ctx, record, best.Upstream); err != nil {
-		return "", err
+}
+
+// orderPromotion orders the promotion of the candidate and waits for its effect.
+func (r *replacement) orderPromotion(ctx context.Context, record chervilladder.Leadership, best lead.Paused) error {
+	if err := r.promote(ctx, record, best); err != nil {
+		return err
 	}
 	if _, err := r.acquire(ctx); err != nil {
 		r.log.WithError(err).Info("failover: leadership not renewed after the promotion order")
 	}
 	if err := r.awaitPromotion(ctx, best.Upstream); err != nil {
-		return "", err
+		return err
 	}
-	r.k.leadership.clearPending(r.service)
-	return best.Upstream, nil
+	r.k.leadership.markEffective(r.service, best.Upstream)
+	return nil
 }
 
 // refresh polls all members again unless each was polled after since, and returns
@@ -251,8 +261,10 @@
 }
 
 // promote orders the promotion, and retries if the response is lost. Before each order it
-// renews the record if that was written so long ago that another VM may have taken over.
-func (r *replacement) promote(ctx context.Context, record chervilladder.Leadership, id chervilladder.UpstreamID) error {
+// renews the record if that was written so long ago that another VM may have taken over,
+// and has the candidate confirm that it holds what it must.
+func (r *replacement) promote(ctx context.Context, record chervilladder.Leadership, best lead.Paused) error {
+	id := best.Upstream
 	for ordered := false; ; ordered = true {
 		if v := r.cluster.View.Load(); v.Term > r.view.Term && v.Primary != "" {
 			return &supersededError{By: v.Primary, Term: v.Term}
@@ -270,16 +282,16 @@
 				return errNotAllPaused
 			}
 		}
+		if ordered {
+			if err := r.confirmAgain(ctx, best); err != nil {
+				return err
+			}
+		}
 		if r.startedAgain(id) {
 			return errNotAllPaused
 		}
-		r.logState(id, record.Epoch)
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := r.k.c.Promoter.Promote(callCtx, record, r.service, id)
-		cancel()
-		r.log.WithFields(logrus.Fields{"candidate": id, "epoch": record.Epoch, "error": err}).Info("failover: promotion ordered")
-		var refused *chervilladder.PromotionRefusedError
-		if err == nil || errors.As(err, &refused) {
+		answered, err := r.order(ctx, record, id)
+		if answered {
 			return err
 		}
 		if err := r.sleepUntil(ctx, r.k.c.Clock().Add(backOff)); err != nil {
@@ -291,6 +303,36 @@
 	}
 }
 
+// confirmAgain has the candidate confirm before an order is repeated, and announces it anew
+// if the announcement lapses too early for that.
+func (r *replacement) confirmAgain(ctx context.Context, best lead.Paused) error {
+	if !r.announcement.coversOrder(best.Upstream, r.k.c.Clock()) {
+		r.announce(ctx, best.Upstream)
+	}
+	return r.confirmCandidate(ctx, best)
+}
+
+// order sends one order, and reports whether the platform has answered it.
+func (r *replacement) order(ctx context.Context, record chervilladder.Leadership, id chervilladder.UpstreamID) (bool, error) {
+	r.logState(id, record.Epoch)
+	r.k.leadership.markOrdered(r.service, id)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := r.k.c.Promoter.Promote(ctx, record, r.service, id)
+	r.log.WithFields(logrus.Fields{"candidate": id, "epoch": record.Epoch, "error": err}).Info("failover: promotion ordered")
+	var refused *chervilladder.PromotionRefusedError
+	switch {
+	case err == nil:
+		r.k.leadership.markAnswered(r.service, id, true)
+		return true, nil
+	case errors.As(err, &refused):
+		r.k.leadership.markAnswered(r.service, id, false)
+		return true, err
+	default:
+		return false, err
+	}
+}
+
 // awaitPromotion waits until the member is observed as primary.
 func (r *replacement) awaitPromotion(ctx context.Context, id chervilladder.UpstreamID) error {
 	ctx, cancel := context.WithTimeout(ctx, effectTimeout)
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -146,7 +146,7 @@
 	metricSet.NewGauge("chervilladder_callers_memory_bytes", func() float64 { return float64(memory.Used()) })
 	metricSet.NewGauge("chervilladder_log_writes_dropped", func() float64 { return float64(c.LogQueue.Dropped()) })
 	failovers, err := failover.New(failover.Config{
-		Board: board, Record: client, Promoter: client, Linker: linker, Pools: pools, PeerDemoter: peers,
+		Board: board, Record: client, Promoter: client, Linker: linker, Pools: pools, PeerDemoter: peers, PeerCandidacies: peers,
 		Log: c.Log, Clock: clock.SinceBoot, Leave: stopping.Began(),
 	})
 	if err != nil {
@@ -235,7 +235,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := peer.NewServer(peer.ServerConfig{Board: board, Listener: limitedPeers(board, listener), Executor: executor, Feed: relays, Demoter: failovers, Reachability: reachabilityController, QuotaLender: quotas, Log: c.Log})
+	server := peer.NewServer(peer.ServerConfig{Board: board, Listener: limitedPeers(board, listener), Executor: executor, Feed: relays, Demoter: failovers, Candidacies: failovers, Reachability: reachabilityController, QuotaLender: quotas, Log: c.Log})
 	return []actor{relays, hostingController, reachabilityController, forwardingController, localityController, server}, nil
 }
 
--- a/internal/decide/lead/commit.go
+++ b/internal/decide/lead/commit.go
@@ -39,22 +39,33 @@
 	suspectAfter = 700 * time.Millisecond
 )
 
-// FateOf judges an acknowledged commit. The replica that confirmed it may be one that a
-// failover doesn't know: it has just joined, or its registration has expired. The failover
-// promotes one of the replicas that it has paused, and that one may lack the commit. So
-// the commit is kept only if
+// FateOf judges an acknowledged commit: whether each upstream that may become the next
+// primary holds it.
+//
+// While replicas are candidates, that is each of them, whatever others confirm: an order may
+// take effect at any time, and makes the candidate the primary with what it holds then.
+//
+// Without a candidate this VM may not have been told of a failover. The failover promotes one
+// of the replicas that it has paused, and the replica that confirmed the commit may be one
+// that it doesn't know: it has just joined, or its registration has expired. So the commit is
+// kept only if
 //
 //  1. the cluster is settled: the primary has answered without a break, all replicas that
 //     have answered lately follow it, and no VM is about to replace it, or
 //  2. a replica was found to hold the commit: a failover that pauses it finds the commit,
 //     too. While replicas are paused, it must have been a member before them, or the
 //     failover doesn't count it.
-func FateOf(v blackboard.ClusterView, c Commit, now time.Time) Fate {
+func FateOf(v blackboard.ClusterView, r blackboard.Replacement, c Commit, now time.Time) Fate {
 	switch {
 	case v.Confirmations == 0:
 		return FateKept // the service accepts the loss of commits
 	case v.Primary != c.By:
 		return FateInDoubt
+	}
+	if candidates := r.Pending(v, now); len(candidates) > 0 {
+		return fateByCandidates(v, candidates, c)
+	}
+	switch {
 	case settled(v, now) || heldByReplica(v, c):
 		return FateKept
 	case allPausedSince(v, c.AckedAt):
@@ -64,6 +75,27 @@
 	}
 }
 
+// fateByCandidates judges a commit by the candidates alone.
+func fateByCandidates(v blackboard.ClusterView, candidates []blackboard.Candidate, c Commit) Fate {
+	fate := FateKept
+	for _, candidate := range candidates {
+		o := v.Members[candidate.Upstream]
+		switch {
+		case holds(v, o, c):
+		case o.Answers() && !o.RequestedAt.Before(c.AckedAt) && o.Status.PauseTerm > v.Term:
+			return FateInDoubt // it receives nothing any more
+		default:
+			fate = FateOpen
+		}
+	}
+	return fate
+}
+
+// holds reports whether a replica's last status shows that it holds a commit.
+func holds(v blackboard.ClusterView, o blackboard.MemberObservation, c Commit) bool {
+	return c.Mark != (chervilladder.Mark{}) && !o.Status.Primary && o.Status.Term == v.Term && o.Status.Received.Covers(c.Mark)
+}
+
 // settled reports whether the primary has answered without a break, all replicas that have
 // answered lately follow it, and the primary gives no cause to be replaced soon.
 func settled(v blackboard.ClusterView, now time.Time) bool {
@@ -106,8 +138,7 @@
 // heldByReplica reports whether a replica that a failover counts holds a commit.
 func heldByReplica(v blackboard.ClusterView, c Commit) bool {
 	for id, o := range v.Members {
-		holds := c.Mark != (chervilladder.Mark{}) && !o.Status.Primary && o.Status.Term == v.Term && o.Status.Received.Covers(c.Mark)
-		if id != v.Primary && holds && memberBeforePauses(v, o) {
+		if id != v.Primary && holds(v, o, c) && memberBeforePauses(v, o) {
 			return true
 		}
 	}
--- a/internal/decide/lead/commit_test.go
+++ b/internal/decide/lead/commit_test.go
@@ -58,14 +58,14 @@
 		"the primary was away":                           {returned(view(replica(before, 3, 0), replica(before, 3, 0))), lead.FateOpen},
 		"the primary was away, a replica holds it since": {returned(view(replica(before, 3, 0), holding(replica(after, 3, 0), 8))), lead.FateKept},
 	} {
-		is.New(t).Equal([]any{name, lead.FateOf(c.view, lead.Commit{By: "p", Mark: mark, AckedAt: at(acked)}, at(acked+10))}, []any{name, c.fate})
+		is.New(t).Equal([]any{name, lead.FateOf(c.view, blackboard.Replacement{}, lead.Commit{By: "p", Mark: mark, AckedAt: at(acked)}, at(acked+10))}, []any{name, c.fate})
 	}
 
 	is := is.New(t)
 	replaced := view(replica(before, 4, 0))
 	replaced.Primary = "a"
-	is.Equal(lead.FateOf(replaced, lead.Commit{By: "p", Mark: mark, AckedAt: at(acked)}, at(acked+10)), lead.FateInDoubt)
+	is.Equal(lead.FateOf(replaced, blackboard.Replacement{}, lead.Commit{By: "p", Mark: mark, AckedAt: at(acked)}, at(acked+10)), lead.FateInDoubt)
 	unconfirmed := view(replica(before, 3, 4))
 	unconfirmed.Confirmations = 0
-	is.Equal(lead.FateOf(unconfirmed, lead.Commit{By: "p", Mark: mark, AckedAt: at(acked)}, at(acked+10)), lead.FateKept)
+	is.Equal(lead.FateOf(unconfirmed, blackboard.Replacement{}, lead.Commit{By: "p", Mark: mark, AckedAt: at(acked)}, at(acked+10)), lead.FateKept)
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -153,6 +153,23 @@
 	return nil
 }
 
+// AcceptCandidacy tells a peer of a candidacy and returns the latest commit that it has
+// reported as done.
+func (c *Client) AcceptCandidacy(ctx context.Context, peer chervilladder.Address, n chervilladder.Candidacy) (chervilladder.Mark, error) {
+	client, err := c.client(peer)
+	if err != nil {
+		return chervilladder.Mark{}, err
+	}
+	r, err := client.Announce(ctx, &peerpb.AnnounceRequest{
+		Service: string(n.Service), Candidate: string(n.Candidate), By: string(n.By), Replaces: uint64(n.Replaces),
+		ValidUs: uint64(max(0, n.ValidFor.Microseconds())),
+	})
+	if err != nil {
+		return chervilladder.Mark{}, fmt.Errorf("peer %s: candidacy of %s: %w", peer, n.Candidate, err)
+	}
+	return decodeMark(r.GetReported()), nil
+}
+
 // ReachablePrimary queries a peer for the primary of a service that the peer reaches.
 func (c *Client) ReachablePrimary(ctx context.Context, peer chervilladder.Address, s chervilladder.ServiceID) (chervilladder.PrimaryTerm, error) {
 	client, err := c.client(peer)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -31,6 +31,8 @@
 	Feed chervilladder.Feed
 	// Demoter demotes primaries of earlier terms; nil rejects the call.
 	Demoter chervilladder.Demoter
+	// Candidacies is told of replicas that may become primaries; nil rejects the call.
+	Candidacies chervilladder.CandidacyAcceptor
 	// Reachability reports which primaries this VM reaches; nil rejects the call.
 	Reachability chervilladder.Reachability
 	// QuotaLender lends parts of quotas; nil rejects the call.
@@ -182,6 +184,21 @@
 	return &peerpb.DeposeResponse{}, nil
 }
 
+// Announce tells of a replica that may become the primary of a service.
+func (s *service) Announce(ctx context.Context, r *peerpb.AnnounceRequest) (*peerpb.AnnounceResponse, error) {
+	if s.Candidacies == nil {
+		return nil, status.Error(codes.Unimplemented, "this VM runs no work at upstreams")
+	}
+	reported, err := s.Candidacies.AcceptCandidacy(ctx, chervilladder.Candidacy{
+		Service: chervilladder.ServiceID(r.GetService()), Candidate: chervilladder.UpstreamID(r.GetCandidate()), By: chervilladder.VMID(r.GetBy()),
+		Replaces: chervilladder.Term(r.GetReplaces()), ValidFor: time.Duration(min(r.GetValidUs(), maxAgeMicros)) * time.Microsecond,
+	})
+	if err != nil {
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
+	}
+	return &peerpb.AnnounceResponse{Reported: encodeMark(reported)}, nil
+}
+
 // Witness returns the primary of a service that this VM reaches.
 func (s *service) Witness(ctx context.Context, r *peerpb.WitnessRequest) (*peerpb.WitnessResponse, error) {
 	if s.Reachability == nil {
--- a/internal/session/place.go
+++ b/internal/session/place.go
@@ -220,26 +220,45 @@
 
 // awaitKept waits until a commit that a primary has acknowledged is certain to be kept by
 // a failover, and returns false if it may be lost. Without a failover it returns at once.
+// The commit counts as reported from then on.
 func (w *work) awaitKept(ctx context.Context, id chervilladder.UpstreamID, mark chervilladder.Mark) bool {
 	clock := w.session.m.c.Clock
 	c := lead.Commit{By: id, Mark: mark, AckedAt: clock()}
 	for {
-		view, changed := w.cluster.View.Watch()
-		switch lead.FateOf(view, c, clock()) {
+		view, viewChanged := w.cluster.View.Watch()
+		replacement, announced := w.cluster.Replacement.Watch()
+		switch lead.FateOf(view, replacement, c, clock()) {
 		case lead.FateKept:
-			return true
+			if w.noteReported(mark, announced) {
+				return true
+			}
+			continue
 		case lead.FateInDoubt:
 			return false
 		}
 		w.cluster.PollTrigger.Ask()
 		select {
-		case <-changed:
+		case <-viewChanged:
+		case <-announced:
 		case <-ctx.Done():
 			return false
 		}
 	}
 }
 
+// noteReported records that a commit is reported as done. It returns false if a candidate
+// was announced since the commit was judged: whoever announced it may have read what was
+// reported until then.
+func (w *work) noteReported(mark chervilladder.Mark, announced <-chan struct{}) bool {
+	w.cluster.Reported.Raise(mark)
+	select {
+	case <-announced:
+		return false
+	default:
+		return true
+	}
+}
+
 // requiredPosition returns the minimum position that a replica must have replayed for
 // the work to run there.
 func (w *work) requiredPosition(ctx context.Context, access chervilladder.Access) (minPosition, error) {
