failover: a lost candidate leaves no replica paused

Cause: the other replicas stayed paused. An attempt waited 4 s for the effect of its order, then resumed nothing, since an order was pending; that it might be one for a member that is gone wasn't looked at, and a pending order never ceased to be one. Nor did a VM that had held the leadership for less than 10 s resume anything, although no replica had been paused when it took the service up, so that no former holder's order could be on its way.

Change: the wait ends when the candidate is gone or out of sight; the other replicas are then resumed and receive the primary's log. Orders are pending for 10 s, by member, and an order for one that is lost is passed over: the VMs report nothing that it lacks, so it may still take effect. A resumed replica no longer makes a failed planned attempt demote its primary.

--- a/internal/control/failover/candidacy.go
+++ b/internal/control/failover/candidacy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -182,6 +183,9 @@
 	return hosting.Ranked(service, k.c.Board.Peers.Load(), maxServicePeers)
 }
 
+// errCandidateLost reports a candidate that is gone or out of sight after it was ordered.
+var errCandidateLost = errors.New("the candidate is gone or unreachable, and hasn't been observed to lead")
+
 // confirmCandidate asks the candidate for its status, and returns an error unless it still
 // is what it was when it was chosen and holds all that was reported. It may have started
 // again since, without its log.
--- a/internal/control/failover/leadership.go
+++ b/internal/control/failover/leadership.go
@@ -48,7 +48,10 @@
 	observedSince time.Time
 	// heldSince is since when this process has held the leadership without a break.
 	heldSince time.Time
-	orders    pendingOrders
+	// unpaused are the services in which this process, since it holds the leadership, has
+	// found no replica paused before it paused any: no former holder's order is pending.
+	unpaused map[chervilladder.ServiceID]bool
+	orders   pendingOrders
 }
 
 // since returns since when this process has held the leadership without a break.
@@ -232,7 +235,7 @@
 	}
 	switch {
 	case current.Holder != l.self || !inForce(current):
-		l.heldSince = time.Time{}
+		l.heldSince, l.unpaused = time.Time{}, nil
 	case l.heldSince.IsZero():
 		l.heldSince = l.clock()
 	}
@@ -243,7 +246,8 @@
 func (l *leadership) reset() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.observed, l.observedSince, l.heldSince = chervilladder.Leadership{}, time.Time{}, time.Time{}
+	l.observed, l.observedSince = chervilladder.Leadership{}, time.Time{}
+	l.heldSince, l.unpaused = time.Time{}, nil
 }
 
 // lostToANewEra reports whether this VM held the leadership before an era of the store.
--- a/internal/control/failover/outcome.go
+++ b/internal/control/failover/outcome.go
@@ -36,6 +36,7 @@
 	{errLeadershipExpired, "leadership-expired"},
 	{errChanged, "changed"},
 	{errNotObserved, "not-observed"},
+	{errCandidateLost, "candidate-lost"},
 	{errUpstreamsNotRead, "upstreams-not-read"},
 	{errNotDemoted, "not-demoted"},
 	{context.Canceled, "stopped"},
--- a/internal/control/failover/pending.go
+++ b/internal/control/failover/pending.go
@@ -78,9 +78,27 @@
 }
 
 // noPromotionPending reports whether no promotion of a service can be under way, by an
-// order of this process or of a former holder.
-func (l *leadership) noPromotionPending(s chervilladder.ServiceID) bool {
+// order of this process or of a former holder. An order for a member that is passed over
+// doesn't count.
+func (l *leadership) noPromotionPending(s chervilladder.ServiceID, passOver func(chervilladder.UpstreamID) bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.orders[s]) == 0 && !l.heldSince.IsZero() && l.clock().Sub(l.heldSince) >= lateOrderLimit
+	now := l.clock()
+	for id, o := range l.orders[s] {
+		if now.Sub(o.at) < lateOrderLimit && !passOver(id) {
+			return false
+		}
+	}
+	return !l.heldSince.IsZero() && (l.unpaused[s] || now.Sub(l.heldSince) >= lateOrderLimit)
+}
+
+// markUnpaused records that no replica of a service was found paused since this process
+// holds the leadership.
+func (l *leadership) markUnpaused(s chervilladder.ServiceID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.unpaused == nil {
+		l.unpaused = make(map[chervilladder.ServiceID]bool)
+	}
+	l.unpaused[s] = !l.heldSince.IsZero()
 }
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -99,6 +99,9 @@
 	if err != nil {
 		return err
 	}
+	if lead.NonePaused(r.view) {
+		r.k.leadership.markUnpaused(r.service)
+	}
 	switch r.cause {
 	case lead.CauseLeftPaused:
 		if err := r.checkPrimary(ctx); err != nil {
@@ -178,6 +181,7 @@
 	case errors.As(err, &superseded):
 		return "", err
 	default:
+		cancelAttempt() // a replica that is resumed is no reason to demote the old primary
 		return "", errors.Join(err, r.resumeAll(ctx))
 	}
 }
@@ -238,8 +242,14 @@
 // is safe only if no promotion can take effect any more: with another primary in the
 // cluster they would confirm commits that the old one must not acknowledge. If it isn't
 // safe they stay paused, and a later assessment finds an unfinished replacement.
+//
+// An order for a replica that is lost keeps none of them paused: should it take effect all
+// the same, the VMs have reported nothing that this replica lacks. One for the primary
+// changes nothing.
 func (r *replacement) resumeAll(ctx context.Context) error {
-	if !r.k.c.Clock().Before(r.orderUntil) || !r.k.leadership.noPromotionPending(r.service) {
+	v, now := r.cluster.View.Load(), r.k.c.Clock()
+	passOver := func(id chervilladder.UpstreamID) bool { return id == v.Primary || lead.Lost(v, id, now) }
+	if !r.exclusive() || !r.k.leadership.noPromotionPending(r.service, passOver) {
 		return nil
 	}
 	var list []chervilladder.UpstreamID
@@ -339,10 +349,15 @@
 	defer cancel()
 	recovery.Go(ctx, &r.k.running, r.k.c.Log, part, r.pollStatuses)
 	leads := func(v blackboard.ClusterView) bool { return v.Primary == id && v.Term > r.view.Term }
-	if !r.cluster.Await(ctx, leads) {
+	lost := func(v blackboard.ClusterView) bool { return lead.Lost(v, id, r.k.c.Clock()) }
+	switch ended := r.cluster.Await(ctx, func(v blackboard.ClusterView) bool { return leads(v) || lost(v) }); {
+	case !ended:
 		return errNotObserved
+	case !leads(r.cluster.View.Load()):
+		return errCandidateLost
+	default:
+		return nil
 	}
-	return nil
 }
 
 // promotionPollInterval is the time between two requests for newer statuses while a
--- a/internal/decide/lead/lead.go
+++ b/internal/decide/lead/lead.go
@@ -234,6 +234,11 @@
 	return true
 }
 
+// NonePaused reports whether all replicas answer and none is paused.
+func NonePaused(v blackboard.ClusterView) bool {
+	return allReplicas(v, func(o blackboard.MemberObservation) bool { return o.Answers() && o.Status.PauseTerm == 0 })
+}
+
 // LeftPaused returns the replicas that are still paused for the primary's term or
 // an earlier one.
 func LeftPaused(v blackboard.ClusterView) []chervilladder.UpstreamID {
--- a/internal/decide/lead/reachability.go
+++ b/internal/decide/lead/reachability.go
@@ -89,6 +89,13 @@
 	return true
 }
 
+// Lost reports whether a member is gone, or has left enough status requests unanswered for
+// long enough.
+func Lost(v blackboard.ClusterView, id chervilladder.UpstreamID, now time.Time) bool {
+	o, known := v.Members[id]
+	return !known || unreachable(o, now)
+}
+
 // unreachable reports whether a member has left enough status requests unanswered
 // for long enough.
 func unreachable(o blackboard.MemberObservation, now time.Time) bool {
