failover: commits of a service without confirmations bind no successor

Seen in tests, never landed: with sync_replicas 0 a VM noted each commit as reported, so that a primary that went down for good before its replicas had received the last commits was never replaced: no candidate held what was reported. The service accepts that loss.

Change: nothing is noted as reported while the configuration asks for no confirmations, and the check leaves reported commits out then.

--- a/internal/blackboard/cluster.go
+++ b/internal/blackboard/cluster.go
@@ -81,8 +81,8 @@
 	// Replacement holds the replicas that may become the primary. Written by
 	// control/failover.
 	Replacement Section[Replacement]
-	// Reported is the latest commit that this VM has reported as done. Raised by the path
-	// of a request, before it reports.
+	// Reported is the latest commit that this VM has reported as done while the service
+	// kept commits over a failover. Raised by the path of a request, before it reports.
 	Reported LatestMark
 	// PollTrigger carries requests to poll the members. The path of a request
 	// asks and control/statuspoll polls.
--- a/internal/control/failover/candidacy.go
+++ b/internal/control/failover/candidacy.go
@@ -243,7 +243,11 @@
 // checkHeld returns an error if a candidate lacks a commit that a VM has reported, or that
 // a departed replica may have confirmed.
 func (r *replacement) checkHeld(candidate lead.Paused) error {
-	needed := r.cluster.View.Load().DepartedMark.Later(r.announcement.needed())
+	v := r.cluster.View.Load()
+	needed := v.DepartedMark
+	if v.Confirmations > 0 {
+		needed = needed.Later(r.announcement.needed())
+	}
 	if !candidate.Received.Covers(needed) {
 		return &behindError{Needed: needed}
 	}
--- a/internal/session/place.go
+++ b/internal/session/place.go
@@ -229,7 +229,7 @@
 		replacement, announced := w.cluster.Replacement.Watch()
 		switch lead.FateOf(view, replacement, c, clock()) {
 		case lead.FateKept:
-			if w.noteReported(mark, announced) {
+			if view.Confirmations == 0 || w.noteReported(mark, announced) {
 				return true
 			}
 			continue
