--- a/internal/decide/lead/commit_test.go
+++ b/internal/decide/lead/commit_test.go
@@ -69,3 +69,77 @@
 	unconfirmed.Confirmations = 0
 	is.Equal(lead.FateOf(unconfirmed, blackboard.Replacement{}, lead.Commit{By: "p", Mark: mark, AckedAt: at(acked)}, at(acked+10)), lead.FateKept)
 }
+
+// Guards against a success for a commit that a candidate lacks, whatever others confirm.
+func TestFateOfWithCandidates(t *testing.T) {
+	const acked = 5000 // when the commit was acknowledged, in ms
+	before, since, now := acked-100, acked+5, acked+10
+	commit := lead.Commit{By: "p", Mark: chervilladder.Mark{Term: 3, Position: 7}, AckedAt: at(acked)}
+	holding := func(requestedMS int, paused chervilladder.Term, p chervilladder.Position) blackboard.MemberObservation {
+		r := replica(requestedMS, 3, paused)
+		r.Status.Received = chervilladder.Mark{Term: 3, Position: p}
+		return r
+	}
+	lacks := func(requestedMS int, paused chervilladder.Term) blackboard.MemberObservation {
+		return holding(requestedMS, paused, 6)
+	}
+	holds := func(requestedMS int, paused chervilladder.Term) blackboard.MemberObservation {
+		return holding(requestedMS, paused, 7)
+	}
+	failing := func(r blackboard.MemberObservation) blackboard.MemberObservation {
+		r.FailingSince = at(acked - 50)
+		return r
+	}
+	candidates := func(untilMS int, list ...chervilladder.UpstreamID) blackboard.Replacement {
+		var r blackboard.Replacement
+		for _, id := range list {
+			r.Candidates = append(r.Candidates, blackboard.Candidate{Upstream: id, By: "vm-1", Replaces: 3, Until: at(untilMS), WasMember: true})
+		}
+		return r
+	}
+	a, both := candidates(now+1, "a"), candidates(now+1, "a", "b")
+	for name, c := range map[string]struct {
+		view        blackboard.ClusterView
+		replacement blackboard.Replacement
+		fate        lead.Fate
+	}{
+		"settled, without a candidate":                    {view(lacks(before, 0), lacks(before, 0)), blackboard.Replacement{}, lead.FateKept},
+		"settled, the candidate lacks it":                 {view(lacks(before, 0), lacks(before, 0)), a, lead.FateOpen},
+		"another replica holds it":                        {view(lacks(before, 0), holds(since, 0)), a, lead.FateOpen},
+		"the candidate holds it":                          {view(holds(since, 0), lacks(since, 0)), a, lead.FateKept},
+		"the candidate is paused and holds it":            {view(holds(since, 4), lacks(since, 4)), a, lead.FateKept},
+		"it held it before it fell silent":                {view(failing(holds(before, 4)), lacks(since, 4)), a, lead.FateKept},
+		"the candidate is paused and lacks it":            {view(lacks(since, 4), holds(since, 4)), a, lead.FateInDoubt},
+		"paused, nothing newer than the commit":           {view(lacks(before, 4), holds(since, 4)), a, lead.FateOpen},
+		"paused and silent":                               {view(failing(lacks(since, 4)), holds(since, 4)), a, lead.FateOpen},
+		"the candidate runs and may still get it":         {view(lacks(since, 0), holds(since, 4)), a, lead.FateOpen},
+		"the candidate was never polled":                  {view(blackboard.MemberObservation{}, holds(since, 0)), a, lead.FateOpen},
+		"both candidates hold it":                         {view(holds(since, 4), holds(since, 4)), both, lead.FateKept},
+		"one of two may still get it":                     {view(holds(since, 4), lacks(since, 0)), both, lead.FateOpen},
+		"one of two is paused and lacks it":               {view(holds(since, 4), lacks(since, 4)), both, lead.FateInDoubt},
+		"one may get it, the other is paused":             {view(lacks(since, 0), lacks(since, 4)), both, lead.FateInDoubt},
+		"the candidate's time is over":                    {view(lacks(before, 0), lacks(before, 0)), candidates(now, "a"), lead.FateKept},
+		"the candidate is gone":                           {view(lacks(before, 0), lacks(before, 0)), candidates(now+1, "gone"), lead.FateKept},
+		"the candidate has the position, of a later term": {edit(view(holds(since, 0)), "a", func(o *blackboard.MemberObservation) { o.Status.Term = 4 }), a, lead.FateOpen},
+	} {
+		is.New(t).Equal([]any{name, lead.FateOf(c.view, c.replacement, commit, at(now))}, []any{name, c.fate})
+	}
+
+	is := is.New(t)
+	unmarked := commit
+	unmarked.Mark = chervilladder.Mark{}
+	is.Equal(lead.FateOf(view(holds(since, 0)), a, unmarked, at(now)), lead.FateOpen) // no replica is known to hold it
+
+	unconfirmed := view(lacks(since, 4))
+	unconfirmed.Confirmations = 0
+	is.Equal(lead.FateOf(unconfirmed, a, commit, at(now)), lead.FateKept) // the service accepts its loss
+
+	promoted := view(primary(since, 4), lacks(since, 4))
+	promoted.Primary, promoted.Term = "a", 4
+	is.Equal(lead.FateOf(promoted, a, commit, at(now)), lead.FateInDoubt) // the old primary's
+	next := lead.Commit{By: "a", Mark: chervilladder.Mark{Term: 4, Position: 8}, AckedAt: at(acked)}
+	follower := holding(since, 4, 8)
+	follower.Status.Term, follower.Status.Received.Term = 4, 4
+	promoted.Members["b"] = follower
+	is.Equal(lead.FateOf(promoted, a, next, at(now)), lead.FateKept) // a candidate that leads binds no more
+}
