failover: a candidate that has lost its log after its order is overtaken

Cause: the holder waited for the answer to its order, and then for its effect, without looking at the candidate, and repeated the order. An order can't be recalled.

Change: the members are polled from the order on. Once the candidate is seen without its pause or its log, the wait ends and another paused member is ordered, the old primary among them if it has stepped down. If that one leads first, the changed candidate receives its log before its own order takes effect; if not, the paused logs are whole and the changed one gives way. For a candidate that is lost only the old primary is ordered, which holds all that it has acknowledged. The orders are a file of their own.

--- a/internal/control/failover/candidacy.go
+++ b/internal/control/failover/candidacy.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -105,6 +104,13 @@
 	return a.candidate
 }
 
+// acceptedByAll reports whether all VMs have answered.
+func (a *announcement) acceptedByAll() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.candidate != "" && len(a.silent) == 0
+}
+
 // describe returns the VMs that haven't answered, for logs.
 func (a *announcement) describe() []string {
 	a.mu.Lock()
@@ -183,9 +189,6 @@
 	return hosting.Ranked(service, k.c.Board.Peers.Load(), maxServicePeers)
 }
 
-// errCandidateLost reports a candidate that is gone or out of sight after it was ordered.
-var errCandidateLost = errors.New("the candidate is gone or unreachable, and hasn't been observed to lead")
-
 // confirmCandidate asks the candidate for its status, and returns an error unless it still
 // is what it was when it was chosen and holds all that was reported. It may have started
 // again since, without its log.
@@ -232,8 +235,7 @@
 
 // checkStatus compares a status of the candidate with what it was when it was chosen.
 func (r *replacement) checkStatus(best lead.Paused, status chervilladder.LinkStatus) error {
-	lost := !status.Primary && !status.Received.Covers(best.Received)
-	if lost || r.startedAgain(best.Upstream) {
+	if lacks(status.Received, best.Received) || r.startedAgain(best.Upstream) {
 		return errNotAllPaused
 	}
 	best.Received = best.Received.Later(status.Received)
--- a/internal/control/failover/lost_candidate_test.go
+++ b/internal/control/failover/lost_candidate_test.go
@@ -158,3 +158,32 @@
 		checkServedAndKept(t, w, stop)
 	})
 }
+
+// The candidate starts again, empty, while its order is held up on the way. The order can't
+// be recalled; it must find the candidate with the log of another one that leads by then.
+func TestCandidateThatStartsAgainAfterItsOrderIsOvertaken(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 1}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		var ordered atomic.Bool
+		for _, vm := range w.VMs {
+			vm.Promoter.Delay.Store(int64(2500 * time.Millisecond))
+			vm.Promoter.OnOrder(func(candidate chervilladder.UpstreamID) {
+				if ordered.Swap(true) {
+					return
+				}
+				for _, vm := range w.VMs {
+					vm.Promoter.Delay.Store(0)
+				}
+				time.AfterFunc(300*time.Millisecond, func() {
+					w.Cluster.Remove(candidate)
+					w.Cluster.Add(clustertest.Member(1))
+				})
+			})
+		}
+		stop := writeFrom(t, w, 4)
+		time.Sleep(4 * time.Second)
+		w.Cluster.Set(clustertest.MemberID(0), func(f *cluster.Faults) { f.Down = true })
+		time.Sleep(8 * time.Second)
+		checkServedAndKept(t, w, stop)
+		is.Equal(len(w.Cluster.Effects()), 2)
+	})
+}
--- a/internal/control/failover/outcome.go
+++ b/internal/control/failover/outcome.go
@@ -37,6 +37,7 @@
 	{errChanged, "changed"},
 	{errNotObserved, "not-observed"},
 	{errCandidateLost, "candidate-lost"},
+	{errCandidateChanged, "candidate-changed"},
 	{errUpstreamsNotRead, "upstreams-not-read"},
 	{errNotDemoted, "not-demoted"},
 	{context.Canceled, "stopped"},
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -40,6 +40,9 @@
 	// meanwhile.
 	demoted      atomic.Bool
 	announcement announcement
+	// changed are candidates that have started again, or lost their pause, since they were
+	// ordered.
+	changed map[chervilladder.UpstreamID]bool
 	// evidence is for logs.
 	evidence evidence
 }
@@ -172,7 +175,7 @@
 		if r.unpaused == "" {
 			recovery.Go(attemptCtx, &r.k.running, r.k.c.Log, part, r.retryDemotion)
 		}
-		err = r.orderPromotion(ctx, record, best)
+		best, err = r.orderPromotion(ctx, record, best)
 	}
 	var superseded *supersededError
 	switch {
@@ -186,21 +189,6 @@
 	}
 }
 
-// orderPromotion orders the promotion of the candidate and waits for its effect.
-func (r *replacement) orderPromotion(ctx context.Context, record chervilladder.Leadership, best lead.Paused) error {
-	if err := r.promote(ctx, record, best); err != nil {
-		return err
-	}
-	if _, err := r.acquire(ctx); err != nil {
-		r.log.WithError(err).Info("failover: leadership not renewed after the promotion order")
-	}
-	if err := r.awaitPromotion(ctx, best.Upstream); err != nil {
-		return err
-	}
-	r.k.leadership.markEffective(r.service, best.Upstream)
-	return nil
-}
-
 // refresh polls all members again unless each was polled after since, and returns
 // errChanged if the cause no longer holds. since is when this VM's last attempt ended or
 // when it acquired the leadership: before that, another VM may have corrected the
@@ -270,113 +258,6 @@
 	return term + 1
 }
 
-// promote orders the promotion, and retries if the response is lost. Before each order it
-// renews the record if that was written so long ago that another VM may have taken over,
-// and has the candidate confirm that it holds what it must.
-func (r *replacement) promote(ctx context.Context, record chervilladder.Leadership, best lead.Paused) error {
-	id := best.Upstream
-	for ordered := false; ; ordered = true {
-		if v := r.cluster.View.Load(); v.Term > r.view.Term && v.Primary != "" {
-			return &supersededError{By: v.Primary, Term: v.Term}
-		}
-		if !r.k.c.Clock().Before(r.orderUntil) {
-			var err error
-			if record, err = r.acquire(ctx); err != nil {
-				return err
-			}
-			if !r.k.c.Clock().Before(r.orderUntil) {
-				return errLeadershipExpired
-			}
-			// The renewal may have taken long.
-			if !ordered && r.unpaused == "" && r.mayConfirm(r.cluster.View.Load()) {
-				return errNotAllPaused
-			}
-		}
-		if ordered {
-			if err := r.confirmAgain(ctx, best); err != nil {
-				return err
-			}
-		}
-		if r.startedAgain(id) {
-			return errNotAllPaused
-		}
-		answered, err := r.order(ctx, record, id)
-		if answered {
-			return err
-		}
-		if err := r.sleepUntil(ctx, r.k.c.Clock().Add(backOff)); err != nil {
-			return err
-		}
-		if v := r.cluster.View.Load(); v.Primary == id {
-			return nil
-		}
-	}
-}
-
-// confirmAgain has the candidate confirm before an order is repeated, and announces it anew
-// if the announcement lapses too early for that.
-func (r *replacement) confirmAgain(ctx context.Context, best lead.Paused) error {
-	if !r.announcement.coversOrder(best.Upstream, r.k.c.Clock()) {
-		r.announce(ctx, best.Upstream)
-	}
-	return r.confirmCandidate(ctx, best)
-}
-
-// order sends one order, and reports whether the platform has answered it.
-func (r *replacement) order(ctx context.Context, record chervilladder.Leadership, id chervilladder.UpstreamID) (bool, error) {
-	r.logState(id, record.Epoch)
-	r.k.leadership.markOrdered(r.service, id)
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	err := r.k.c.Promoter.Promote(ctx, record, r.service, id)
-	r.log.WithFields(logrus.Fields{"candidate": id, "epoch": record.Epoch, "error": err}).Info("failover: promotion ordered")
-	var refused *chervilladder.PromotionRefusedError
-	switch {
-	case err == nil:
-		r.k.leadership.markAnswered(r.service, id, true)
-		return true, nil
-	case errors.As(err, &refused):
-		r.k.leadership.markAnswered(r.service, id, false)
-		return true, err
-	default:
-		return false, err
-	}
-}
-
-// awaitPromotion waits until the member is observed as primary.
-func (r *replacement) awaitPromotion(ctx context.Context, id chervilladder.UpstreamID) error {
-	ctx, cancel := context.WithTimeout(ctx, effectTimeout)
-	defer cancel()
-	recovery.Go(ctx, &r.k.running, r.k.c.Log, part, r.pollStatuses)
-	leads := func(v blackboard.ClusterView) bool { return v.Primary == id && v.Term > r.view.Term }
-	lost := func(v blackboard.ClusterView) bool { return lead.Lost(v, id, r.k.c.Clock()) }
-	switch ended := r.cluster.Await(ctx, func(v blackboard.ClusterView) bool { return leads(v) || lost(v) }); {
-	case !ended:
-		return errNotObserved
-	case !leads(r.cluster.View.Load()):
-		return errCandidateLost
-	default:
-		return nil
-	}
-}
-
-// promotionPollInterval is the time between two requests for newer statuses while a
-// promotion is awaited.
-const promotionPollInterval = 40 * time.Millisecond
-
-func (r *replacement) pollStatuses(ctx context.Context) {
-	t := time.NewTicker(promotionPollInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-t.C:
-			r.cluster.PollTrigger.Ask()
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // sleepUntil waits until a point in time of the VM's own clock.
 func (r *replacement) sleepUntil(ctx context.Context, until time.Time) error {
 	t := time.NewTimer(until.Sub(r.k.c.Clock()))
