failover: a replica that joins doesn't end a planned replacement's primary

Cause: the demotion guards against commits that only the newcomer confirms. Since VMs report by the candidate alone, it guards against nothing where all have accepted the candidate.

Change: the old primary is demoted at that moment only if a VM hasn't accepted the candidate.

--- a/internal/control/failover/demotion.go
+++ b/internal/control/failover/demotion.go
@@ -42,9 +42,10 @@
 
 // demoteIfUnpaused demotes the old primary as soon as there is an unpaused replica,
 // other than the one that takes over, which may confirm its commits: one that newly
-// joined, restarted, or was resumed by another VM.
+// joined, restarted, or was resumed by another VM. If all VMs report by the candidate only,
+// the old primary stays: a candidate that loses its log receives it from there.
 func (r *replacement) demoteIfUnpaused(ctx context.Context) {
-	if r.cluster.Await(ctx, r.hasUnpaused) {
+	if r.cluster.Await(ctx, r.hasUnpaused) && !r.announcement.acceptedByAll() {
 		r.log.Info("failover: a replica is not paused; demoting the old primary before the promotion")
 		r.demoteOldPrimary(ctx, r.term)
 	}
--- a/internal/control/failover/lost_candidate_test.go
+++ b/internal/control/failover/lost_candidate_test.go
@@ -187,3 +187,30 @@
 		is.Equal(len(w.Cluster.Effects()), 2)
 	})
 }
+
+// The candidate of a planned replacement starts again, empty, while its order is held up, and
+// a replica has joined. The old primary must be there for the candidate to receive its log
+// from (regression: explorer, seed 10394 with -explore.orders).
+func TestReplicaThatJoinsInAPlannedReplacementLeavesTheOldPrimary(t *testing.T) {
+	bubble(t, clustertest.Config{VMs: 1}, func(t *testing.T, is *is.I, w *clustertest.World) {
+		leaving := clustertest.Member(0)
+		leaving.Draining = true
+		vm := w.VMs[0]
+		vm.Promoter.Delay.Store(int64(3 * time.Second))
+		vm.Promoter.OnOrder(func(candidate chervilladder.UpstreamID) {
+			w.Cluster.Add(clustertest.Member(3))
+			vm.SetMembers(leaving, clustertest.Member(1), clustertest.Member(2), clustertest.Member(3))
+			time.AfterFunc(time.Second, func() {
+				w.Cluster.Remove(candidate)
+				w.Cluster.Add(clustertest.Member(1))
+			})
+			vm.Promoter.OnOrder(func(chervilladder.UpstreamID) {})
+		})
+		stop := writeFrom(t, w, 4)
+		time.Sleep(4 * time.Second)
+		vm.SetMembers(leaving, clustertest.Member(1), clustertest.Member(2))
+		time.Sleep(6 * time.Second)
+		checkServedAndKept(t, w, stop)
+		is.True(len(w.Cluster.Effects()) > 0)
+	})
+}
