failover: VMs that haven't accepted a candidate are told again

Cause: that the candidate binds all VMs was taken for granted by resumeAll.

Change: VMs that haven't accepted a candidate, those that start later among them, are told each half second for as long as an order for it may take effect. Replicas are resumed beside such an order only if all VMs have accepted its candidate, and the record is renewed for it if need be.

--- a/internal/control/failover/candidacy.go
+++ b/internal/control/failover/candidacy.go
@@ -32,6 +32,8 @@
 	orderWithin = 4 * time.Second
 	// candidacyLasts is how long an announcement is valid.
 	candidacyLasts = orderWithin + lateOrderLimit
+	// tellAgainEvery is the time between two calls to a VM that hasn't accepted a candidate.
+	tellAgainEvery = 500 * time.Millisecond
 )
 
 var _ chervilladder.CandidacyAcceptor = (*Controller)(nil)
@@ -53,132 +55,188 @@
 	return reported, nil
 }
 
-// announcement is what the VMs have answered to the announcement of a candidate.
+// announcement is that of one candidate: which VMs have accepted it. VMs that haven't, also
+// those that start later, are told again for as long as an order may take effect.
 type announcement struct {
-	mu sync.Mutex
-	// candidate was announced at the time at; empty if none was.
 	candidate chervilladder.UpstreamID
 	at        time.Time
-	// reported is the latest commit that any VM has reported as done.
-	reported chervilladder.Mark
-	// silent are the VMs that haven't answered.
-	silent map[chervilladder.VMID]bool
+
+	mu sync.Mutex
+	// until is when no order for the candidate can take effect any more.
+	until    time.Time
+	accepted map[chervilladder.VMID]bool
 }
 
-func (a *announcement) begin(id chervilladder.UpstreamID, at time.Time, peers []chervilladder.VM) {
+func (a *announcement) lasts(now time.Time) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.candidate, a.at = id, at
-	a.silent = make(map[chervilladder.VMID]bool)
-	for _, p := range peers {
-		a.silent[p.ID] = true
-	}
+	return a.until.Sub(now)
 }
 
-func (a *announcement) answered(by chervilladder.VMID, reported chervilladder.Mark) {
+// endBy has the announcement end at a time.
+func (a *announcement) endBy(t time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.reported = a.reported.Later(reported)
-	delete(a.silent, by)
+	a.until = t
 }
 
-// needed returns the latest commit that any VM has reported, as far as they have answered.
-func (a *announcement) needed() chervilladder.Mark {
+func (a *announcement) accept(by chervilladder.VMID) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.reported
+	a.accepted[by] = true
 }
 
-// coversOrder reports whether an order for a member given now is covered by the
-// announcement until the last moment at which it can take effect.
-func (a *announcement) coversOrder(id chervilladder.UpstreamID, now time.Time) bool {
+// missing returns those of the VMs that haven't accepted the candidate.
+func (a *announcement) missing(vms []chervilladder.VM) []chervilladder.VM {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.candidate == id && now.Sub(a.at) < orderWithin
+	return slices.DeleteFunc(slices.Clone(vms), func(vm chervilladder.VM) bool { return a.accepted[vm.ID] })
 }
 
-// announced returns the candidate that was announced last; empty if none was.
-func (a *announcement) announced() chervilladder.UpstreamID {
+// announcements are those of one attempt.
+type announcements struct {
+	mu sync.Mutex
+	// current is the candidate that was announced last; nil if none is.
+	current *announcement
+	// reported is the latest commit that any VM has reported as done, as far as they have
+	// answered.
+	reported chervilladder.Mark
+}
+
+func (a *announcements) load() *announcement {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.candidate
+	return a.current
 }
 
-// acceptedByAll reports whether all VMs have answered.
-func (a *announcement) acceptedByAll() bool {
+func (a *announcements) store(n *announcement) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.candidate != "" && len(a.silent) == 0
+	a.current = n
 }
 
-// describe returns the VMs that haven't answered, for logs.
-func (a *announcement) describe() []string {
+func (a *announcements) noteReported(m chervilladder.Mark) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var list []string
-	for id := range a.silent {
-		list = append(list, string(id))
-	}
-	slices.Sort(list)
-	return list
+	a.reported = a.reported.Later(m)
+}
+
+// needed returns the latest commit that a successor must hold.
+func (a *announcements) needed() chervilladder.Mark {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.reported
 }
 
 // announce announces the candidate to all VMs that run work of the service, this one
 // included, and waits for their answers for announceTimeout. One that doesn't answer learns
 // of the failover by the pause of the replicas.
 func (r *replacement) announce(ctx context.Context, id chervilladder.UpstreamID) {
-	if before := r.announcement.announced(); before != "" && before != id {
-		r.withdraw(ctx)
-	}
-	peers := r.k.candidacyPeers(r.service)
-	r.announcement.begin(id, r.k.c.Clock(), peers)
-	answered := r.tell(ctx, r.candidacy(id, candidacyLasts), peers)
+	r.endAnnouncement(ctx)
+	now := r.k.c.Clock()
+	a := &announcement{candidate: id, at: now, until: now.Add(candidacyLasts), accepted: make(map[chervilladder.VMID]bool)}
+	r.announced.store(a)
+	r.tellSelf(ctx, a)
+	told := make(chan struct{})
+	recovery.Go(context.WithoutCancel(ctx), &r.k.running, r.k.c.Log, part, func(ctx context.Context) {
+		r.tellMissing(ctx, a)
+		close(told)
+		r.keepTelling(ctx, a)
+	})
 	wait := time.NewTimer(announceTimeout)
 	defer wait.Stop()
 	select {
-	case <-answered:
+	case <-told:
 	case <-wait.C:
 	}
 }
 
-// withdraw tells the VMs that the announced candidate binds them no longer than until no
-// order that this VM has given for it can take effect any more.
-func (r *replacement) withdraw(ctx context.Context) {
-	id := r.announcement.announced()
-	if id == "" {
+// endAnnouncement tells the VMs that the announced candidate binds them no longer than until
+// no order that this VM has given for it can take effect any more.
+func (r *replacement) endAnnouncement(ctx context.Context) {
+	a := r.announced.load()
+	if a == nil {
 		return
 	}
-	remains := r.k.leadership.orderPendingFor(r.service, id)
-	r.announcement.begin("", time.Time{}, nil)
-	r.tell(ctx, r.candidacy(id, remains), r.k.candidacyPeers(r.service))
+	r.announced.store(nil)
+	remains := r.k.leadership.orderPendingFor(r.service, a.candidate)
+	a.endBy(r.k.c.Clock().Add(remains))
+	r.tellSelf(ctx, a)
+	recovery.Go(context.WithoutCancel(ctx), &r.k.running, r.k.c.Log, part, func(ctx context.Context) {
+		r.tell(ctx, a, r.k.candidacyPeers(r.service))
+	})
 }
 
-func (r *replacement) candidacy(id chervilladder.UpstreamID, lasts time.Duration) chervilladder.Candidacy {
-	return chervilladder.Candidacy{Service: r.service, Candidate: id, By: r.k.c.Board.Self.ID, Replaces: r.view.Term, ValidFor: lasts}
+func (r *replacement) tellSelf(ctx context.Context, a *announcement) {
+	reported, _ := r.k.AcceptCandidacy(ctx, r.candidacy(a))
+	r.announced.noteReported(reported)
 }
 
-// tell tells this VM and then its peers of a candidacy. It returns a channel that is closed
-// once all have answered. The calls go on after the context's end, since an announcement
-// that is withdrawn too late keeps commits waiting.
-func (r *replacement) tell(ctx context.Context, c chervilladder.Candidacy, peers []chervilladder.VM) <-chan struct{} {
-	all := make(chan struct{})
-	reported, _ := r.k.AcceptCandidacy(ctx, c)
-	r.announcement.answered(c.By, reported)
-	recovery.Go(context.WithoutCancel(ctx), &r.k.running, r.k.c.Log, part, func(ctx context.Context) {
-		defer close(all)
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
-		var calls recovery.Group
-		for _, p := range peers {
-			calls.Go(func() {
-				if reported, err := r.k.c.PeerCandidacies.AcceptCandidacy(ctx, p.Peer, c); err == nil {
-					r.announcement.answered(p.ID, reported)
-				}
-			})
+func (r *replacement) tellMissing(ctx context.Context, a *announcement) {
+	r.tell(ctx, a, a.missing(r.k.candidacyPeers(r.service)))
+}
+
+// keepTelling tells the VMs that haven't accepted the candidate until the announcement ends.
+func (r *replacement) keepTelling(ctx context.Context, a *announcement) {
+	t := time.NewTicker(tellAgainEvery)
+	defer t.Stop()
+	for a.lasts(r.k.c.Clock()) > 0 {
+		select {
+		case <-t.C:
+			r.tellMissing(ctx, a)
+		case <-r.k.ended:
+			return
 		}
-		calls.Wait()
-	})
-	return all
+	}
+}
+
+// tell tells peers of a candidate and waits for their answers.
+func (r *replacement) tell(ctx context.Context, a *announcement, peers []chervilladder.VM) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	var calls recovery.Group
+	for _, p := range peers {
+		calls.Go(func() {
+			if reported, err := r.k.c.PeerCandidacies.AcceptCandidacy(ctx, p.Peer, r.candidacy(a)); err == nil {
+				r.announced.noteReported(reported)
+				a.accept(p.ID)
+			}
+		})
+	}
+	calls.Wait()
+}
+
+func (r *replacement) candidacy(a *announcement) chervilladder.Candidacy {
+	return chervilladder.Candidacy{
+		Service: r.service, Candidate: a.candidate, By: r.k.c.Board.Self.ID, Replaces: r.view.Term, ValidFor: max(0, a.lasts(r.k.c.Clock())),
+	}
+}
+
+// acceptedByAll reports whether all VMs have accepted the candidate that was announced last.
+func (r *replacement) acceptedByAll() bool {
+	a := r.announced.load()
+	return a != nil && len(a.missing(r.k.candidacyPeers(r.service))) == 0
+}
+
+// silentPeers returns the VMs that haven't accepted the candidate, for logs.
+func (r *replacement) silentPeers() []string {
+	a := r.announced.load()
+	if a == nil {
+		return nil
+	}
+	var list []string
+	for _, p := range a.missing(r.k.candidacyPeers(r.service)) {
+		list = append(list, string(p.ID))
+	}
+	slices.Sort(list)
+	return list
+}
+
+// coversOrder reports whether an order for a member given now is covered by its announcement
+// until the last moment at which it can take effect.
+func (r *replacement) coversOrder(id chervilladder.UpstreamID) bool {
+	a := r.announced.load()
+	return a != nil && a.candidate == id && r.k.c.Clock().Sub(a.at) < orderWithin
 }
 
 // candidacyPeers returns the peers that are told of candidates.
@@ -248,7 +306,7 @@
 	v := r.cluster.View.Load()
 	needed := v.DepartedMark
 	if v.Confirmations > 0 {
-		needed = needed.Later(r.announcement.needed())
+		needed = needed.Later(r.announced.needed())
 	}
 	if !candidate.Received.Covers(needed) {
 		return &behindError{Needed: needed}
--- a/internal/control/failover/demotion.go
+++ b/internal/control/failover/demotion.go
@@ -45,7 +45,7 @@
 // joined, restarted, or was resumed by another VM. If all VMs report by the candidate only,
 // the old primary stays: a candidate that loses its log receives it from there.
 func (r *replacement) demoteIfUnpaused(ctx context.Context) {
-	if r.cluster.Await(ctx, r.hasUnpaused) && !r.announcement.acceptedByAll() {
+	if r.cluster.Await(ctx, r.hasUnpaused) && !r.acceptedByAll() {
 		r.log.Info("failover: a replica is not paused; demoting the old primary before the promotion")
 		r.demoteOldPrimary(ctx, r.term)
 	}
--- a/internal/control/failover/evidence.go
+++ b/internal/control/failover/evidence.go
@@ -104,7 +104,7 @@
 		"since-pause": now.Sub(r.pausedAt).String(),
 		"members":     r.describeMembers(v, now), "outside": r.describeOutside(v, now), "demotions": r.describeDemotions(now),
 		"view-primary": v.Primary, "view-term": v.Term,
-		"reported": r.announcement.needed().String(), "silent-peers": r.announcement.describe(),
+		"reported": r.announced.needed().String(), "silent-peers": r.silentPeers(),
 		"departed-mark": v.DepartedMark.String(), "departed-open": !v.DepartedSince.IsZero(),
 	}).Info("failover: state at the promotion order")
 }
--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -77,6 +77,8 @@
 	backoffUntil map[chervilladder.ServiceID]time.Time
 	// lastAttempt is when the last replacement attempt of a cluster ended.
 	lastAttempt map[chervilladder.ServiceID]time.Time
+	// ended is closed when Run ends.
+	ended <-chan struct{}
 	// running covers all goroutines that Run has started; replacing covers the
 	// replacements only.
 	running, replacing sync.WaitGroup
@@ -101,6 +103,9 @@
 	initializing, stop := context.WithCancel(ctx)
 	defer k.running.Wait()
 	defer stop()
+	running, end := context.WithCancel(ctx)
+	defer end()
+	k.ended = running.Done()
 	ticker := time.NewTicker(assessInterval)
 	defer ticker.Stop()
 	recovery.Go(initializing, &k.running, k.c.Log, part, k.leadership.initialize)
--- a/internal/control/failover/promotion.go
+++ b/internal/control/failover/promotion.go
@@ -136,7 +136,7 @@
 // confirmAgain has the candidate confirm before an order, and announces it anew if the
 // announcement lapses too early for that.
 func (r *replacement) confirmAgain(ctx context.Context, best lead.Paused) error {
-	if !r.announcement.coversOrder(best.Upstream, r.k.c.Clock()) {
+	if !r.coversOrder(best.Upstream) {
 		r.announce(ctx, best.Upstream)
 	}
 	return r.confirmCandidate(ctx, best)
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -39,7 +39,7 @@
 	// order again when its successor's promotion is observed: it may have restarted
 	// meanwhile.
 	demoted      atomic.Bool
-	announcement announcement
+	announced announcements
 	// changed are candidates that have started again, or lost their pause, since they were
 	// ordered.
 	changed map[chervilladder.UpstreamID]bool
@@ -169,7 +169,7 @@
 func (r *replacement) promoteSuccessor(ctx context.Context, record chervilladder.Leadership) (chervilladder.UpstreamID, error) {
 	attemptCtx, cancelAttempt := context.WithCancel(ctx)
 	defer cancelAttempt()
-	defer func() { r.withdraw(ctx) }()
+	defer func() { r.endAnnouncement(ctx) }()
 	best, err := r.choose(attemptCtx)
 	if err == nil {
 		if r.unpaused == "" {
@@ -231,13 +231,15 @@
 // cluster they would confirm commits that the old one must not acknowledge. If it isn't
 // safe they stay paused, and a later assessment finds an unfinished replacement.
 //
-// An order for a replica that is lost keeps none of them paused: should it take effect all
-// the same, the VMs have reported nothing that this replica lacks. One for the primary
-// changes nothing.
+// An order for a replica that is lost keeps none of them paused if all VMs have accepted it
+// as a candidate: should it take effect all the same, they have reported nothing that this
+// replica lacks. One for the primary changes nothing.
 func (r *replacement) resumeAll(ctx context.Context) error {
-	v, now := r.cluster.View.Load(), r.k.c.Clock()
-	passOver := func(id chervilladder.UpstreamID) bool { return id == v.Primary || lead.Lost(v, id, now) }
-	if !r.exclusive() || !r.k.leadership.noPromotionPending(r.service, passOver) {
+	v, now, accepted := r.cluster.View.Load(), r.k.c.Clock(), r.acceptedByAll()
+	passOver := func(id chervilladder.UpstreamID) bool {
+		return id == v.Primary || accepted && lead.Lost(v, id, now)
+	}
+	if r.ensureExclusive(ctx) != nil || !r.k.leadership.noPromotionPending(r.service, passOver) {
 		return nil
 	}
 	var list []chervilladder.UpstreamID
