failover: a candidate binds until its order can't take effect again

Cause: the candidate was withdrawn once its order was seen to take effect.

A candidate that has led and leads no more binds in that time while it answers; one that has crashed doesn't, so that two failures in a row make no longer gap.

--- a/candidacy.go
+++ b/candidacy.go
@@ -17,6 +17,9 @@
 	// ValidFor is how long an order for the candidate may still take effect, from the
 	// announcement on; zero withdraws the candidacy, since no order was given.
 	ValidFor time.Duration
+	// TookEffect is set once an order for the candidate was seen to take effect. The platform
+	// may carry it out once more.
+	TookEffect bool
 }
 
 // CandidacyAcceptor is told of candidacies.
--- a/internal/blackboard/replacement.go
+++ b/internal/blackboard/replacement.go
@@ -25,6 +25,8 @@
 	Until time.Time
 	// WasMember is set if this VM knew it as a member when it was announced.
 	WasMember bool
+	// TookEffect is set once an order for it was seen to take effect.
+	TookEffect bool
 }
 
 // Announced returns the replacement after a VM has announced a candidate: in place of that
@@ -41,15 +43,16 @@
 
 // Pending returns the candidates that an order may still make the primary: those that don't
 // lead, are no members that are gone, and whose time isn't over. One that has led and was
-// replaced is pending again until then, since an order that was repeated may take effect
-// once more.
+// replaced is pending again until then, since an order may take effect twice; but not while
+// it is out of sight, as after a crash.
 func (r Replacement) Pending(v ClusterView, now time.Time) []Candidate {
 	var list []Candidate
 	for _, c := range r.Candidates {
 		leads := v.Primary == c.Upstream && v.Term > c.Replaces
 		_, member := v.Members[c.Upstream]
 		gone := c.WasMember && !member
-		if !leads && !gone && now.Before(c.Until) {
+		outOfSight := c.TookEffect && !v.Members[c.Upstream].Answers()
+		if !leads && !gone && !outOfSight && now.Before(c.Until) {
 			list = append(list, c)
 		}
 	}
--- a/internal/control/failover/candidacy.go
+++ b/internal/control/failover/candidacy.go
@@ -46,6 +46,7 @@
 	_, member := cluster.View.Load().Members[c.Candidate]
 	candidate := blackboard.Candidate{
 		Upstream: c.Candidate, By: c.By, Replaces: c.Replaces, Until: now.Add(min(c.ValidFor, candidacyLasts)), WasMember: member,
+		TookEffect: c.TookEffect,
 	}
 	cluster.Replacement.Update(func(r blackboard.Replacement) blackboard.Replacement { return r.Announced(candidate, now) })
 	reported := cluster.Reported.Load()
@@ -62,9 +63,11 @@
 	at        time.Time
 
 	mu sync.Mutex
-	// until is when no order for the candidate can take effect any more.
-	until    time.Time
-	accepted map[chervilladder.VMID]bool
+	// until is when no order for the candidate can take effect any more; effective is set
+	// once one has.
+	until     time.Time
+	effective bool
+	accepted  map[chervilladder.VMID]bool
 }
 
 func (a *announcement) lasts(now time.Time) time.Duration {
@@ -74,10 +77,16 @@
 }
 
 // endBy has the announcement end at a time.
-func (a *announcement) endBy(t time.Time) {
+func (a *announcement) endBy(t time.Time, effective bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.until = t
+	a.until, a.effective = t, effective
+}
+
+func (a *announcement) tookEffect() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.effective
 }
 
 func (a *announcement) accept(by chervilladder.VMID) {
@@ -159,8 +168,8 @@
 		return
 	}
 	r.announced.store(nil)
-	remains := r.k.leadership.orderPendingFor(r.service, a.candidate)
-	a.endBy(r.k.c.Clock().Add(remains))
+	remains, effective := r.k.leadership.orderPendingFor(r.service, a.candidate)
+	a.endBy(r.k.c.Clock().Add(remains), effective)
 	r.tellSelf(ctx, a)
 	recovery.Go(context.WithoutCancel(ctx), &r.k.running, r.k.c.Log, part, func(ctx context.Context) {
 		r.tell(ctx, a, r.k.candidacyPeers(r.service))
@@ -209,6 +218,7 @@
 func (r *replacement) candidacy(a *announcement) chervilladder.Candidacy {
 	return chervilladder.Candidacy{
 		Service: r.service, Candidate: a.candidate, By: r.k.c.Board.Self.ID, Replaces: r.view.Term, ValidFor: max(0, a.lasts(r.k.c.Clock())),
+		TookEffect: a.tookEffect(),
 	}
 }
 
--- a/internal/control/failover/pending.go
+++ b/internal/control/failover/pending.go
@@ -17,14 +17,15 @@
 	// unanswered is how many of them the platform hasn't answered. It may still carry them
 	// out, also after another one has taken effect.
 	unanswered int
-	// accepted is set once the platform has accepted one.
-	accepted bool
+	// accepted is set once the platform has accepted one, and effective once one was seen
+	// to take effect.
+	accepted, effective bool
 }
 
 // markOrdered records that a promotion is about to be ordered.
 func (l *leadership) markOrdered(s chervilladder.ServiceID, id chervilladder.UpstreamID) {
 	l.changePending(s, id, func(o pendingOrder) pendingOrder {
-		o.at = l.clock()
+		o.at, o.effective = l.clock(), false
 		o.unanswered++
 		return o
 	})
@@ -42,7 +43,7 @@
 // markEffective records that a promotion was observed to take effect.
 func (l *leadership) markEffective(s chervilladder.ServiceID, id chervilladder.UpstreamID) {
 	l.changePending(s, id, func(o pendingOrder) pendingOrder {
-		o.accepted = false
+		o.effective = true
 		return o
 	})
 }
@@ -66,26 +67,26 @@
 }
 
 // orderPendingFor returns for how long an order of this process for a member may still take
-// effect.
-func (l *leadership) orderPendingFor(s chervilladder.ServiceID, id chervilladder.UpstreamID) time.Duration {
+// effect, and whether one has.
+func (l *leadership) orderPendingFor(s chervilladder.ServiceID, id chervilladder.UpstreamID) (lasts time.Duration, effective bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	o, pending := l.orders[s][id]
 	if !pending {
-		return 0
+		return 0, false
 	}
-	return max(0, lateOrderLimit-l.clock().Sub(o.at))
+	return max(0, lateOrderLimit-l.clock().Sub(o.at)), o.effective
 }
 
 // noPromotionPending reports whether no promotion of a service can be under way, by an
-// order of this process or of a former holder. An order for a member that is passed over
-// doesn't count.
+// order of this process or of a former holder. An order that has taken effect doesn't count,
+// nor one for a member that is passed over.
 func (l *leadership) noPromotionPending(s chervilladder.ServiceID, passOver func(chervilladder.UpstreamID) bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock()
 	for id, o := range l.orders[s] {
-		if now.Sub(o.at) < lateOrderLimit && !passOver(id) {
+		if now.Sub(o.at) < lateOrderLimit && !o.effective && !passOver(id) {
 			return false
 		}
 	}
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -38,7 +38,7 @@
 	// demoted is set once the old primary has been demoted. The old primary is sent the
 	// order again when its successor's promotion is observed: it may have restarted
 	// meanwhile.
-	demoted      atomic.Bool
+	demoted   atomic.Bool
 	announced announcements
 	// changed are candidates that have started again, or lost their pause, since they were
 	// ordered.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -162,7 +162,7 @@
 	}
 	r, err := client.Announce(ctx, &peerpb.AnnounceRequest{
 		Service: string(n.Service), Candidate: string(n.Candidate), By: string(n.By), Replaces: uint64(n.Replaces),
-		ValidUs: uint64(max(0, n.ValidFor.Microseconds())),
+		ValidUs: uint64(max(0, n.ValidFor.Microseconds())), TookEffect: n.TookEffect,
 	})
 	if err != nil {
 		return chervilladder.Mark{}, fmt.Errorf("peer %s: candidacy of %s: %w", peer, n.Candidate, err)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -192,6 +192,7 @@
 	reported, err := s.Candidacies.AcceptCandidacy(ctx, chervilladder.Candidacy{
 		Service: chervilladder.ServiceID(r.GetService()), Candidate: chervilladder.UpstreamID(r.GetCandidate()), By: chervilladder.VMID(r.GetBy()),
 		Replaces: chervilladder.Term(r.GetReplaces()), ValidFor: time.Duration(min(r.GetValidUs(), maxAgeMicros)) * time.Microsecond,
+		TookEffect: r.GetTookEffect(),
 	})
 	if err != nil {
 		return nil, status.Error(codes.FailedPrecondition, err.Error())
