standin: the times after which promotions take effect can be set while it runs

The platform may carry an order out seconds late, or twice. PromoteTime is fixed for a cluster; SetPromoteTimes gives the times of each order.

--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -49,6 +49,8 @@
 	executions []Execution
 	promotions []Promotion
 	effects    []Effect
+	// promoteTimes takes the place of Config.PromoteTime unless it is nil.
+	promoteTimes PromoteTimes
 	// acks are the acknowledged commits that no promotion has rolled back.
 	acks   []Ack
 	strays []Entry
--- a/internal/standin/cluster/promotion.go
+++ b/internal/standin/cluster/promotion.go
@@ -6,7 +6,20 @@
 	"github.com/chervilladder/chervilladder"
 )
 
-// Promote orders the promotion of a member, which takes effect after PromoteTime.
+// PromoteTimes returns how long after an order of a member's promotion it takes effect: once
+// after each of the times, on the member as it is then.
+type PromoteTimes func(chervilladder.UpstreamID) []time.Duration
+
+// SetPromoteTimes replaces Config.PromoteTime for the orders from now on. The function is
+// called for each order that is accepted, and must not call the Cluster.
+func (k *Cluster) SetPromoteTimes(f PromoteTimes) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.promoteTimes = f
+}
+
+// Promote orders the promotion of a member, which takes effect after PromoteTime, or as
+// SetPromoteTimes says.
 // The error is a *chervilladder.PromotionRefusedError if the member is down or unknown;
 // Promotions returns such an order too.
 func (k *Cluster) Promote(holder chervilladder.VMID, epoch chervilladder.Epoch, id chervilladder.UpstreamID) error {
@@ -20,10 +33,19 @@
 	if m == k.currentPrimary() {
 		return nil
 	}
-	time.AfterFunc(k.config.PromoteTime, func() { k.promote(m) })
+	for _, after := range k.timesOf(id) {
+		time.AfterFunc(after, func() { k.promote(m) })
+	}
 	return nil
 }
 
+func (k *Cluster) timesOf(id chervilladder.UpstreamID) []time.Duration {
+	if k.promoteTimes == nil {
+		return []time.Duration{k.config.PromoteTime}
+	}
+	return k.promoteTimes(id)
+}
+
 // promote makes a member the primary of the next term.
 func (k *Cluster) promote(m *member) {
 	k.mu.Lock()
