failover: the explorer draws late orders together with changing replicas

The plans of TestExploreReplacements are unchanged. A lost commit is printed with who confirmed and who reported it, and a play with its effects.

--- a/internal/control/failover/explore_disrupt_test.go
+++ b/internal/control/failover/explore_disrupt_test.go
@@ -33,11 +33,17 @@
 }
 
 func (y *play) memberOf(d disruption) chervilladder.UpstreamID {
-	if d.member >= 0 {
+	switch d.member {
+	case primary:
+		id, _ := y.w.Cluster.Primary()
+		return id
+	case candidate:
+		y.mu.Lock()
+		defer y.mu.Unlock()
+		return y.orderedLast
+	default:
 		return clustertest.MemberID(d.member)
 	}
-	id, _ := y.w.Cluster.Primary()
-	return id
 }
 
 // during applies a fault for a time.
@@ -55,10 +61,20 @@
 	})
 }
 
+// orderUnderWay reports whether an order for a member may still take effect.
+func (y *play) orderUnderWay(id chervilladder.UpstreamID) bool {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	at, ordered := y.ordered[id]
+	return ordered && time.Since(at) < orderUnderWay
+}
+
+// present reports whether a member's entry is there, or has expired, and the member hasn't
+// ended.
 func (y *play) present(id chervilladder.UpstreamID) bool {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	return slices.ContainsFunc(y.registered, func(m chervilladder.Registered) bool { return m.ID == id })
+	return !y.gone[id] && slices.ContainsFunc(y.registered, func(m chervilladder.Registered) bool { return m.ID == id })
 }
 
 // disrupt runs a disruption to its end.
@@ -95,6 +111,8 @@
 		y.drain(d, id)
 	case "join":
 		y.join(d)
+	case "leave":
+		y.leave(d, id)
 	case "reborn":
 		y.reborn(d, id)
 	case "expire":
@@ -133,12 +151,56 @@
 		y.registered = slices.DeleteFunc(y.registered, func(m chervilladder.Registered) bool { return m.ID == id })
 	}, 0)
 	time.Sleep(50 * time.Millisecond)
-	y.w.Cluster.Remove(id)
+	y.end(id)
+}
+
+// leave has a replica end for good, before its entry goes or after it. At least two members
+// stay.
+func (y *play) leave(d disruption, id chervilladder.UpstreamID) {
+	if p, _ := y.w.Cluster.Primary(); p == id || y.staying() <= 2 {
+		return
+	}
+	if d.number%2 == 0 {
+		y.end(id)
+		time.Sleep(min(d.lasts, 3*time.Second))
+	}
+	y.register(func() {
+		y.registered = slices.DeleteFunc(y.registered, func(m chervilladder.Registered) bool { return m.ID == id })
+	}, 1200*time.Millisecond)
+	if d.number%2 != 0 {
+		time.Sleep(min(d.lasts, 3*time.Second))
+		y.end(id)
+	}
+}
+
+// staying returns how many members stay.
+func (y *play) staying() int {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	n := 0
+	for _, m := range y.registered {
+		if !m.Draining && !y.gone[m.ID] {
+			n++
+		}
+	}
+	return n
+}
+
+// end ends a member for good.
+func (y *play) end(id chervilladder.UpstreamID) {
+	y.mu.Lock()
+	before := y.gone[id]
+	y.gone[id] = true
+	y.mu.Unlock()
+	if !before {
+		time.Sleep(time.Millisecond) // another disruption may be about to change it
+		y.w.Cluster.Remove(id)
+	}
 }
 
 // reborn has a replica start again under its id, without its log.
 func (y *play) reborn(d disruption, id chervilladder.UpstreamID) {
-	if p, _ := y.w.Cluster.Primary(); p == id {
+	if p, _ := y.w.Cluster.Primary(); p == id || y.p.lateOrders && y.orderUnderWay(id) {
 		return
 	}
 	y.w.Cluster.Set(id, func(f *cluster.Faults) { f.Down = true })
@@ -152,7 +214,7 @@
 		}
 	}
 	y.mu.Unlock()
-	if m.ID == "" {
+	if m.ID == "" || !y.present(id) {
 		return
 	}
 	y.w.Cluster.Remove(id)
@@ -206,6 +268,8 @@
 		})
 	case "hidden":
 		d.during(func(on bool) { vm.Linker.SetUnreachable(on, id) })
+	case "peers-cut":
+		d.during(vm.Unreachable.Store)
 	case "record-cut":
 		d.during(vm.Record.Unreachable.Store)
 	case "record-lost":
--- a/internal/control/failover/explore_plan_test.go
+++ b/internal/control/failover/explore_plan_test.go
@@ -18,6 +18,9 @@
 	atResume   step = "resume"
 	atOrder    step = "order"
 	atRecord   step = "record"
+	// atEffect is the n-th order that the platform accepts. What is tied to it changes when
+	// that order takes effect.
+	atEffect step = "effect"
 )
 
 // disruption is one disruption of a play. It begins after a time, or that long after the
@@ -28,12 +31,20 @@
 	nth    int
 	after  time.Duration
 	kind   string
-	// member and vm are numbers. The member -1 is the primary at the time; the VM -1 is the
-	// one that made the step.
+	// member and vm are numbers, or primary or candidate. The VM -1 is the one that made the
+	// step.
 	member, vm int
 	lasts      time.Duration
 }
 
+// Members of a disruption that are known once it begins.
+const (
+	// primary is the primary at the time.
+	primary = -1
+	// candidate is the member whose promotion was ordered last.
+	candidate = -2
+)
+
 func (d disruption) String() string {
 	return fmt.Sprintf("#%d %s/%d + %v: %s member %d vm %d for %v", d.number, d.at, d.nth, d.after, d.kind, d.member, d.vm, d.lasts)
 }
@@ -42,9 +53,31 @@
 type plan struct {
 	seed        uint64
 	vms         int
+	members     int
 	entryTerms  bool
 	promoteTime time.Duration
-	list        []disruption
+	// lateOrders is set for the plays of drawLatePlan.
+	lateOrders bool
+	list       []disruption
+}
+
+func (p plan) String() string {
+	return fmt.Sprintf("members %d vms %d entry terms %v promotion takes %v\n%v", p.members, p.vms, p.entryTerms, p.promoteTime, p.list)
+}
+
+// promoteTimes returns how long after its acceptance the n-th order takes effect.
+func (p plan) promoteTimes(n int) []time.Duration {
+	times := []time.Duration{p.promoteTime}
+	for _, d := range p.list {
+		switch {
+		case d.at != atEffect || d.nth != n:
+		case d.kind == "effect-late":
+			times[0] = d.lasts
+		case d.kind == "effect-twice":
+			times = append(times, d.lasts)
+		}
+	}
+	return times
 }
 
 func draw(r *rand.Rand, from, to time.Duration) time.Duration {
@@ -54,12 +87,12 @@
 // drawPlan draws a play: something that begins a replacement, and others that meet it.
 func drawPlan(seed uint64) plan {
 	r := rand.New(rand.NewPCG(seed, 7))
-	p := plan{seed: seed, vms: 2 + r.IntN(3), entryTerms: r.IntN(3) > 0, promoteTime: draw(r, 250*time.Millisecond, 900*time.Millisecond)}
+	p := plan{seed: seed, members: 3, vms: 2 + r.IntN(3), entryTerms: r.IntN(3) > 0, promoteTime: draw(r, 250*time.Millisecond, 900*time.Millisecond)}
 	for i := range 2 + r.IntN(6) {
 		d := disruption{number: i, vm: r.IntN(p.vms), member: r.IntN(3)}
 		kinds := anyKinds
 		if i == 0 || r.IntN(4) == 0 {
-			kinds, d.member = primaryKinds, -1
+			kinds, d.member = primaryKinds, primary
 		}
 		d.kind = kinds[r.IntN(len(kinds))]
 		if d.kind == "drain" && slices.ContainsFunc(p.list, func(o disruption) bool { return o.kind == "drain" }) {
--- a/internal/control/failover/explore_test.go
+++ b/internal/control/failover/explore_test.go
@@ -43,13 +43,27 @@
 	steps      map[step]int
 	registered []chervilladder.Registered
 	expired    map[chervilladder.UpstreamID]bool
+	// gone are the members that have ended and whose entries may still be there.
+	gone map[chervilladder.UpstreamID]bool
 	// learnt counts the changes of the registered members.
-	learnt  int
-	late    map[int]time.Duration
-	acked   map[chervilladder.CommandID]bool
-	events  []string
-	over    bool
-	running sync.WaitGroup
+	learnt int
+	late   map[int]time.Duration
+	acked  map[chervilladder.CommandID]report
+	// ordered is when each member's promotion was ordered last, and orderedLast the member of
+	// the last order.
+	ordered     map[chervilladder.UpstreamID]time.Time
+	orderedLast chervilladder.UpstreamID
+	// accepted counts the orders that the platform has accepted.
+	accepted int
+	events   []string
+	over     bool
+	running  sync.WaitGroup
+}
+
+// report says which VM reported a commit as done, and when.
+type report struct {
+	vm int
+	at time.Time
 }
 
 func (y *play) note(format string, args ...any) {
@@ -106,6 +120,9 @@
 	})
 	vm.Promoter.OnOrder(func(id chervilladder.UpstreamID) {
 		y.note("vm-%d orders the promotion of %s", i, id)
+		y.mu.Lock()
+		y.ordered[id], y.orderedLast = time.Now(), id
+		y.mu.Unlock()
 		y.reached(atOrder, i)
 	})
 	vm.Record.OnWrite(func(l chervilladder.Leadership) {
@@ -118,12 +135,13 @@
 func (y *play) write(caller int) {
 	for i := 0; !y.ended(); i++ {
 		id := chervilladder.CommandID(fmt.Sprintf("w%d-%d", caller, i))
-		s, err := y.w.VM((caller+i/50)%y.p.vms).Sessions.Open(clustertest.PrimaryDB, "caller")
+		vm := (caller + i/50) % y.p.vms
+		s, err := y.w.VM(vm).Sessions.Open(clustertest.PrimaryDB, "caller")
 		if err == nil {
 			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 			if r := s.Do(ctx, chervilladder.Command{Kind: chervilladder.CommandWrite, ID: id, Rest: "1a4 x"}); r.Code == chervilladder.CodeNone {
 				y.mu.Lock()
-				y.acked[id] = true
+				y.acked[id] = report{vm: vm, at: time.Now()}
 				y.mu.Unlock()
 			}
 			cancel()
@@ -183,12 +201,12 @@
 	if !served {
 		list = append(list, fmt.Sprintf("no write was acknowledged within %v of the last disruption", servedWithin))
 	}
-	told := func(id chervilladder.CommandID) bool { return y.acked[id] }
+	told := func(id chervilladder.CommandID) bool { return !y.acked[id].at.IsZero() }
 	for _, e := range y.w.Cluster.Effects() {
 		lost := toldOf(e.Lost, told)
 		if n := len(lost); n > 0 && len(e.HeldBy) > 0 {
-			list = append(list, fmt.Sprintf("LOST: %8.3f %s leads term %d without %d acknowledged commits, %v to %v, which %v hold",
-				e.At.Sub(y.began).Seconds(), e.Upstream, e.Term, n, lost[0].Mark, lost[n-1].Mark, e.HeldBy))
+			list = append(list, fmt.Sprintf("LOST: %8.3f %s leads term %d without %d acknowledged commits, %v to %v, which %v hold; the last one: %s",
+				y.seconds(e.At), e.Upstream, e.Term, n, lost[0].Mark, lost[n-1].Mark, e.HeldBy, y.describe(lost[n-1])))
 			break // a later promotion can't bring them back
 		}
 	}
@@ -198,19 +216,49 @@
 	return list
 }
 
+// seconds returns when something happened in the play.
+func (y *play) seconds(at time.Time) float64 { return at.Sub(y.began).Seconds() }
+
+// describe returns who confirmed and who reported a commit.
+func (y *play) describe(a cluster.Ack) string {
+	text := fmt.Sprintf("acknowledged by %s at %.3f, confirmed by %v", a.Primary, y.seconds(a.At), a.ConfirmedBy)
+	for _, c := range a.Commands {
+		if by, reported := y.acked[c.ID]; reported {
+			text += fmt.Sprintf(", reported by vm-%d at %.3f", by.vm, y.seconds(by.at))
+		}
+	}
+	return text
+}
+
+// promoteTimes returns when the next order that the platform accepts takes effect.
+func (y *play) promoteTimes(id chervilladder.UpstreamID) []time.Duration {
+	y.mu.Lock()
+	y.accepted++
+	times := y.p.promoteTimes(y.accepted)
+	y.mu.Unlock()
+	y.note("the platform accepts an order for %s, with effect after %v", id, times)
+	return times
+}
+
 // explore runs one play and returns what it broke and what happened in it.
 func explore(t *testing.T, p plan) (broken, events []string) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := clustertest.New(t, clustertest.Config{VMs: p.vms, Adjust: func(c *cluster.Config) {
+		w := clustertest.New(t, clustertest.Config{VMs: p.vms, Members: p.members, Adjust: func(c *cluster.Config) {
 			c.WorkTime, c.EntryTerms, c.PromoteTime, c.StepsDownAfter = 3*time.Millisecond, p.entryTerms, p.promoteTime, time.Second
 		}})
 		y := &play{
-			t: t, p: p, w: w, steps: make(map[step]int), expired: make(map[chervilladder.UpstreamID]bool), late: make(map[int]time.Duration),
-			acked:      make(map[chervilladder.CommandID]bool),
-			registered: []chervilladder.Registered{clustertest.Member(0), clustertest.Member(1), clustertest.Member(2)},
+			t: t, p: p, w: w, steps: make(map[step]int), expired: make(map[chervilladder.UpstreamID]bool), gone: make(map[chervilladder.UpstreamID]bool), late: make(map[int]time.Duration),
+			acked: make(map[chervilladder.CommandID]report), ordered: make(map[chervilladder.UpstreamID]time.Time),
+		}
+		for i := range p.members {
+			y.registered = append(y.registered, clustertest.Member(i))
 		}
+		w.Cluster.SetPromoteTimes(y.promoteTimes)
 		broken = y.run()
+		for _, e := range w.Cluster.Effects() {
+			y.events = append(y.events, fmt.Sprintf("%8.3f effect: %s leads term %d", y.seconds(e.At), e.Upstream, e.Term))
+		}
 		events = y.events
 		for _, m := range y.registered { // closes the connections that killed VMs have left
 			w.Cluster.Set(m.ID, func(f *cluster.Faults) { *f = cluster.Faults{Down: true} })
@@ -221,9 +269,12 @@
 
 // Plays with disruptions that meet the steps of replacements. No promotion may lose an
 // acknowledged commit, and work is served again afterwards.
-func TestExploreReplacements(t *testing.T) {
+func TestExploreReplacements(t *testing.T) { exploreAll(t, drawPlan) }
+
+// exploreAll runs the plays that the flags ask for.
+func exploreAll(t *testing.T, draw func(seed uint64) plan) {
 	for seed := *exploreFirst; seed < *exploreFirst+uint64(*exploreSeeds); seed++ {
-		p := drawPlan(seed)
+		p := draw(seed)
 		p.list = keep(p.list)
 		var broken, events []string
 		for range *exploreTries {
@@ -231,9 +282,8 @@
 				break
 			}
 		}
-		if len(broken) == 0 {
-			continue
+		if len(broken) > 0 {
+			t.Errorf("seed %d: %s\n%s\n%s", seed, strings.Join(broken, "; "), p, strings.Join(events, "\n"))
 		}
-		t.Errorf("seed %d: %s\nvms %d entry terms %v promotion takes %v\n%v\n%s", seed, strings.Join(broken, "; "), p.vms, p.entryTerms, p.promoteTime, p.list, strings.Join(events, "\n"))
 	}
 }
