--- a/internal/control/failover/explore_test.go
+++ b/internal/control/failover/explore_test.go
@@ -45,6 +45,8 @@
 	expired    map[chervilladder.UpstreamID]bool
 	// gone are the members that have ended and whose entries may still be there.
 	gone map[chervilladder.UpstreamID]bool
+	// drainUntil is when the member that drains ends.
+	drainUntil time.Time
 	// learnt counts the changes of the registered members.
 	learnt int
 	late   map[int]time.Duration
