failover: whom a candidacy binds, and until when

- An order that the platform hadn't answered counted as settled once another one for the same member had taken effect.
It binds in full for its time.
Each VM that announces a candidate passes on the others that it knows.
- Of more than 33 hosts of a service the rest was never told, nor counted as silent.

The stand-in of the peers' network loses an announcement of a VM that has been killed.

--- a/candidacy.go
+++ b/candidacy.go
@@ -17,8 +17,8 @@
 	// ValidFor is how long an order for the candidate may still take effect, from the
 	// announcement on; zero withdraws the candidacy, since no order was given.
 	ValidFor time.Duration
-	// TookEffect is set once an order for the candidate was seen to take effect. The platform
-	// may carry it out once more.
+	// TookEffect is set once all orders for the candidate were answered and one was seen to
+	// take effect. The platform may carry it out once more.
 	TookEffect bool
 }
 
--- a/internal/blackboard/replacement.go
+++ b/internal/blackboard/replacement.go
@@ -23,9 +23,7 @@
 	Replaces chervilladder.Term
 	// Until is when no order for it can take effect any more.
 	Until time.Time
-	// WasMember is set if this VM knew it as a member when it was announced.
-	WasMember bool
-	// TookEffect is set once an order for it was seen to take effect.
+	// TookEffect is set once all orders for it were answered and one was seen to take effect.
 	TookEffect bool
 }
 
@@ -42,17 +40,15 @@
 }
 
 // Pending returns the candidates that an order may still make the primary: those that don't
-// lead, are no members that are gone, and whose time isn't over. One that has led and was
-// replaced is pending again until then, since an order may take effect twice; but not while
-// it is out of sight, as after a crash.
+// lead and whose time isn't over, also if their registration has expired. One that has led
+// and was replaced is pending again until then, since an order may take effect twice; but not
+// while it is out of sight, as after a crash.
 func (r Replacement) Pending(v ClusterView, now time.Time) []Candidate {
 	var list []Candidate
 	for _, c := range r.Candidates {
 		leads := v.Primary == c.Upstream && v.Term > c.Replaces
-		_, member := v.Members[c.Upstream]
-		gone := c.WasMember && !member
 		outOfSight := c.TookEffect && !v.Members[c.Upstream].Answers()
-		if !leads && !gone && !outOfSight && now.Before(c.Until) {
+		if !leads && !outOfSight && now.Before(c.Until) {
 			list = append(list, c)
 		}
 	}
--- a/internal/blackboard/replacement_test.go
+++ b/internal/blackboard/replacement_test.go
@@ -17,7 +17,7 @@
 
 // candidate returns a member that replaces the primary of term 3.
 func candidate(id chervilladder.UpstreamID, by chervilladder.VMID, untilSeconds int) blackboard.Candidate {
-	return blackboard.Candidate{Upstream: id, By: by, Replaces: 3, Until: after(untilSeconds), WasMember: true}
+	return blackboard.Candidate{Upstream: id, By: by, Replaces: 3, Until: after(untilSeconds)}
 }
 
 // An order of either VM may take effect, so an announcement takes the place of one of the
@@ -58,8 +58,10 @@
 		}
 		return v
 	}
-	unknown := candidate("a", "vm-1", 14)
-	unknown.WasMember = false
+	effective := candidate("a", "vm-1", 14)
+	effective.TookEffect = true
+	answering := view("p", 5, "p", "a")
+	answering.Members["a"] = blackboard.MemberObservation{RequestedAt: announcedAt}
 	for name, c := range map[string]struct {
 		candidate blackboard.Candidate
 		view      blackboard.ClusterView
@@ -73,8 +75,9 @@
 		"no primary is known":                    {candidate("a", "vm-1", 14), view("", 3, "p", "a"), 1, true},
 		"just before its time is over":           {candidate("a", "vm-1", 14), view("p", 3, "p", "a"), 13, true},
 		"its time is over":                       {candidate("a", "vm-1", 14), view("p", 3, "p", "a"), 14, false},
-		"it is gone":                             {candidate("a", "vm-1", 14), view("p", 3, "p"), 1, false},
-		"not a member yet when it was announced": {unknown, view("p", 3, "p"), 1, true},
+		"its registration has expired":           {candidate("a", "vm-1", 14), view("p", 3, "p"), 1, true},
+		"an order took effect, and it answers":   {effective, answering, 1, true},
+		"an order took effect, and it is silent": {effective, view("p", 5, "p", "a"), 1, false},
 	} {
 		r := blackboard.Replacement{Candidates: []blackboard.Candidate{c.candidate}}
 		is.New(t).Equal([]any{name, len(r.Pending(c.view, after(c.at))) == 1}, []any{name, c.pending})
--- a/internal/clustertest/forwarding.go
+++ b/internal/clustertest/forwarding.go
@@ -20,7 +20,12 @@
 // peerNetwork carries calls between the VMs of a world. It implements
 // chervilladder.Remote, Connector, PeerDemoter, PeerCandidacyAcceptor and
 // PeerReachability.
-type peerNetwork struct{ w *World }
+//
+// Calls of a VM that doesn't run any more are lost, if from names its process.
+type peerNetwork struct {
+	w    *World
+	from *process
+}
 
 // Open opens an exchange at another VM. It fails if there is no such VM; if the
 // VM is unreachable, it blocks until the context ends.
@@ -65,6 +70,9 @@
 
 // AcceptCandidacy tells another VM of a candidacy.
 func (n peerNetwork) AcceptCandidacy(ctx context.Context, peer chervilladder.Address, c chervilladder.Candidacy) (chervilladder.Mark, error) {
+	if n.from != nil && !n.from.runs(ctx) {
+		return chervilladder.Mark{}, ErrSimulated
+	}
 	for _, v := range n.w.running() {
 		if chervilladder.Address(v.Board.Self.ID) == peer && !v.Unreachable.Load() && v.process.runs(ctx) {
 			time.Sleep(messageDelay)
--- a/internal/clustertest/world.go
+++ b/internal/clustertest/world.go
@@ -207,14 +207,14 @@
 	vm.SetMembers(members...)
 	vm.Pools = link.NewPools(link.PoolsConfig{Board: vm.Board, Linker: vm.Linker})
 	authenticator, err0 := identity.New(identity.Config{Board: vm.Board, Log: log})
-	sessions, err1 := session.New(session.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: vm.clock, Remote: peerNetwork{w}, Authenticator: authenticator, Observer: w.config.Observer})
+	sessions, err1 := session.New(session.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: vm.clock, Remote: peerNetwork{w: w}, Authenticator: authenticator, Observer: w.config.Observer})
 	poller, err2 := statuspoll.New(statuspoll.Config{Board: vm.Board, Pools: vm.Pools, Log: log, Clock: vm.clock})
 	failovers, err3 := failover.New(failover.Config{
 		Board: vm.Board, Record: vm.Record, Promoter: vm.Promoter, Linker: vm.Linker, Pools: vm.Pools,
-		PeerDemoter: peerNetwork{w}, PeerCandidacies: peerNetwork{w}, Log: log, Clock: vm.clock, Leave: vm.ResignLeadership,
+		PeerDemoter: peerNetwork{w: w}, PeerCandidacies: peerNetwork{w: w, from: runs}, Log: log, Clock: vm.clock, Leave: vm.ResignLeadership,
 	})
-	reachabilityController, err4 := reachability.New(reachability.Config{Board: vm.Board, Peers: peerNetwork{w}, Log: log, Clock: vm.clock, Leaving: vm.RejectPeers.Load})
-	forwardingController, err5 := forwarding.New(forwarding.Config{Board: vm.Board, Connections: peerNetwork{w}, Peers: peerNetwork{w}, Log: log, Clock: vm.clock})
+	reachabilityController, err4 := reachability.New(reachability.Config{Board: vm.Board, Peers: peerNetwork{w: w}, Log: log, Clock: vm.clock, Leaving: vm.RejectPeers.Load})
+	forwardingController, err5 := forwarding.New(forwarding.Config{Board: vm.Board, Connections: peerNetwork{w: w}, Peers: peerNetwork{w: w}, Log: log, Clock: vm.clock})
 	localityController, err6 := locality.New(locality.Config{Board: vm.Board, Log: log, Clock: vm.clock})
 	for _, err := range []error{err0, err1, err2, err3, err4, err5, err6} {
 		if err != nil {
--- a/internal/control/failover/candidacy.go
+++ b/internal/control/failover/candidacy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -43,9 +44,8 @@
 // answer or judged again (session.noteReported).
 func (k *Controller) AcceptCandidacy(_ context.Context, c chervilladder.Candidacy) (chervilladder.Mark, error) {
 	cluster, now := k.c.Board.Clusters.Get(c.Service), k.c.Clock()
-	_, member := cluster.View.Load().Members[c.Candidate]
 	candidate := blackboard.Candidate{
-		Upstream: c.Candidate, By: c.By, Replaces: c.Replaces, Until: now.Add(min(c.ValidFor, candidacyLasts)), WasMember: member,
+		Upstream: c.Candidate, By: c.By, Replaces: c.Replaces, Until: now.Add(min(c.ValidFor, candidacyLasts)),
 		TookEffect: c.TookEffect,
 	}
 	cluster.Replacement.Update(func(r blackboard.Replacement) blackboard.Replacement { return r.Announced(candidate, now) })
@@ -203,9 +203,13 @@
 func (r *replacement) tell(ctx context.Context, a *announcement, peers []chervilladder.VM) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	others := r.othersPending()
 	var calls recovery.Group
 	for _, p := range peers {
 		calls.Go(func() {
+			for _, c := range others {
+				_, _ = r.k.c.PeerCandidacies.AcceptCandidacy(ctx, p.Peer, c) // r.candidacy below shows whether the peer answers
+			}
 			if reported, err := r.k.c.PeerCandidacies.AcceptCandidacy(ctx, p.Peer, r.candidacy(a)); err == nil {
 				r.announced.noteReported(reported)
 				a.accept(p.ID)
@@ -215,6 +219,21 @@
 	calls.Wait()
 }
 
+// othersPending returns the candidacies that other VMs have announced and that still bind. A
+// VM that has started since learns of them from here, as the other VM may have ended.
+func (r *replacement) othersPending() []chervilladder.Candidacy {
+	now := r.k.c.Clock()
+	var list []chervilladder.Candidacy
+	for _, c := range r.cluster.Replacement.Load().Candidates {
+		if c.By != r.k.c.Board.Self.ID && now.Before(c.Until) {
+			list = append(list, chervilladder.Candidacy{
+				Service: r.service, Candidate: c.Upstream, By: c.By, Replaces: c.Replaces, ValidFor: c.Until.Sub(now), TookEffect: c.TookEffect,
+			})
+		}
+	}
+	return list
+}
+
 func (r *replacement) candidacy(a *announcement) chervilladder.Candidacy {
 	return chervilladder.Candidacy{
 		Service: r.service, Candidate: a.candidate, By: r.k.c.Board.Self.ID, Replaces: r.view.Term, ValidFor: max(0, a.lasts(r.k.c.Clock())),
@@ -249,12 +268,20 @@
 	return a != nil && a.candidate == id && r.k.c.Clock().Sub(a.at) < orderWithin
 }
 
-// candidacyPeers returns the peers that are told of candidates.
+// candidacyPeers returns the peers that are told of candidates: all that may run work of the
+// service.
 func (k *Controller) candidacyPeers(service chervilladder.ServiceID) []chervilladder.VM {
-	if k.c.PeerCandidacies == nil {
+	routing, peers := k.c.Board.Routing.Load(), k.c.Board.Peers.Load()
+	if k.c.PeerCandidacies == nil || routing == nil {
 		return nil
 	}
-	return hosting.Ranked(service, k.c.Board.Peers.Load(), maxServicePeers)
+	all := append(slices.Clone(peers), k.c.Board.Self)
+	fleet := hosting.Fleet{VMs: len(all), Services: len(routing.Services), Connections: routing.Services[service].MaxConnections}
+	hosts, _ := hosting.Choose(service, all, fleet)
+	if len(hosts) == 0 {
+		return peers // each VM runs work of each service
+	}
+	return slices.DeleteFunc(hosts, func(vm chervilladder.VM) bool { return vm.ID == k.c.Board.Self.ID })
 }
 
 // confirmCandidate asks the candidate for its status, and returns an error unless it still
@@ -301,6 +328,42 @@
 	return told(o, since)
 }
 
+// reportedLostAfter is how long no candidate must have held what was reported before that
+// counts as lost: a member that has crashed is back sooner, with its log.
+const reportedLostAfter = 15 * time.Second
+
+// noteBehind records since when no candidate holds what was reported.
+func (k *Controller) noteBehind(service chervilladder.ServiceID, err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var behind *behindError
+	switch since := k.behindSince[service]; {
+	case err == nil:
+		delete(k.behindSince, service)
+	case errors.As(err, &behind) && since.IsZero():
+		k.behindSince[service] = k.c.Clock()
+	}
+}
+
+// reportedIsLost reports whether nobody can hold the last reported commits any more: no
+// candidate has for long, and each registered member takes part in the attempt. The service
+// would have no primary for ever otherwise.
+func (r *replacement) reportedIsLost() bool {
+	r.k.mu.Lock()
+	since := r.k.behindSince[r.service]
+	r.k.mu.Unlock()
+	if since.IsZero() || r.k.c.Clock().Sub(since) < reportedLostAfter || r.anyRegisteredSince() {
+		return false
+	}
+	for _, e := range r.k.c.Board.Upstreams.Load().Of(r.service) {
+		if !r.cluster.View.Load().Members[e.ID].Answers() {
+			return false
+		}
+	}
+	r.log.WithField("reported", r.announced.needed().String()).Error("failover: commits that were reported as done are on no member any more")
+	return true
+}
+
 // checkStatus compares a status of the candidate with what it was when it was chosen.
 func (r *replacement) checkStatus(best lead.Paused, status chervilladder.LinkStatus) error {
 	if lacks(status.Received, best.Received) || r.startedAgain(best.Upstream) {
@@ -315,7 +378,7 @@
 func (r *replacement) checkHeld(candidate lead.Paused) error {
 	v := r.cluster.View.Load()
 	needed := v.DepartedMark
-	if v.Confirmations > 0 {
+	if v.Confirmations > 0 && !r.reportedIsLost() {
 		needed = needed.Later(r.announced.needed())
 	}
 	if !candidate.Received.Covers(needed) {
--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -77,6 +77,9 @@
 	backoffUntil map[chervilladder.ServiceID]time.Time
 	// lastAttempt is when the last replacement attempt of a cluster ended.
 	lastAttempt map[chervilladder.ServiceID]time.Time
+	// behindSince is since when each attempt on a cluster has found that no candidate holds
+	// what was reported.
+	behindSince map[chervilladder.ServiceID]time.Time
 	// ended is closed when Run ends.
 	ended <-chan struct{}
 	// running covers all goroutines that Run has started; replacing covers the
@@ -95,6 +98,7 @@
 		inProgress:   make(map[chervilladder.ServiceID]bool),
 		backoffUntil: make(map[chervilladder.ServiceID]time.Time),
 		lastAttempt:  make(map[chervilladder.ServiceID]time.Time),
+		behindSince:  make(map[chervilladder.ServiceID]time.Time),
 	}, nil
 }
 
@@ -208,6 +212,7 @@
 		pause = laggingPause
 	}
 	k.finish(service, pause)
+	k.noteBehind(service, err)
 	count(cause, outcomeOf(err, r.replacesPrimary()))
 	r.logEnd(err, k.c.Clock().Sub(began))
 }
--- a/internal/control/failover/pending.go
+++ b/internal/control/failover/pending.go
@@ -67,7 +67,7 @@
 }
 
 // orderPendingFor returns for how long an order of this process for a member may still take
-// effect, and whether one has.
+// effect, and whether each of them was answered and one was seen to take effect.
 func (l *leadership) orderPendingFor(s chervilladder.ServiceID, id chervilladder.UpstreamID) (lasts time.Duration, effective bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -75,7 +75,7 @@
 	if !pending {
 		return 0, false
 	}
-	return max(0, lateOrderLimit-l.clock().Sub(o.at)), o.effective
+	return max(0, lateOrderLimit-l.clock().Sub(o.at)), o.effective && o.unanswered == 0
 }
 
 // noPromotionPending reports whether no promotion of a service can be under way, by an
--- a/internal/decide/lead/commit_test.go
+++ b/internal/decide/lead/commit_test.go
@@ -93,7 +93,7 @@
 	candidates := func(untilMS int, list ...chervilladder.UpstreamID) blackboard.Replacement {
 		var r blackboard.Replacement
 		for _, id := range list {
-			r.Candidates = append(r.Candidates, blackboard.Candidate{Upstream: id, By: "vm-1", Replaces: 3, Until: at(untilMS), WasMember: true})
+			r.Candidates = append(r.Candidates, blackboard.Candidate{Upstream: id, By: "vm-1", Replaces: 3, Until: at(untilMS)})
 		}
 		return r
 	}
@@ -119,7 +119,7 @@
 		"one of two is paused and lacks it":               {view(holds(since, 4), lacks(since, 4)), both, lead.FateInDoubt},
 		"one may get it, the other is paused":             {view(lacks(since, 0), lacks(since, 4)), both, lead.FateInDoubt},
 		"the candidate's time is over":                    {view(lacks(before, 0), lacks(before, 0)), candidates(now, "a"), lead.FateKept},
-		"the candidate is gone":                           {view(lacks(before, 0), lacks(before, 0)), candidates(now+1, "gone"), lead.FateKept},
+		"the candidate's registration has expired":        {view(lacks(before, 0), lacks(before, 0)), candidates(now+1, "gone"), lead.FateOpen},
 		"the candidate has the position, of a later term": {edit(view(holds(since, 0)), "a", func(o *blackboard.MemberObservation) { o.Status.Term = 4 }), a, lead.FateOpen},
 	} {
 		is.New(t).Equal([]any{name, lead.FateOf(c.view, c.replacement, commit, at(now))}, []any{name, c.fate})
