session: a commit is reported once a replica was found to hold it

A VM took a primary that had answered for 3 s, with replicas that had reported within 2 s, for evidence that a failover keeps a commit.

Change: a VM asks one replica for its status for each commit, the one that lags least, and then all if that one lacks it; commits that arrive meanwhile share the answer. A settled cluster counts only if all replicas were too busy to tell since, or none has told within 50 ms: writes must not wait for replicas that are overloaded. What a replica has told goes before it.

--- a/internal/blackboard/cluster.go
+++ b/internal/blackboard/cluster.go
@@ -87,6 +87,8 @@
 	// PollTrigger carries requests to poll the members. The path of a request
 	// asks and control/statuspoll polls.
 	PollTrigger PollTrigger
+	// StatusTriggers carry requests to poll one member.
+	StatusTriggers Table[chervilladder.UpstreamID, PollTrigger]
 }
 
 // PeerReport is a peer's report that it reaches the primary of a cluster and
--- a/internal/control/failover/settled_test.go
+++ b/internal/control/failover/settled_test.go
@@ -12,8 +12,8 @@
 	"github.com/chervilladder/chervilladder/internal/standin/cluster"
 )
 
-// The known replicas receive nothing, and one that no VM knows confirms alone. Known red: see
-// KNOWN-RED.txt.
+// The known replicas receive nothing, and one that no VM knows confirms alone.
+
 func TestCommitsOfACutOffPrimaryThatAnUnknownReplicaHoldsAreNotAcknowledged(t *testing.T) {
 	bubble(t, clustertest.Config{VMs: 2}, func(t *testing.T, is *is.I, w *clustertest.World) {
 		time.Sleep(4 * time.Second)
@@ -218,7 +218,7 @@
 	})
 }
 
-// Another VM pauses the replicas just after this VM's poll. Known red: see KNOWN-RED.txt.
+// Another VM pauses the replicas just after this VM's poll.
 func TestCommitRightAfterAPauseThatOnlyANewReplicaHoldsIsNotAcknowledged(t *testing.T) {
 	bubble(t, clustertest.Config{VMs: 1}, func(t *testing.T, is *is.I, w *clustertest.World) {
 		time.Sleep(4 * time.Second)
--- a/internal/control/statuspoll/prober.go
+++ b/internal/control/statuspoll/prober.go
@@ -23,8 +23,10 @@
 	// may have to wait for some statements.
 	statusTimeout = 400 * time.Millisecond
 	// minPollInterval is the time between two polls when newer observations are
-	// requested.
-	minPollInterval = 5 * time.Millisecond
+	// requested, minPollIntervalAlone when they are requested of one member: a commit
+	// waits for them.
+	minPollInterval      = 5 * time.Millisecond
+	minPollIntervalAlone = time.Millisecond
 	// poolTimeout bounds the wait for a connection of the pool. The rest of statusTimeout
 	// is left for a new one.
 	poolTimeout = 150 * time.Millisecond
@@ -63,11 +65,15 @@
 func (p *prober) run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	alone := p.cluster.StatusTriggers.Get(p.upstream.ID)
 	for {
-		triggered := p.cluster.PollTrigger.Watch()
+		triggered, triggeredAlone := p.cluster.PollTrigger.Watch(), alone.Watch()
+		pause := minPollInterval
 		select {
 		case <-timer.C:
 		case <-triggered:
+		case <-triggeredAlone:
+			pause = minPollIntervalAlone
 		case <-ctx.Done():
 			return
 		}
@@ -76,7 +82,7 @@
 		} else {
 			timer.Reset(failingPollInterval)
 		}
-		if !sleep(ctx, minPollInterval) {
+		if !sleep(ctx, pause) {
 			return
 		}
 	}
--- a/internal/control/statuspoll/statuspoll.go
+++ b/internal/control/statuspoll/statuspoll.go
@@ -188,6 +188,7 @@
 	k.logRemoved(service, removed, mark)
 	k.c.Board.Clusters.Get(service).Applied.Remove(id)
 	k.c.Board.Clusters.Get(service).Resumed.Remove(id)
+	k.c.Board.Clusters.Get(service).StatusTriggers.Remove(id)
 }
 
 // update changes a cluster's view and recomputes what is derived from it.
--- a/internal/decide/lead/commit.go
+++ b/internal/decide/lead/commit.go
@@ -11,8 +11,10 @@
 type Commit struct {
 	By   chervilladder.UpstreamID
 	Mark chervilladder.Mark
-	// AckedAt is when this VM received the acknowledgement, by its own clock.
+	// AckedAt is when this VM received the acknowledgement, by its own clock. Settled is
+	// whether the cluster was settled then.
 	AckedAt time.Time
+	Settled bool
 }
 
 // Fate says what this VM knows of an acknowledged commit.
@@ -34,6 +36,9 @@
 	// reportedWithin is how long ago a replica that counts must have answered. One that is
 	// too busy to report keeps its last status.
 	reportedWithin = 2 * time.Second
+	// ReplyWait is how long a commit waits for a replica's word if the cluster was settled.
+	// Replicas that are overloaded would hold up writes for as long as a status may take.
+	ReplyWait = 50 * time.Millisecond
 	// suspectAfter is for how long the replication may stall or lag. After somewhat more
 	// the primary is replaced.
 	suspectAfter = 700 * time.Millisecond
@@ -50,11 +55,11 @@
 // that it doesn't know: it has just joined, or its registration has expired. So the commit is
 // kept only if
 //
-//  1. the cluster is settled: the primary has answered without a break, all replicas that
-//     have answered lately follow it, and no VM is about to replace it, or
-//  2. a replica was found to hold the commit: a failover that pauses it finds the commit,
+//  1. a replica was found to hold the commit: a failover that pauses it finds the commit,
 //     too. While replicas are paused, it must have been a member before them, or the
-//     failover doesn't count it.
+//     failover doesn't count it; or
+//  2. the cluster is settled, or was when the commit was acknowledged, and no replica has
+//     told since what it holds: all were too busy, or didn't answer within ReplyWait.
 func FateOf(v blackboard.ClusterView, r blackboard.Replacement, c Commit, now time.Time) Fate {
 	switch {
 	case v.Confirmations == 0:
@@ -66,7 +71,9 @@
 		return fateByCandidates(v, candidates, c)
 	}
 	switch {
-	case settled(v, now) || heldByReplica(v, c):
+	case heldByReplica(v, c):
+		return FateKept
+	case (c.Settled || Settled(v, now)) && noReplicaTold(v, c, now):
 		return FateKept
 	case allPausedSince(v, c.AckedAt):
 		return FateInDoubt
@@ -75,6 +82,41 @@
 	}
 }
 
+// noReplicaTold reports whether all replicas that answer were too busy, since a commit was
+// acknowledged, to tell what they hold, or whether none has told it within ReplyWait.
+func noReplicaTold(v blackboard.ClusterView, c Commit, now time.Time) bool {
+	told, busy, replicas := 0, 0, 0
+	for id, o := range v.Members {
+		if id == v.Primary || !o.Answers() {
+			continue
+		}
+		replicas++
+		if !o.RequestedAt.Before(c.AckedAt) {
+			told++
+		}
+		if !o.BusyAt.Before(c.AckedAt) {
+			busy++
+		}
+	}
+	return told == 0 && (busy == replicas || now.Sub(c.AckedAt) >= ReplyWait)
+}
+
+// ReplicaToAsk returns the replica that has likely received the primary's last commit first;
+// empty if none answers.
+func ReplicaToAsk(v blackboard.ClusterView) chervilladder.UpstreamID {
+	var best chervilladder.UpstreamID
+	for id, o := range v.Members {
+		if id == v.Primary || !o.Answers() || o.Status.PauseTerm != 0 {
+			continue
+		}
+		b := v.Members[best]
+		if best == "" || o.Status.Lag < b.Status.Lag || o.Status.Lag == b.Status.Lag && id < best {
+			best = id
+		}
+	}
+	return best
+}
+
 // fateByCandidates judges a commit by the candidates alone.
 func fateByCandidates(v blackboard.ClusterView, candidates []blackboard.Candidate, c Commit) Fate {
 	fate := FateKept
@@ -96,9 +138,9 @@
 	return c.Mark != (chervilladder.Mark{}) && !o.Status.Primary && o.Status.Term == v.Term && o.Status.Received.Covers(c.Mark)
 }
 
-// settled reports whether the primary has answered without a break, all replicas that have
+// Settled reports whether the primary has answered without a break, all replicas that have
 // answered lately follow it, and the primary gives no cause to be replaced soon.
-func settled(v blackboard.ClusterView, now time.Time) bool {
+func Settled(v blackboard.ClusterView, now time.Time) bool {
 	p := v.Members[v.Primary]
 	if !p.Answers() || now.Sub(p.RespondingSince) < settledAfter || suspect(v, p, now) {
 		return false
--- a/internal/decide/lead/commit_test.go
+++ b/internal/decide/lead/commit_test.go
@@ -58,7 +58,30 @@
 		"the primary was away":                           {returned(view(replica(before, 3, 0), replica(before, 3, 0))), lead.FateOpen},
 		"the primary was away, a replica holds it since": {returned(view(replica(before, 3, 0), holding(replica(after, 3, 0), 8))), lead.FateKept},
 	} {
-		is.New(t).Equal([]any{name, lead.FateOf(c.view, blackboard.Replacement{}, lead.Commit{By: "p", Mark: mark, AckedAt: at(acked)}, at(acked+10))}, []any{name, c.fate})
+		is.New(t).Equal([]any{name, lead.FateOf(c.view, blackboard.Replacement{}, lead.Commit{By: "p", Mark: mark, AckedAt: at(acked), Settled: lead.Settled(c.view, at(acked+10))}, at(acked+60))}, []any{name, c.fate})
+	}
+
+	// Before ReplyWait is over, a settled cluster isn't enough.
+	busySince := func(v blackboard.ClusterView, ids ...chervilladder.UpstreamID) blackboard.ClusterView {
+		for _, id := range ids {
+			v = edit(v, id, func(o *blackboard.MemberObservation) { o.BusyAt = at(after) })
+		}
+		return v
+	}
+	for name, c := range map[string]struct {
+		view blackboard.ClusterView
+		now  int
+		fate lead.Fate
+	}{
+		"no replica has told yet":            {view(replica(before, 3, 0), replica(before, 3, 0)), acked + 10, lead.FateOpen},
+		"all replicas are too busy":          {busySince(view(replica(before, 3, 0), replica(before, 3, 0)), "a", "b"), acked + 10, lead.FateKept},
+		"one is too busy":                    {busySince(view(replica(before, 3, 0), replica(before, 3, 0)), "a"), acked + 10, lead.FateOpen},
+		"one has told that it lacks it":      {view(holding(replica(after, 3, 0), 6), replica(before, 3, 0)), acked + 60, lead.FateOpen},
+		"one lacks it, the other is busy":    {busySince(view(holding(replica(after, 3, 0), 6), replica(before, 3, 0)), "b"), acked + 60, lead.FateOpen},
+		"one has told that it holds it":      {view(holding(replica(after, 3, 0), 7), replica(before, 3, 0)), acked + 10, lead.FateKept},
+		"one held it when it was last asked": {view(holding(replica(before, 3, 0), 7), replica(before, 3, 0)), acked + 10, lead.FateKept},
+	} {
+		is.New(t).Equal([]any{name, lead.FateOf(c.view, blackboard.Replacement{}, lead.Commit{By: "p", Mark: mark, AckedAt: at(acked), Settled: lead.Settled(c.view, at(acked))}, at(c.now))}, []any{name, c.fate})
 	}
 
 	is := is.New(t)
@@ -73,7 +96,7 @@
 // Guards against a success for a commit that a candidate lacks, whatever others confirm.
 func TestFateOfWithCandidates(t *testing.T) {
 	const acked = 5000 // when the commit was acknowledged, in ms
-	before, since, now := acked-100, acked+5, acked+10
+	before, since, now := acked-100, acked+5, acked+60
 	commit := lead.Commit{By: "p", Mark: chervilladder.Mark{Term: 3, Position: 7}, AckedAt: at(acked)}
 	holding := func(requestedMS int, paused chervilladder.Term, p chervilladder.Position) blackboard.MemberObservation {
 		r := replica(requestedMS, 3, paused)
@@ -122,6 +145,7 @@
 		"the candidate's registration has expired":        {view(lacks(before, 0), lacks(before, 0)), candidates(now+1, "gone"), lead.FateOpen},
 		"the candidate has the position, of a later term": {edit(view(holds(since, 0)), "a", func(o *blackboard.MemberObservation) { o.Status.Term = 4 }), a, lead.FateOpen},
 	} {
+		commit.Settled = lead.Settled(c.view, at(acked))
 		is.New(t).Equal([]any{name, lead.FateOf(c.view, c.replacement, commit, at(now))}, []any{name, c.fate})
 	}
 
--- a/internal/session/place.go
+++ b/internal/session/place.go
@@ -224,6 +224,9 @@
 func (w *work) awaitKept(ctx context.Context, id chervilladder.UpstreamID, mark chervilladder.Mark) bool {
 	clock := w.session.m.c.Clock
 	c := lead.Commit{By: id, Mark: mark, AckedAt: clock()}
+	c.Settled = lead.Settled(w.cluster.View.Load(), c.AckedAt)
+	waited := time.NewTimer(lead.ReplyWait)
+	defer waited.Stop()
 	for {
 		view, viewChanged := w.cluster.View.Watch()
 		replacement, announced := w.cluster.Replacement.Watch()
@@ -236,16 +239,30 @@
 		case lead.FateInDoubt:
 			return false
 		}
-		w.cluster.PollTrigger.Ask()
+		w.askForStatus(view, replacement, c)
 		select {
 		case <-viewChanged:
 		case <-announced:
+		case <-waited.C:
 		case <-ctx.Done():
 			return false
 		}
 	}
 }
 
+// askForStatus asks one replica for its status, or all members if there are candidates, or
+// once that one has told its own, or that it is too busy, since a commit was acknowledged.
+func (w *work) askForStatus(v blackboard.ClusterView, r blackboard.Replacement, c lead.Commit) {
+	id := lead.ReplicaToAsk(v)
+	o := v.Members[id]
+	candidates := len(r.Pending(v, w.session.m.c.Clock())) > 0
+	if candidates || id == "" || !o.RequestedAt.Before(c.AckedAt) || !o.BusyAt.Before(c.AckedAt) {
+		w.cluster.PollTrigger.Ask()
+		return
+	}
+	w.cluster.StatusTriggers.Get(id).Ask()
+}
+
 // noteReported records that a commit is reported as done. It returns false if a candidate
 // was announced since the commit was judged: whoever announced it may have read what was
 // reported until then.
