failover: announcements overtake each other, and processes start anew

Announcements bear a sequence, and an overtaken one shortens nothing. Candidacies are kept by process, the answer to one bears the others that a VM knows, and all VMs are told each half second while one binds. - Orders of long ago, and attempts of long ago that found no candidate, counted on. - What an attempt knows of its pause was written beside goroutines that read it. - The replica that an earlier round left running was taken for that of the next one. - A replica was resumed beside an order for a lost member that wasn't the accepted candidate. - A promotion whose observation was overtaken by a change counted as observed.

--- a/internal/blackboard/replacement.go
+++ b/internal/blackboard/replacement.go
@@ -23,15 +23,22 @@
 	Replaces chervilladder.Term
 	// Until is when no order for it can take effect any more.
 	Until time.Time
+	// Process tells the processes of that VM apart, and Sequence orders its announcements.
+	Process, Sequence uint64
 	// TookEffect is set once all orders for it were answered and one was seen to take effect.
 	TookEffect bool
 }
 
-// Announced returns the replacement after a VM has announced a candidate: in place of that
-// VM's earlier announcement of it, and without the candidates whose time is over.
+// Announced returns the replacement after a process has announced a candidate: in place of
+// its earlier announcement of it, and without the candidates whose time is over. An
+// announcement that was overtaken by a later one doesn't shorten its time.
 func (r Replacement) Announced(c Candidate, now time.Time) Replacement {
 	list := slices.DeleteFunc(slices.Clone(r.Candidates), func(o Candidate) bool {
-		return o.Upstream == c.Upstream && o.By == c.By || !now.Before(o.Until)
+		same := o.Upstream == c.Upstream && o.By == c.By && o.Process == c.Process
+		if same && c.Sequence < o.Sequence && c.Until.Before(o.Until) {
+			c = o
+		}
+		return same || !now.Before(o.Until)
 	})
 	if now.Before(c.Until) {
 		list = append(list, c)
--- a/internal/clustertest/forwarding.go
+++ b/internal/clustertest/forwarding.go
@@ -69,9 +69,9 @@
 }
 
 // AcceptCandidacy tells another VM of a candidacy.
-func (n peerNetwork) AcceptCandidacy(ctx context.Context, peer chervilladder.Address, c chervilladder.Candidacy) (chervilladder.Mark, error) {
+func (n peerNetwork) AcceptCandidacy(ctx context.Context, peer chervilladder.Address, c chervilladder.Candidacy) (chervilladder.CandidacyReply, error) {
 	if n.from != nil && !n.from.runs(ctx) {
-		return chervilladder.Mark{}, ErrSimulated
+		return chervilladder.CandidacyReply{}, ErrSimulated
 	}
 	for _, v := range n.w.running() {
 		if chervilladder.Address(v.Board.Self.ID) == peer && !v.Unreachable.Load() && v.process.runs(ctx) {
@@ -80,7 +80,7 @@
 		}
 	}
 	<-ctx.Done()
-	return chervilladder.Mark{}, ErrSimulated
+	return chervilladder.CandidacyReply{}, ErrSimulated
 }
 
 // ReachablePrimary queries which primary of a service another VM reaches.
--- a/internal/control/failover/candidacy.go
+++ b/internal/control/failover/candidacy.go
@@ -33,7 +33,7 @@
 	orderWithin = 4 * time.Second
 	// candidacyLasts is how long an announcement is valid.
 	candidacyLasts = orderWithin + lateOrderLimit
-	// tellAgainEvery is the time between two calls to a VM that hasn't accepted a candidate.
+	// tellAgainEvery is the time between two calls to a VM while a candidate binds.
 	tellAgainEvery = 500 * time.Millisecond
 )
 
@@ -42,22 +42,42 @@
 // AcceptCandidacy records a candidate, and returns the latest commit that this VM has
 // reported as done before. A commit that is judged at the same time is either part of the
 // answer or judged again (session.noteReported).
-func (k *Controller) AcceptCandidacy(_ context.Context, c chervilladder.Candidacy) (chervilladder.Mark, error) {
+func (k *Controller) AcceptCandidacy(_ context.Context, c chervilladder.Candidacy) (chervilladder.CandidacyReply, error) {
+	k.recordCandidacy(c)
+	cluster := k.c.Board.Clusters.Get(c.Service)
+	return chervilladder.CandidacyReply{Reported: cluster.Reported.Load(), Pending: k.pendingCandidacies(c.Service)}, nil
+}
+
+// recordCandidacy records a candidate of a VM, which may be this one.
+func (k *Controller) recordCandidacy(c chervilladder.Candidacy) {
 	cluster, now := k.c.Board.Clusters.Get(c.Service), k.c.Clock()
 	candidate := blackboard.Candidate{
-		Upstream: c.Candidate, By: c.By, Replaces: c.Replaces, Until: now.Add(min(c.ValidFor, candidacyLasts)),
-		TookEffect: c.TookEffect,
+		Upstream: c.Candidate, By: c.By, Process: c.Process, Sequence: c.Sequence, Replaces: c.Replaces,
+		Until: now.Add(min(c.ValidFor, candidacyLasts)), TookEffect: c.TookEffect,
 	}
 	cluster.Replacement.Update(func(r blackboard.Replacement) blackboard.Replacement { return r.Announced(candidate, now) })
-	reported := cluster.Reported.Load()
 	k.c.Log.WithFields(logrus.Fields{
-		"service": c.Service, "candidate": c.Candidate, "by": c.By, "replaces": c.Replaces, "valid-for": c.ValidFor.String(), "reported": reported.String(),
+		"service": c.Service, "candidate": c.Candidate, "by": c.By, "replaces": c.Replaces, "valid-for": c.ValidFor.String(), "reported": cluster.Reported.Load().String(),
 	}).Info("failover: candidate announced")
-	return reported, nil
 }
 
-// announcement is that of one candidate: which VMs have accepted it. VMs that haven't, also
-// those that start later, are told again for as long as an order may take effect.
+// pendingCandidacies returns the candidacies of a service that bind this VM.
+func (k *Controller) pendingCandidacies(service chervilladder.ServiceID) []chervilladder.Candidacy {
+	now := k.c.Clock()
+	var list []chervilladder.Candidacy
+	for _, c := range k.c.Board.Clusters.Get(service).Replacement.Load().Candidates {
+		if now.Before(c.Until) {
+			list = append(list, chervilladder.Candidacy{
+				Service: service, Candidate: c.Upstream, By: c.By, Process: c.Process, Sequence: c.Sequence, Replaces: c.Replaces,
+				ValidFor: c.Until.Sub(now), TookEffect: c.TookEffect,
+			})
+		}
+	}
+	return list
+}
+
+// announcement is that of one candidate: which VMs have accepted it. All are told again for
+// as long as an order may take effect: one may have started since.
 type announcement struct {
 	candidate chervilladder.UpstreamID
 	at        time.Time
@@ -67,7 +87,9 @@
 	// once one has.
 	until     time.Time
 	effective bool
-	accepted  map[chervilladder.VMID]bool
+	// sequence is that of the announcement, or of its end.
+	sequence uint64
+	accepted map[chervilladder.VMID]bool
 }
 
 func (a *announcement) lasts(now time.Time) time.Duration {
@@ -77,16 +99,17 @@
 }
 
 // endBy has the announcement end at a time.
-func (a *announcement) endBy(t time.Time, effective bool) {
+func (a *announcement) endBy(t time.Time, effective bool, sequence uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.until, a.effective = t, effective
+	a.until, a.effective, a.sequence = t, effective, sequence
 }
 
-func (a *announcement) tookEffect() bool {
+// state returns what is told of the candidate now.
+func (a *announcement) state() (effective bool, sequence uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.effective
+	return a.effective, a.sequence
 }
 
 func (a *announcement) accept(by chervilladder.VMID) {
@@ -143,12 +166,12 @@
 func (r *replacement) announce(ctx context.Context, id chervilladder.UpstreamID) {
 	r.endAnnouncement(ctx)
 	now := r.k.c.Clock()
-	a := &announcement{candidate: id, at: now, until: now.Add(candidacyLasts), accepted: make(map[chervilladder.VMID]bool)}
+	a := &announcement{candidate: id, at: now, until: now.Add(candidacyLasts), accepted: make(map[chervilladder.VMID]bool), sequence: r.k.sequence.Add(1)}
 	r.announced.store(a)
 	r.tellSelf(ctx, a)
 	told := make(chan struct{})
 	recovery.Go(context.WithoutCancel(ctx), &r.k.running, r.k.c.Log, part, func(ctx context.Context) {
-		r.tellMissing(ctx, a)
+		r.tell(ctx, a, r.k.candidacyPeers(r.service))
 		close(told)
 		r.keepTelling(ctx, a)
 	})
@@ -169,7 +192,7 @@
 	}
 	r.announced.store(nil)
 	remains, effective := r.k.leadership.orderPendingFor(r.service, a.candidate)
-	a.endBy(r.k.c.Clock().Add(remains), effective)
+	a.endBy(r.k.c.Clock().Add(remains), effective && !r.othersOrdered(a.candidate), r.k.sequence.Add(1))
 	r.tellSelf(ctx, a)
 	recovery.Go(context.WithoutCancel(ctx), &r.k.running, r.k.c.Log, part, func(ctx context.Context) {
 		r.tell(ctx, a, r.k.candidacyPeers(r.service))
@@ -177,22 +200,18 @@
 }
 
 func (r *replacement) tellSelf(ctx context.Context, a *announcement) {
-	reported, _ := r.k.AcceptCandidacy(ctx, r.candidacy(a))
-	r.announced.noteReported(reported)
-}
-
-func (r *replacement) tellMissing(ctx context.Context, a *announcement) {
-	r.tell(ctx, a, a.missing(r.k.candidacyPeers(r.service)))
+	reply, _ := r.k.AcceptCandidacy(ctx, r.candidacy(a))
+	r.announced.noteReported(reply.Reported)
 }
 
-// keepTelling tells the VMs that haven't accepted the candidate until the announcement ends.
+// keepTelling tells the VMs of the candidate until the announcement ends.
 func (r *replacement) keepTelling(ctx context.Context, a *announcement) {
 	t := time.NewTicker(tellAgainEvery)
 	defer t.Stop()
 	for a.lasts(r.k.c.Clock()) > 0 {
 		select {
 		case <-t.C:
-			r.tellMissing(ctx, a)
+			r.tell(ctx, a, r.k.candidacyPeers(r.service))
 		case <-r.k.ended:
 			return
 		}
@@ -203,48 +222,68 @@
 func (r *replacement) tell(ctx context.Context, a *announcement, peers []chervilladder.VM) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	others := r.othersPending()
+	others := slices.DeleteFunc(r.k.pendingCandidacies(r.service), r.k.isOwn)
 	var calls recovery.Group
 	for _, p := range peers {
 		calls.Go(func() {
 			for _, c := range others {
-				_, _ = r.k.c.PeerCandidacies.AcceptCandidacy(ctx, p.Peer, c) // r.candidacy below shows whether the peer answers
+				r.k.passOn(ctx, p, c)
 			}
-			if reported, err := r.k.c.PeerCandidacies.AcceptCandidacy(ctx, p.Peer, r.candidacy(a)); err == nil {
-				r.announced.noteReported(reported)
-				a.accept(p.ID)
+			reply, err := r.k.c.PeerCandidacies.AcceptCandidacy(ctx, p.Peer, r.candidacy(a))
+			if err != nil {
+				return
 			}
+			for _, c := range slices.DeleteFunc(reply.Pending, r.k.knows) {
+				r.k.recordCandidacy(c)
+			}
+			r.announced.noteReported(reply.Reported)
+			a.accept(p.ID)
 		})
 	}
 	calls.Wait()
 }
 
-// othersPending returns the candidacies that other VMs have announced and that still bind. A
-// VM that has started since learns of them from here, as the other VM may have ended.
-func (r *replacement) othersPending() []chervilladder.Candidacy {
-	now := r.k.c.Clock()
-	var list []chervilladder.Candidacy
-	for _, c := range r.cluster.Replacement.Load().Candidates {
-		if c.By != r.k.c.Board.Self.ID && now.Before(c.Until) {
-			list = append(list, chervilladder.Candidacy{
-				Service: r.service, Candidate: c.Upstream, By: c.By, Replaces: c.Replaces, ValidFor: c.Until.Sub(now), TookEffect: c.TookEffect,
-			})
-		}
+// passOn tells a peer of another VM's candidate: that VM may have ended, and the peer
+// started, since it was announced.
+func (k *Controller) passOn(ctx context.Context, peer chervilladder.VM, c chervilladder.Candidacy) {
+	if _, err := k.c.PeerCandidacies.AcceptCandidacy(ctx, peer.Peer, c); err != nil {
+		k.c.Log.WithError(err).WithField("vm", peer.ID).Debug("failover: candidate not passed on")
 	}
-	return list
+}
+
+// isOwn reports whether this process has announced a candidacy.
+func (k *Controller) isOwn(c chervilladder.Candidacy) bool {
+	return c.By == k.c.Board.Self.ID && c.Process == k.process
+}
+
+// knows reports whether this process has announced a candidacy or been told of it.
+func (k *Controller) knows(c chervilladder.Candidacy) bool {
+	return k.isOwn(c) || slices.ContainsFunc(k.c.Board.Clusters.Get(c.Service).Replacement.Load().Candidates, func(o blackboard.Candidate) bool {
+		return o.Upstream == c.Candidate && o.By == c.By && o.Process == c.Process
+	})
+}
+
+// othersOrdered reports whether another process may have ordered a member, too: the effect
+// that was seen may be that of its order.
+func (r *replacement) othersOrdered(id chervilladder.UpstreamID) bool {
+	return slices.ContainsFunc(r.k.pendingCandidacies(r.service), func(c chervilladder.Candidacy) bool {
+		return c.Candidate == id && !r.k.isOwn(c)
+	})
 }
 
 func (r *replacement) candidacy(a *announcement) chervilladder.Candidacy {
+	effective, sequence := a.state()
 	return chervilladder.Candidacy{
 		Service: r.service, Candidate: a.candidate, By: r.k.c.Board.Self.ID, Replaces: r.view.Term, ValidFor: max(0, a.lasts(r.k.c.Clock())),
-		TookEffect: a.tookEffect(),
+		TookEffect: effective, Process: r.k.process, Sequence: sequence,
 	}
 }
 
-// acceptedByAll reports whether all VMs have accepted the candidate that was announced last.
-func (r *replacement) acceptedByAll() bool {
+// acceptedByAll reports whether a member is the candidate that was announced last, and all
+// VMs have accepted it.
+func (r *replacement) acceptedByAll(id chervilladder.UpstreamID) bool {
 	a := r.announced.load()
-	return a != nil && len(a.missing(r.k.candidacyPeers(r.service))) == 0
+	return a != nil && a.candidate == id && len(a.missing(r.k.candidacyPeers(r.service))) == 0
 }
 
 // silentPeers returns the VMs that haven't accepted the candidate, for logs.
@@ -332,17 +371,27 @@
 // counts as lost: a member that has crashed is back sooner, with its log.
 const reportedLostAfter = 15 * time.Second
 
-// noteBehind records since when no candidate holds what was reported.
+// behindGap is the time without such an attempt after which reportedLostAfter begins anew.
+const behindGap = 5 * time.Second
+
+// behindTimes are the times of attempts that found no candidate that holds what was
+// reported: the first of a series, and the last.
+type behindTimes struct{ first, last time.Time }
+
+// noteBehind records an attempt that found no candidate that holds what was reported.
 func (k *Controller) noteBehind(service chervilladder.ServiceID, err error) {
+	var behind *behindError
+	if !errors.As(err, &behind) {
+		return
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var behind *behindError
-	switch since := k.behindSince[service]; {
-	case err == nil:
-		delete(k.behindSince, service)
-	case errors.As(err, &behind) && since.IsZero():
-		k.behindSince[service] = k.c.Clock()
+	now, t := k.c.Clock(), k.behind[service]
+	if now.Sub(t.last) > behindGap {
+		t.first = now
 	}
+	t.last = now
+	k.behind[service] = t
 }
 
 // reportedIsLost reports whether nobody can hold the last reported commits any more: no
@@ -350,9 +399,9 @@
 // would have no primary for ever otherwise.
 func (r *replacement) reportedIsLost() bool {
 	r.k.mu.Lock()
-	since := r.k.behindSince[r.service]
+	t, now := r.k.behind[r.service], r.k.c.Clock()
 	r.k.mu.Unlock()
-	if since.IsZero() || r.k.c.Clock().Sub(since) < reportedLostAfter || r.anyRegisteredSince() {
+	if now.Sub(t.last) > behindGap || now.Sub(t.first) < reportedLostAfter || r.anyRegisteredSince() {
 		return false
 	}
 	for _, e := range r.k.c.Board.Upstreams.Load().Of(r.service) {
--- a/internal/control/failover/candidate.go
+++ b/internal/control/failover/candidate.go
@@ -11,7 +11,6 @@
 	"github.com/chervilladder/chervilladder"
 	"github.com/chervilladder/chervilladder/internal/blackboard"
 	"github.com/chervilladder/chervilladder/internal/decide/lead"
-	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
 // choose returns the replica to promote. If a member has joined, started again or been
@@ -23,6 +22,7 @@
 		if !errors.Is(err, errNotAllPaused) || round == maxPauseRounds {
 			return best, err
 		}
+		r.endWatch()
 		r.addMembers(r.cluster.View.Load())
 		r.addRegistered()
 	}
@@ -35,6 +35,8 @@
 // promote. The leases on the old primary expire during the promotion, which takes longer
 // than the difference between lead.Lease and lead.PauseBeforePromotion.
 func (r *replacement) chooseOnce(ctx context.Context) (lead.Paused, error) {
+	r.endWatch()
+	r.unpaused = ""
 	paused, err := r.pause(ctx)
 	if err != nil {
 		return lead.Paused{}, err
@@ -56,7 +58,7 @@
 		}
 		r.demoteOldPrimary(ctx, r.term)
 	} else {
-		recovery.Go(ctx, &r.k.running, r.k.c.Log, part, r.demoteIfUnpaused)
+		r.watchUnpaused(ctx)
 	}
 	if err := r.sleepUntil(ctx, promoteAfter); err != nil {
 		return best, err
--- a/internal/control/failover/demotion.go
+++ b/internal/control/failover/demotion.go
@@ -40,12 +40,35 @@
 	}
 }
 
+// watchUnpaused runs demoteIfUnpaused until endWatch or the context's end.
+func (r *replacement) watchUnpaused(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	recovery.Go(ctx, &r.k.running, r.k.c.Log, part, func(ctx context.Context) {
+		defer close(done)
+		r.demoteIfUnpaused(ctx)
+	})
+	r.stopWatching = func() {
+		cancel()
+		<-done
+	}
+}
+
+// endWatch waits for the end of watchUnpaused, which reads what the attempt knows of its
+// members.
+func (r *replacement) endWatch() {
+	if r.stopWatching != nil {
+		r.stopWatching()
+		r.stopWatching = nil
+	}
+}
+
 // demoteIfUnpaused demotes the old primary as soon as there is an unpaused replica,
 // other than the one that takes over, which may confirm its commits: one that newly
 // joined, restarted, or was resumed by another VM. If all VMs report by the candidate only,
 // the old primary stays: a candidate that loses its log receives it from there.
 func (r *replacement) demoteIfUnpaused(ctx context.Context) {
-	if r.cluster.Await(ctx, r.hasUnpaused) && !r.acceptedByAll() {
+	if r.cluster.Await(ctx, r.hasUnpaused) && !r.acceptedByAll(r.unpaused) {
 		r.log.Info("failover: a replica is not paused; demoting the old primary before the promotion")
 		r.demoteOldPrimary(ctx, r.term)
 	}
--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -77,9 +78,10 @@
 	backoffUntil map[chervilladder.ServiceID]time.Time
 	// lastAttempt is when the last replacement attempt of a cluster ended.
 	lastAttempt map[chervilladder.ServiceID]time.Time
-	// behindSince is since when each attempt on a cluster has found that no candidate holds
-	// what was reported.
-	behindSince map[chervilladder.ServiceID]time.Time
+	behind      map[chervilladder.ServiceID]behindTimes
+	// process is this process in announcements, and sequence numbers them.
+	process  uint64
+	sequence atomic.Uint64
 	// ended is closed when Run ends.
 	ended <-chan struct{}
 	// running covers all goroutines that Run has started; replacing covers the
@@ -98,7 +100,8 @@
 		inProgress:   make(map[chervilladder.ServiceID]bool),
 		backoffUntil: make(map[chervilladder.ServiceID]time.Time),
 		lastAttempt:  make(map[chervilladder.ServiceID]time.Time),
-		behindSince:  make(map[chervilladder.ServiceID]time.Time),
+		behind:       make(map[chervilladder.ServiceID]behindTimes),
+		process:      uint64(max(0, time.Now().UnixNano())),
 	}, nil
 }
 
--- a/internal/control/failover/pending.go
+++ b/internal/control/failover/pending.go
@@ -25,7 +25,11 @@
 // markOrdered records that a promotion is about to be ordered.
 func (l *leadership) markOrdered(s chervilladder.ServiceID, id chervilladder.UpstreamID) {
 	l.changePending(s, id, func(o pendingOrder) pendingOrder {
-		o.at, o.effective = l.clock(), false
+		now := l.clock()
+		if now.Sub(o.at) >= lateOrderLimit {
+			o = pendingOrder{}
+		}
+		o.at, o.effective = now, false
 		o.unanswered++
 		return o
 	})
--- a/internal/control/failover/promotion.go
+++ b/internal/control/failover/promotion.go
@@ -150,12 +150,16 @@
 	r.k.leadership.markOrdered(r.service, id)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	watched := make(chan struct{})
 	recovery.Go(ctx, &r.k.running, r.k.c.Log, part, func(ctx context.Context) {
+		defer close(watched)
 		if r.cluster.Await(ctx, func(blackboard.ClusterView) bool { return r.checkOrdered(best) != nil }) {
 			cancel()
 		}
 	})
 	err := r.k.c.Promoter.Promote(ctx, record, r.service, id)
+	cancel()
+	<-watched
 	r.log.WithFields(logrus.Fields{"candidate": id, "epoch": record.Epoch, "error": err}).Info("failover: promotion ordered")
 	var refused *chervilladder.PromotionRefusedError
 	switch {
@@ -183,7 +187,10 @@
 	if v := r.cluster.View.Load(); leads(v) && !r.hasChanged(v, best) {
 		return nil
 	}
-	return r.checkOrdered(best)
+	if err := r.checkOrdered(best); err != nil {
+		return err
+	}
+	return errNotObserved
 }
 
 // hasChanged reports whether a candidate has started again, or was found without its pause
@@ -214,6 +221,7 @@
 	if old, known := v.Members[r.view.Primary]; r.unpaused != "" && known && old.Status.Primary {
 		return lead.Paused{}, false
 	}
+	r.endWatch()
 	r.unpaused = "" // all are paused from here on
 	conns := r.connectCandidates(ctx, v)
 	defer closeAll(conns)
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -40,6 +40,8 @@
 	// meanwhile.
 	demoted   atomic.Bool
 	announced announcements
+	// stopWatching ends the goroutine of watchUnpaused; nil if there is none.
+	stopWatching func()
 	// changed are candidates that have started again, or lost their pause, since they were
 	// ordered.
 	changed map[chervilladder.UpstreamID]bool
@@ -235,9 +237,9 @@
 // as a candidate: should it take effect all the same, they have reported nothing that this
 // replica lacks. One for the primary changes nothing.
 func (r *replacement) resumeAll(ctx context.Context) error {
-	v, now, accepted := r.cluster.View.Load(), r.k.c.Clock(), r.acceptedByAll()
+	v, now := r.cluster.View.Load(), r.k.c.Clock()
 	passOver := func(id chervilladder.UpstreamID) bool {
-		return id == v.Primary || accepted && lead.Lost(v, id, now)
+		return id == v.Primary || lead.Lost(v, id, now) && r.acceptedByAll(id)
 	}
 	if r.ensureExclusive(ctx) != nil || !r.k.leadership.noPromotionPending(r.service, passOver) {
 		return nil
--- a/internal/control/failover/settled_test.go
+++ b/internal/control/failover/settled_test.go
@@ -13,7 +13,6 @@
 )
 
 // The known replicas receive nothing, and one that no VM knows confirms alone.
-
 func TestCommitsOfACutOffPrimaryThatAnUnknownReplicaHoldsAreNotAcknowledged(t *testing.T) {
 	bubble(t, clustertest.Config{VMs: 2}, func(t *testing.T, is *is.I, w *clustertest.World) {
 		time.Sleep(4 * time.Second)
--- a/internal/peer/announce_test.go
+++ b/internal/peer/announce_test.go
@@ -19,32 +19,34 @@
 type candidacies struct {
 	last     chervilladder.Candidacy
 	reported chervilladder.Mark
+	pending  []chervilladder.Candidacy
 	err      error
 }
 
-func (a *candidacies) AcceptCandidacy(_ context.Context, c chervilladder.Candidacy) (chervilladder.Mark, error) {
+func (a *candidacies) AcceptCandidacy(_ context.Context, c chervilladder.Candidacy) (chervilladder.CandidacyReply, error) {
 	a.last = c
-	return a.reported, a.err
+	return chervilladder.CandidacyReply{Reported: a.reported, Pending: a.pending}, a.err
 }
 
 func TestAnnounce(t *testing.T) {
 	is := is.New(t)
-	accepted := &candidacies{reported: chervilladder.Mark{Term: 3, Position: 7}}
+	other := chervilladder.Candidacy{Service: "s", Candidate: "i-2", By: "vm-2", Replaces: 2, Process: 9, Sequence: 4, ValidFor: time.Second, TookEffect: true}
+	accepted := &candidacies{reported: chervilladder.Mark{Term: 3, Position: 7}, pending: []chervilladder.Candidacy{other}}
 	client, address, stop := serve(t, ServerConfig{Candidacies: accepted})
 	defer stop()
-	sent := chervilladder.Candidacy{Service: "s", Candidate: "i-1", By: "vm-1", Replaces: 3, ValidFor: 14 * time.Second}
+	sent := chervilladder.Candidacy{Service: "s", Candidate: "i-1", By: "vm-1", Replaces: 3, Process: 7, Sequence: 2, ValidFor: 14 * time.Second}
 	for _, validFor := range []time.Duration{14 * time.Second, time.Microsecond, 0} {
 		sent.ValidFor = validFor
-		reported, err := client.AcceptCandidacy(t.Context(), address, sent)
+		reply, err := client.AcceptCandidacy(t.Context(), address, sent)
 		is.NoErr(err)
 		is.Equal(accepted.last, sent)
-		is.Equal(reported, accepted.reported)
+		is.Equal(reply, chervilladder.CandidacyReply{Reported: accepted.reported, Pending: accepted.pending})
 	}
 
 	accepted.reported = chervilladder.Mark{}
-	reported, err := client.AcceptCandidacy(t.Context(), address, sent)
+	reply, err := client.AcceptCandidacy(t.Context(), address, sent)
 	is.NoErr(err)
-	is.Equal(reported, chervilladder.Mark{}) // nothing was reported yet
+	is.Equal(reply.Reported, chervilladder.Mark{}) // nothing was reported yet
 
 	accepted.err = errors.New("unknown service")
 	_, err = client.AcceptCandidacy(t.Context(), address, sent)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -153,21 +153,21 @@
 	return nil
 }
 
-// AcceptCandidacy tells a peer of a candidacy and returns the latest commit that it has
-// reported as done.
-func (c *Client) AcceptCandidacy(ctx context.Context, peer chervilladder.Address, n chervilladder.Candidacy) (chervilladder.Mark, error) {
+// AcceptCandidacy tells a peer of a candidacy and returns its answer.
+func (c *Client) AcceptCandidacy(ctx context.Context, peer chervilladder.Address, n chervilladder.Candidacy) (chervilladder.CandidacyReply, error) {
 	client, err := c.client(peer)
 	if err != nil {
-		return chervilladder.Mark{}, err
+		return chervilladder.CandidacyReply{}, err
 	}
-	r, err := client.Announce(ctx, &peerpb.AnnounceRequest{
-		Service: string(n.Service), Candidate: string(n.Candidate), By: string(n.By), Replaces: uint64(n.Replaces),
-		ValidUs: uint64(max(0, n.ValidFor.Microseconds())), TookEffect: n.TookEffect,
-	})
+	r, err := client.Announce(ctx, encodeCandidacy(n))
 	if err != nil {
-		return chervilladder.Mark{}, fmt.Errorf("peer %s: candidacy of %s: %w", peer, n.Candidate, err)
+		return chervilladder.CandidacyReply{}, fmt.Errorf("peer %s: candidacy of %s: %w", peer, n.Candidate, err)
+	}
+	reply := chervilladder.CandidacyReply{Reported: decodeMark(r.GetReported())}
+	for _, p := range r.GetPending() {
+		reply.Pending = append(reply.Pending, decodeCandidacy(p))
 	}
-	return decodeMark(r.GetReported()), nil
+	return reply, nil
 }
 
 // ReachablePrimary queries a peer for the primary of a service that the peer reaches.
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -20,6 +20,21 @@
 	}
 }
 
+func encodeCandidacy(c chervilladder.Candidacy) *peerpb.AnnounceRequest {
+	return &peerpb.AnnounceRequest{
+		Service: string(c.Service), Candidate: string(c.Candidate), By: string(c.By), Replaces: uint64(c.Replaces),
+		ValidUs: uint64(max(0, c.ValidFor.Microseconds())), TookEffect: c.TookEffect, Process: c.Process, Sequence: c.Sequence,
+	}
+}
+
+func decodeCandidacy(r *peerpb.AnnounceRequest) chervilladder.Candidacy {
+	return chervilladder.Candidacy{
+		Service: chervilladder.ServiceID(r.GetService()), Candidate: chervilladder.UpstreamID(r.GetCandidate()), By: chervilladder.VMID(r.GetBy()),
+		Replaces: chervilladder.Term(r.GetReplaces()), ValidFor: time.Duration(min(r.GetValidUs(), maxAgeMicros)) * time.Microsecond,
+		TookEffect: r.GetTookEffect(), Process: r.GetProcess(), Sequence: r.GetSequence(),
+	}
+}
+
 func encodeWork(w chervilladder.Work) *peerpb.Work {
 	out := &peerpb.Work{
 		Database: string(w.Database),
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -189,15 +189,15 @@
 	if s.Candidacies == nil {
 		return nil, status.Error(codes.Unimplemented, "this VM runs no work at upstreams")
 	}
-	reported, err := s.Candidacies.AcceptCandidacy(ctx, chervilladder.Candidacy{
-		Service: chervilladder.ServiceID(r.GetService()), Candidate: chervilladder.UpstreamID(r.GetCandidate()), By: chervilladder.VMID(r.GetBy()),
-		Replaces: chervilladder.Term(r.GetReplaces()), ValidFor: time.Duration(min(r.GetValidUs(), maxAgeMicros)) * time.Microsecond,
-		TookEffect: r.GetTookEffect(),
-	})
+	reply, err := s.Candidacies.AcceptCandidacy(ctx, decodeCandidacy(r))
 	if err != nil {
 		return nil, status.Error(codes.FailedPrecondition, err.Error())
 	}
-	return &peerpb.AnnounceResponse{Reported: encodeMark(reported)}, nil
+	out := &peerpb.AnnounceResponse{Reported: encodeMark(reply.Reported)}
+	for _, c := range reply.Pending {
+		out.Pending = append(out.Pending, encodeCandidacy(c))
+	}
+	return out, nil
 }
 
 // Witness returns the primary of a service that this VM reaches.
