failover: the explorer prints for how long writes stood still

A mend that holds commits back for longer is to be seen beside the base: the median, one of ten and the longest time without an acknowledged write.

--- a/internal/control/failover/explore_test.go
+++ b/internal/control/failover/explore_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -218,6 +219,20 @@
 	return list
 }
 
+// stoodStill returns the longest time without an acknowledged write.
+func (y *play) stoodStill() time.Duration {
+	at := []time.Time{y.began, time.Now()}
+	for _, r := range y.acked {
+		at = append(at, r.at)
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	longest := time.Duration(0)
+	for i := 1; i < len(at); i++ {
+		longest = max(longest, at[i].Sub(at[i-1]))
+	}
+	return longest
+}
+
 // seconds returns when something happened in the play.
 func (y *play) seconds(at time.Time) float64 { return at.Sub(y.began).Seconds() }
 
@@ -242,8 +257,14 @@
 	return times
 }
 
-// explore runs one play and returns what it broke and what happened in it.
-func explore(t *testing.T, p plan) (broken, events []string) {
+// outcome is what a play broke, what happened in it, and how long writes stood still.
+type outcome struct {
+	broken, events []string
+	stoodStill     time.Duration
+}
+
+// explore runs one play.
+func explore(t *testing.T, p plan) (o outcome) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := clustertest.New(t, clustertest.Config{VMs: p.vms, Members: p.members, Adjust: func(c *cluster.Config) {
@@ -257,16 +278,16 @@
 			y.registered = append(y.registered, clustertest.Member(i))
 		}
 		w.Cluster.SetPromoteTimes(y.promoteTimes)
-		broken = y.run()
+		o.broken = y.run()
 		for _, e := range w.Cluster.Effects() {
 			y.events = append(y.events, fmt.Sprintf("%8.3f effect: %s leads term %d", y.seconds(e.At), e.Upstream, e.Term))
 		}
-		events = y.events
+		o.events, o.stoodStill = y.events, y.stoodStill()
 		for _, m := range y.registered { // closes the connections that killed VMs have left
 			w.Cluster.Set(m.ID, func(f *cluster.Faults) { *f = cluster.Faults{Down: true} })
 		}
 	})
-	return broken, events
+	return o
 }
 
 // Plays with disruptions that meet the steps of replacements. No promotion may lose an
@@ -275,17 +296,23 @@
 
 // exploreAll runs the plays that the flags ask for.
 func exploreAll(t *testing.T, draw func(seed uint64) plan) {
+	var still []time.Duration
 	for seed := *exploreFirst; seed < *exploreFirst+uint64(*exploreSeeds); seed++ {
 		p := draw(seed)
 		p.list = keep(p.list)
-		var broken, events []string
+		var o outcome
 		for range *exploreTries {
-			if broken, events = explore(t, p); len(broken) > 0 {
+			o = explore(t, p)
+			still = append(still, o.stoodStill)
+			if len(o.broken) > 0 {
 				break
 			}
 		}
-		if len(broken) > 0 {
-			t.Errorf("seed %d: %s\n%s\n%s", seed, strings.Join(broken, "; "), p, strings.Join(events, "\n"))
+		if len(o.broken) > 0 {
+			t.Errorf("seed %d: %s\n%s\n%s", seed, strings.Join(o.broken, "; "), p, strings.Join(o.events, "\n"))
 		}
 	}
+	slices.Sort(still)
+	n := len(still)
+	t.Logf("%d plays; writes stood still for %v in the median, %v in one of ten, %v at most", n, still[n/2], still[n-1-n/10], still[n-1])
 }
