standin: members that start again under their id

A member's `born` never changed. StartAgain has a member register a new one and count its entries anew; Holders tells which members hold all of a member's log, so that a test lets nobody leave with the only copy. Set passes over a member that was removed.

--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -172,11 +172,15 @@
 	return k, nil
 }
 
-// Set changes a member's faults. A member that goes down loses its connections.
+// Set changes the faults of a member, unless that has been removed. A member that goes down
+// loses its connections.
 func (k *Cluster) Set(id chervilladder.UpstreamID, change func(*Faults)) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	m := k.members[id]
+	m, ok := k.members[id]
+	if !ok {
+		return
+	}
 	wasDown := m.faults.Down
 	change(&m.faults)
 	if wasDown && !m.faults.Down {
@@ -233,6 +237,24 @@
 	return append([]Entry(nil), k.members[id].log...)
 }
 
+// Holders returns the members that hold all of a member's log, itself and those that are
+// down included; none if it has been removed.
+func (k *Cluster) Holders(id chervilladder.UpstreamID) []chervilladder.UpstreamID {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	m, ok := k.members[id]
+	if !ok {
+		return nil
+	}
+	var list []chervilladder.UpstreamID
+	for _, o := range k.members {
+		if n := len(m.log); n == 0 || o.holds(m.log[n-1]) {
+			list = append(list, o.ID)
+		}
+	}
+	return list
+}
+
 // Primary returns the primary of the highest term.
 func (k *Cluster) Primary() (chervilladder.UpstreamID, chervilladder.Term) {
 	k.mu.Lock()
--- a/internal/standin/environment/environment.go
+++ b/internal/standin/environment/environment.go
@@ -67,6 +67,8 @@
 	mu       sync.Mutex
 	draining map[chervilladder.UpstreamID]bool
 	unlisted map[chervilladder.UpstreamID]bool
+	// born is when the members that have started again did so.
+	born     map[chervilladder.UpstreamID]time.Time
 	version  int
 	accounts []Account
 	// configuration is the last one, as written.
@@ -75,7 +77,7 @@
 
 // New returns an environment and writes the initial configuration.
 func New(c Config) (*Environment, error) {
-	e := &Environment{c: c, accounts: c.Accounts, Clusters: make(map[chervilladder.ServiceID]*cluster.Cluster), draining: make(map[chervilladder.UpstreamID]bool), unlisted: make(map[chervilladder.UpstreamID]bool)}
+	e := &Environment{c: c, accounts: c.Accounts, Clusters: make(map[chervilladder.ServiceID]*cluster.Cluster), draining: make(map[chervilladder.UpstreamID]bool), unlisted: make(map[chervilladder.UpstreamID]bool), born: make(map[chervilladder.UpstreamID]time.Time)}
 	for _, s := range c.Services {
 		k, err := cluster.New(s)
 		if err != nil {
@@ -163,6 +165,25 @@
 	e.draining[id] = true
 }
 
+// StartAgain makes a member register itself as one that has just started under its id.
+func (e *Environment) StartAgain(id chervilladder.UpstreamID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.draining, id)
+	delete(e.unlisted, id)
+	e.born[id] = time.Now()
+}
+
+// bornAt returns when a member started.
+func (e *Environment) bornAt(id chervilladder.UpstreamID) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if born, ok := e.born[id]; ok {
+		return born
+	}
+	return time.UnixMilli(1)
+}
+
 // SetListed lets the entry of a member lapse while the member lives, or has the member
 // write it again.
 func (e *Environment) SetListed(id chervilladder.UpstreamID, listed bool) {
@@ -225,8 +246,11 @@
 	if a, ok := e.c.AnnouncedAddresses[m.ID]; ok {
 		address = a
 	}
-	missed := 0
+	missed, born := 0, e.bornAt(m.ID)
 	for seq := 1; ; seq++ {
+		if b := e.bornAt(m.ID); b != born {
+			born, seq = b, 1
+		}
 		if e.Clusters[m.Service].Down(m.ID) {
 			missed++
 			if missed == missedHeartbeats {
@@ -234,7 +258,7 @@
 			}
 		} else if e.isUnlisted(m.ID) {
 			missed = 0
-		} else if err := e.writeEntry(m, address, seq); err != nil {
+		} else if err := e.writeEntry(m, address, born, seq); err != nil {
 			return err
 		} else {
 			missed = 0
@@ -247,11 +271,11 @@
 	}
 }
 
-func (e *Environment) writeEntry(m chervilladder.Registered, address chervilladder.Address, seq int) error {
+func (e *Environment) writeEntry(m chervilladder.Registered, address chervilladder.Address, born time.Time, seq int) error {
 	primary, _ := e.Clusters[m.Service].Primary()
 	entry := map[string]any{
 		"service": m.Service, "address": address, "zone": m.DataCentre, "version": "v1", "slots": m.Slots,
-		"state": "ready", "cold_remaining_ms": 0, "db_role": "replica", "seq_no": seq, "born": 1,
+		"state": "ready", "cold_remaining_ms": 0, "db_role": "replica", "seq_no": seq, "born": born.UnixMilli(),
 	}
 	e.mu.Lock()
 	if e.draining[m.ID] {
