--- a/internal/soak/interrupted_test.go
+++ b/internal/soak/interrupted_test.go
@@ -60,9 +60,7 @@
 	switch {
 	case id == "":
 	case kind == 0:
-		w.recordFault(d, "%s is cut from all VMs", id)
-		w.memberProxies[id].set(linkFault{stallToTarget: true, stallToVM: true, reject: true})
-		w.after(d, func() { w.memberProxies[id].set(linkFault{}) })
+		w.cutFromVMs(id, d)
 	case kind == 1:
 		w.faultService(k, id, "without replication", d, func(f *cluster.Faults) { f.NoReplication = true })
 	default:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -174,17 +174,17 @@
 		promotions += len(k.Effects())
 	}
 	t.Logf("%d attempts: %v; %d promotions; %d events", len(attempts), counts, promotions, len(w.events))
-	if len(violations) > 0 {
-		for _, v := range violations[:min(len(violations), 10)] {
-			t.Error(v)
-		}
+	for _, v := range violations[:min(len(violations), 10)] {
+		t.Error(v)
+	}
+	if t.Failed() {
 		var lines []string
 		for _, e := range w.events {
 			lines = append(lines, e.String())
 		}
 		for _, k := range w.clusters {
 			for _, e := range k.Effects() {
-				lines = append(lines, fmt.Sprintf("%s %s leads term %d, %d lost", e.At.Format("15:04:05.000"), e.Upstream, e.Term, len(e.Lost)))
+				lines = append(lines, fmt.Sprintf("%s %s leads term %d, %d lost, held by %v", e.At.Format("15:04:05.000"), e.Upstream, e.Term, len(e.Lost), e.HeldBy))
 			}
 			for _, p := range k.Promotions() {
 				lines = append(lines, fmt.Sprintf("%s %s ordered by %s", p.At.Format("15:04:05.000"), p.Upstream, p.Holder))
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -36,6 +36,9 @@
 // membersPerService is how many members of a service are up at the start.
 const membersPerService = 3
 
+// promoteTime is the time from a promotion order to when it takes effect.
+const promoteTime = 400 * time.Millisecond
+
 // serviceID returns the n-th service.
 func serviceID(n int) chervilladder.ServiceID {
 	if n == 0 {
@@ -131,7 +134,7 @@
 	for n := range max(1, s.services) {
 		c := cluster.Config{
 			Service: serviceID(n), Confirmations: 1, Connections: s.connections, Queue: 24, Lag: 40 * time.Millisecond,
-			ConnectTime: 2 * time.Millisecond, WorkTime: cmp.Or(s.work, 2*time.Millisecond), PromoteTime: 400 * time.Millisecond,
+			ConnectTime: 2 * time.Millisecond, WorkTime: cmp.Or(s.work, 2*time.Millisecond), PromoteTime: promoteTime,
 		}
 		for i := range membersPerService + s.spares {
 			l := listen(t)
