--- a/internal/control/failover/demotion.go
+++ b/internal/control/failover/demotion.go
@@ -16,10 +16,10 @@
 	"github.com/chervilladder/chervilladder/internal/recovery"
 )
 
-// maxServicePeers is the maximum number of peers that are asked to demote an old primary,
-// or told of a candidate. Those that host the service are first, as callers reach it
-// through them only.
-const maxServicePeers = 32
+// maxDemotionPeers is the maximum number of peers that are asked to demote an old
+// primary. Those that host its service are asked first, as callers reach it through them
+// only.
+const maxDemotionPeers = 32
 
 // errStillLeads reports an upstream that responded and is still primary.
 var errStillLeads = errors.New("the upstream is still primary, possibly of a later term")
@@ -182,7 +182,7 @@
 	if k.c.PeerDemoter == nil {
 		return nil
 	}
-	return hosting.Ranked(service, k.c.Board.Peers.Load(), maxServicePeers)
+	return hosting.Ranked(service, k.c.Board.Peers.Load(), maxDemotionPeers)
 }
 
 var _ chervilladder.Demoter = (*Controller)(nil)
--- a/internal/control/failover/promotion.go
+++ b/internal/control/failover/promotion.go
@@ -42,8 +42,8 @@
 		}
 		r.log.WithError(err).WithFields(logrus.Fields{"ordered": best.Upstream, "candidate": next.Upstream, "received": next.Received.String()}).Warn("failover: another candidate is ordered")
 		r.announce(ctx, next.Upstream)
-		if err := r.checkHeld(next); err != nil {
-			return next, err
+		if behind := r.checkHeld(next); behind != nil {
+			return next, behind
 		}
 		best = next
 	}
--- a/internal/control/failover/replacement.go
+++ b/internal/control/failover/replacement.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +43,8 @@
 	announced announcements
 	// stopWatching ends the goroutine of watchUnpaused; nil if there is none.
 	stopWatching func()
+	// lossLogged is done once the attempt has given up reported commits.
+	lossLogged sync.Once
 	// changed are candidates that have started again, or lost their pause, since they were
 	// ordered.
 	changed map[chervilladder.UpstreamID]bool
--- a/internal/decide/lead/commit.go
+++ b/internal/decide/lead/commit.go
@@ -45,7 +45,8 @@
 )
 
 // FateOf judges an acknowledged commit: whether each upstream that may become the next
-// primary holds it.
+// primary holds it. It is in doubt once another member leads than the one that acknowledged
+// it.
 //
 // While replicas are candidates, that is each of them, whatever others confirm: an order may
 // take effect at any time, and makes the candidate the primary with what it holds then.
