failover: an announcement that is told again is neither logged nor sent for long

A holder told all VMs of its candidate each half second for ten seconds after each replacement, and each VM logged it: some twenty lines a replacement, and 2,600 calls among 130 hosts.

Change: once an order has taken effect only VMs that haven't accepted are told again; a line comes with each new announcement only.

--- a/internal/blackboard/replacement.go
+++ b/internal/blackboard/replacement.go
@@ -46,6 +46,13 @@
 	return Replacement{Candidates: list}
 }
 
+// Has reports whether an announcement is known.
+func (r Replacement) Has(c Candidate) bool {
+	return slices.ContainsFunc(r.Candidates, func(o Candidate) bool {
+		return o.Upstream == c.Upstream && o.By == c.By && o.Process == c.Process && o.Sequence == c.Sequence
+	})
+}
+
 // Pending returns the candidates that an order may still make the primary: those that don't
 // lead and whose time isn't over, also if their registration has expired. One that has led
 // and was replaced is pending again until then, since an order may take effect twice; but not
--- a/internal/control/failover/announcement.go
+++ b/internal/control/failover/announcement.go
@@ -138,14 +138,19 @@
 	r.announced.noteReported(reply.Reported)
 }
 
-// keepTelling tells the VMs of the candidate until the announcement ends.
+// keepTelling tells the VMs of the candidate until the announcement ends. Once an order has
+// taken effect, only those are told that haven't accepted the candidate.
 func (r *replacement) keepTelling(ctx context.Context, a *announcement) {
 	t := time.NewTicker(tellAgainEvery)
 	defer t.Stop()
 	for a.lasts(r.k.c.Clock()) > 0 {
 		select {
 		case <-t.C:
-			r.tell(ctx, a, r.k.candidacyPeers(r.service))
+			peers := r.k.candidacyPeers(r.service)
+			if effective, _ := a.state(); effective {
+				peers = a.missing(peers)
+			}
+			r.tell(ctx, a, peers)
 		case <-r.k.ended:
 			return
 		}
--- a/internal/control/failover/candidacy.go
+++ b/internal/control/failover/candidacy.go
@@ -50,7 +50,11 @@
 		Upstream: c.Candidate, By: c.By, Process: c.Process, Sequence: c.Sequence, Replaces: c.Replaces,
 		Until: now.Add(min(c.ValidFor, candidacyLasts)), TookEffect: c.TookEffect,
 	}
+	before := cluster.Replacement.Load()
 	cluster.Replacement.Update(func(r blackboard.Replacement) blackboard.Replacement { return r.Announced(candidate, now) })
+	if before.Has(candidate) {
+		return // told again
+	}
 	k.c.Log.WithFields(logrus.Fields{
 		"service": c.Service, "candidate": c.Candidate, "by": c.By, "replaces": c.Replaces, "valid-for": c.ValidFor.String(), "reported": cluster.Reported.Load().String(),
 	}).Info("failover: candidate announced")
